--- /dev/null
+++ b/Makefile
@@ -0,0 +1,134 @@
+# One entry for everything:
+#   make deps    install what the build needs (Debian)
+#   make         build the programs into build/plain
+#   make check   all tests, then once more under ASan and UBSan
+#   make lint    formatter and linters
+#   make demo    the whole path in separate processes
+#   make bench   measurements
+#   make capacity  slopes behind docs/CAPACITY.md
+#   make format  rewrite the sources with the formatter
+
+PACKAGES = gcc make pkg-config clang-format clang-tidy cppcheck valgrind \
+	libuv1-dev libh2o-dev libssl-dev zlib1g-dev libprotobuf-c-dev \
+	libglib2.0-dev check libjansson-dev libxxhash-dev
+
+MODE ?= plain
+OUT = build/$(MODE)
+
+LIBS = libuv libh2o libprotobuf-c glib-2.0 jansson libxxhash
+PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS) check 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lssl -lcrypto -lz -lm
+CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
+
+CFLAGS_plain = -O2
+CFLAGS_asan = -O1 -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+LDFLAGS_asan = -fsanitize=address,undefined
+
+CPPFLAGS += -Iinclude -Isource -D_GNU_SOURCE -DH2O_USE_LIBUV=1
+CFLAGS += -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes $(CFLAGS_$(MODE)) $(PKG_CFLAGS)
+LDFLAGS += $(LDFLAGS_$(MODE))
+
+# The core does no I/O; the shell does; each tool is a thin main.
+CORE = $(wildcard source/base/*.c source/proto/*.c source/catalogue/*.c \
+	source/claim/*.c source/authority/*.c source/policy/*.c \
+	source/member/*.c source/node/*.c source/model/*.c)
+SHELL_SRC = $(wildcard source/net/*.c)
+TOOLS = $(patsubst source/tool/%.c,%,$(wildcard source/tool/dff-*.c))
+TOOL_PARTS = $(filter-out source/tool/dff-%.c,$(wildcard source/tool/*.c))
+TESTS = $(patsubst test/%.c,%,$(wildcard test/test_*.c))
+FAKES = $(wildcard test/fake/*.c)
+BENCHES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+
+CORE_OBJ = $(CORE:%.c=$(OUT)/%.o)
+SHELL_OBJ = $(SHELL_SRC:%.c=$(OUT)/%.o) $(TOOL_PARTS:%.c=$(OUT)/%.o)
+FAKE_OBJ = $(FAKES:%.c=$(OUT)/%.o)
+
+PROGRAMS = $(TOOLS:%=$(OUT)/%)
+TEST_PROGRAMS = $(TESTS:%=$(OUT)/%)
+BENCH_PROGRAMS = $(BENCHES:%=$(OUT)/%)
+
+# Hand-written sources: what the formatter and the linters look at.
+SOURCES = $(filter-out source/proto/%,$(wildcard source/*/*.c source/*/*.h \
+	include/dragonflyfall/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
+	bench/*.h))
+
+.PHONY: all deps check lint format demo bench capacity tests clean generate
+
+all: $(PROGRAMS)
+
+tests: $(PROGRAMS) $(TEST_PROGRAMS) $(BENCH_PROGRAMS)
+
+$(OUT)/libdragonflyfall.a: $(CORE_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(OUT)/libdffshell.a: $(SHELL_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(OUT)/libdfffakes.a: $(FAKE_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+# protobuf-c's generated code is not held to the warnings of our own.
+$(OUT)/source/proto/%.o: CFLAGS += -Wno-unused-parameter
+
+$(PROGRAMS): $(OUT)/%: $(OUT)/source/tool/%.o $(OUT)/libdffshell.a \
+	$(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(TEST_PROGRAMS): $(OUT)/%: $(OUT)/test/%.o $(OUT)/libdfffakes.a \
+	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS)
+
+$(BENCH_PROGRAMS): $(OUT)/%: $(OUT)/bench/%.o $(OUT)/libdfffakes.a \
+	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+deps:
+	apt-get update -q
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
+	    --no-install-recommends $(PACKAGES)
+
+check:
+	@pkg-config --exists $(LIBS) check || $(MAKE) deps
+	$(MAKE) MODE=plain tests
+	$(MAKE) MODE=asan tests
+	test/run build/plain build/asan
+
+lint:
+	@command -v clang-format cppcheck >/dev/null || $(MAKE) deps
+	clang-format --dry-run --Werror $(SOURCES)
+	cppcheck --quiet --std=c11 --enable=warning,performance,portability \
+	    --error-exitcode=1 --inline-suppr --suppress=missingIncludeSystem \
+	    --suppress=unknownMacro -j 8 -Iinclude -Isource \
+	    $(filter %.c,$(SOURCES))
+
+format:
+	clang-format -i $(SOURCES)
+
+demo: all
+	bench/demo $(OUT)
+
+bench:
+	$(MAKE) MODE=plain tests
+	bench/run build/plain
+
+capacity:
+	$(MAKE) MODE=plain tests
+	bench/capacity build/plain
+
+# Only after a change of the .proto file; needs protobuf-c-compiler.
+generate:
+	cd source/proto && protoc-c --c_out=. dragonflyfall.proto
+
+clean:
+	rm -rf build
+
+-include $(shell find build/$(MODE) -name '*.d' 2>/dev/null)
