--- a/include/dragonflyfall/claim.h
+++ b/include/dragonflyfall/claim.h
@@ -12,6 +12,19 @@
 /* The largest answer that is kept to be given again. */
 #define DFF_CLAIM_BODY_MAX (16 * 1024)
 
+/*
+ * The top byte of the ids of this part's appends, so that the node can tell
+ * them from those of other parts.
+ */
+#define DFF_CLAIM_APPEND_TAG ((uint64_t)0xc1 << 56)
+
+/*
+ * What a repeat gets when the call was done but its answer was not kept
+ * (too large, or too many since): DFF_CLAIM_REPEATED with this status and a
+ * JSON error whose code is "answer_not_kept" and whose "ran" is "ran".
+ */
+#define DFF_CLAIM_NOT_KEPT_STATUS 410
+
 /** struct dff_key - hash of owner, entry and the caller's key */
 typedef struct dff_key {
 	uint64_t hi;
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1916,7 +1916,7 @@
   (ProtobufCMessageInit) dff__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__claim_outcome__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dff__claim_outcome__field_descriptors[8] =
 {
   {
     "key_hi",
@@ -2002,6 +2002,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_kept",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__ClaimOutcome, not_kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__claim_outcome__field_indices_by_name[] = {
   6,   /* field[6] = body */
@@ -2009,13 +2021,14 @@
   5,   /* field[5] = content_type */
   0,   /* field[0] = key_hi */
   1,   /* field[1] = key_lo */
+  7,   /* field[7] = not_kept */
   3,   /* field[3] = state */
   4,   /* field[4] = status */
 };
 static const ProtobufCIntRange dff__claim_outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dff__claim_outcome__descriptor =
 {
@@ -2025,7 +2038,7 @@
   "Dff__ClaimOutcome",
   "dff",
   sizeof(Dff__ClaimOutcome),
-  7,
+  8,
   dff__claim_outcome__field_descriptors,
   dff__claim_outcome__field_indices_by_name,
   1,  dff__claim_outcome__number_ranges,
@@ -2186,7 +2199,7 @@
   (ProtobufCMessageInit) dff__claim_held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__claims_snapshot__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dff__claims_snapshot__field_descriptors[4] =
 {
   {
     "through",
@@ -2224,8 +2237,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__ClaimsSnapshot, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__claims_snapshot__field_indices_by_name[] = {
+  3,   /* field[3] = clock_ms */
   2,   /* field[2] = hash */
   1,   /* field[1] = held */
   0,   /* field[0] = through */
@@ -2233,7 +2259,7 @@
 static const ProtobufCIntRange dff__claims_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dff__claims_snapshot__descriptor =
 {
@@ -2243,7 +2269,7 @@
   "Dff__ClaimsSnapshot",
   "dff",
   sizeof(Dff__ClaimsSnapshot),
-  3,
+  4,
   dff__claims_snapshot__field_descriptors,
   dff__claims_snapshot__field_indices_by_name,
   1,  dff__claims_snapshot__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -210,10 +210,14 @@
   uint32_t status;
   char *content_type;
   ProtobufCBinaryData body;
+  /*
+   * done, but the answer was too large to keep
+   */
+  protobuf_c_boolean not_kept;
 };
 #define DFF__CLAIM_OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__claim_outcome__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 struct  Dff__ClaimBatch
@@ -251,10 +255,14 @@
   size_t n_held;
   Dff__ClaimHeld **held;
   uint64_t hash;
+  /*
+   * newest time_ms seen; keys are pruned by it
+   */
+  uint64_t clock_ms;
 };
 #define DFF__CLAIMS_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__claims_snapshot__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0 }
 
 
 typedef enum {
--- /dev/null
+++ b/test/test_claim.c
@@ -0,0 +1,492 @@
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflyfall/claim.h"
+
+#include "claim/store.h"
+
+#define BATCH_TIME (20 * DFF_MSEC)
+#define GIVE_UP	   (2 * DFF_SEC)
+#define WINDOW_MS  60000
+
+/* One node of a test with what it appended and not yet seen carried out. */
+typedef struct node {
+	dff_ctx_t *ctx;
+	dff_timers_t *timers;
+	dff_claims_t *claims;
+	dff_effects_t *fx;
+} node_t;
+
+static void
+node_open(node_t *node, const char *name, uint64_t incarnation)
+{
+	dff_claims_config_t config = {
+	    .incarnation = incarnation,
+	    .batch_time = BATCH_TIME,
+	    .batch_max = 8,
+	    .give_up = GIVE_UP,
+	    .window_ms = WINDOW_MS,
+	};
+
+	(void)dff_name_copy(config.node, name);
+	node->ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
+	node->timers = dff_timers_new();
+	node->fx = dff_effects_new();
+	node->claims = dff_claims_new(node->ctx, &config, node->timers);
+}
+
+static void
+node_close(node_t *node)
+{
+	dff_claims_drop(node->claims);
+	dff_effects_drop(node->fx);
+	dff_timers_drop(node->timers);
+	dff_ctx_drop(node->ctx);
+}
+
+static dff_claim_state_t
+begin(node_t *node, dff_key_t key, uint64_t body, uint64_t call, dff_time_t now)
+{
+	dff_claim_answer_t answer;
+
+	return dff_claims_begin(node->ctx, node->claims, key, body, call, true,
+	    now, node->fx, &answer);
+}
+
+static void
+run_timers(node_t *node, dff_time_t now)
+{
+	dff_timer_t due;
+
+	while (dff_timers_pop(node->timers, now, &due))
+		dff_claims_due(node->ctx, node->claims, &due, now, node->fx);
+}
+
+static int
+apply(node_t *node, uint64_t offset, const dff_fx_log_append_t *append,
+    uint64_t time_ms, dff_time_t now)
+{
+	return dff_claims_apply(node->ctx, node->claims, offset, append->data,
+	    append->len, time_ms, now, node->fx);
+}
+
+static const dff_fx_log_append_t *
+append_at(const node_t *node, size_t i)
+{
+	ck_assert_uint_lt(i, dff_effects_count(node->fx));
+	ck_assert_int_eq(dff_effects_at(node->fx, i)->type, DFF_FX_LOG_APPEND);
+	return &dff_effects_at(node->fx, i)->u.log_append;
+}
+
+static dff_claim_state_t
+verdict(node_t *node, uint64_t call)
+{
+	dff_claim_verdict_t got;
+
+	if (!dff_claims_next_verdict(node->claims, &got))
+		return DFF_CLAIM_WAIT;
+	ck_assert_uint_eq(got.call, call);
+	return got.state;
+}
+
+static void
+appended(node_t *node, uint64_t id, dff_append_t outcome, dff_time_t now)
+{
+	dff_ev_log_appended_t ev = {.id = id, .outcome = outcome};
+
+	dff_claims_appended(node->ctx, node->claims, &ev, now, node->fx);
+}
+
+START_TEST(first_in_offset_order_wins)
+{
+	dff_key_t key = dff_key_make("keelwater", "transfer", "k1");
+	node_t a, b;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "b", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	ck_assert_int_eq(begin(&b, key, 7, 2, 0), DFF_CLAIM_WAIT);
+	run_timers(&a, BATCH_TIME);
+	run_timers(&b, BATCH_TIME);
+	/* b's append came first to the log. */
+	apply(&a, 1, append_at(&b, 0), 1000, 2 * BATCH_TIME);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_RUNNING);
+	apply(&b, 1, append_at(&b, 0), 1000, 2 * BATCH_TIME);
+	ck_assert_int_eq(verdict(&b, 2), DFF_CLAIM_WON);
+	apply(&a, 2, append_at(&a, 0), 1000, 2 * BATCH_TIME);
+	apply(&b, 2, append_at(&a, 0), 1000, 2 * BATCH_TIME);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_WAIT);
+	ck_assert_int_eq(verdict(&b, 2), DFF_CLAIM_WAIT);
+	node_close(&a);
+	node_close(&b);
+}
+END_TEST
+
+START_TEST(second_call_here_is_running)
+{
+	dff_key_t key = dff_key_make("keelwater", "transfer", "k1");
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	ck_assert_int_eq(begin(&a, key, 7, 2, 1), DFF_CLAIM_RUNNING);
+	ck_assert_int_eq(begin(&a, key, 8, 3, 1), DFF_CLAIM_MISMATCH);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(claims_of_a_batch_time_share_one_append)
+{
+	node_t a;
+
+	node_open(&a, "a", 1);
+	for (uint64_t i = 0; i < 8; i++) {
+		dff_key_t key = {i, i};
+
+		ck_assert_uint_eq(dff_effects_count(a.fx), 0);
+		ck_assert_int_eq(begin(&a, key, 7, i, 0), DFF_CLAIM_WAIT);
+	}
+	/* A full batch does not wait. */
+	ck_assert_uint_eq(dff_effects_count(a.fx), 1);
+	run_timers(&a, BATCH_TIME);
+	ck_assert_uint_eq(dff_effects_count(a.fx), 1);
+	node_close(&a);
+}
+END_TEST
+
+/* Win call 1's claim at @a with offset 1. */
+static void
+win(node_t *a, dff_key_t key)
+{
+	ck_assert_int_eq(begin(a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	run_timers(a, BATCH_TIME);
+	apply(a, 1, append_at(a, 0), 1000, BATCH_TIME);
+	ck_assert_int_eq(verdict(a, 1), DFF_CLAIM_WON);
+}
+
+START_TEST(answer_is_given_again)
+{
+	dff_key_t key = dff_key_make("balik", "payout", "k1");
+	dff_claim_answer_t answer = {
+	    200, "text/plain", (const uint8_t *)"paid", 4};
+	dff_claim_answer_t again;
+	node_t a, b;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "b", 1);
+	win(&a, key);
+	apply(&b, 1, append_at(&a, 0), 1000, BATCH_TIME);
+	dff_claims_finish(a.ctx, a.claims, key, DFF_CLAIM_REPEATED, &answer,
+	    2 * BATCH_TIME, a.fx);
+	run_timers(&a, 10 * BATCH_TIME);
+	ck_assert_uint_eq(dff_claims_open(a.claims), 3);
+	apply(&b, 2, append_at(&a, 1), 1000, 10 * BATCH_TIME);
+	apply(&a, 2, append_at(&a, 1), 1000, 10 * BATCH_TIME);
+	appended(&a, append_at(&a, 0)->id, DFF_APPEND_DONE, 10 * BATCH_TIME);
+	appended(&a, append_at(&a, 1)->id, DFF_APPEND_DONE, 10 * BATCH_TIME);
+	ck_assert_uint_eq(dff_claims_open(a.claims), 0);
+	ck_assert_int_eq(dff_claims_begin(b.ctx, b.claims, key, 7, 9, false,
+			     11 * BATCH_TIME, b.fx, &again),
+	    DFF_CLAIM_REPEATED);
+	ck_assert_int_eq(again.status, 200);
+	ck_assert_str_eq(again.content_type, "text/plain");
+	ck_assert_mem_eq(again.body, "paid", 4);
+	ck_assert_int_eq(
+	    begin(&b, key, 8, 10, 11 * BATCH_TIME), DFF_CLAIM_MISMATCH);
+	node_close(&a);
+	node_close(&b);
+}
+END_TEST
+
+START_TEST(large_answer_is_not_kept)
+{
+	static uint8_t body[DFF_CLAIM_BODY_MAX + 1];
+	dff_key_t key = {1, 2};
+	dff_claim_answer_t answer = {200, "text/plain", body, sizeof(body)};
+	dff_claim_answer_t again;
+	node_t a;
+
+	node_open(&a, "a", 1);
+	win(&a, key);
+	dff_claims_finish(a.ctx, a.claims, key, DFF_CLAIM_REPEATED, &answer,
+	    2 * BATCH_TIME, a.fx);
+	run_timers(&a, 10 * BATCH_TIME);
+	apply(&a, 2, append_at(&a, 1), 1000, 10 * BATCH_TIME);
+	ck_assert_int_eq(dff_claims_begin(a.ctx, a.claims, key, 7, 9, true,
+			     11 * BATCH_TIME, a.fx, &again),
+	    DFF_CLAIM_REPEATED);
+	ck_assert_int_eq(again.status, DFF_CLAIM_NOT_KEPT_STATUS);
+	ck_assert_ptr_nonnull(
+	    strstr((const char *)again.body, "answer_not_kept"));
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(late_claim_is_released)
+{
+	dff_key_t key = {1, 2};
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	run_timers(&a, BATCH_TIME);
+	appended(&a, append_at(&a, 0)->id, DFF_APPEND_UNKNOWN, GIVE_UP / 2);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_WAIT);
+	for (dff_time_t now = 0; now <= 2 * GIVE_UP; now += BATCH_TIME)
+		run_timers(&a, now);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_DOWN);
+	ck_assert_uint_eq(dff_effects_count(a.fx), 1);
+	/* Now it lands after all. */
+	apply(&a, 1, append_at(&a, 0), 1000, 3 * GIVE_UP);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_WAIT);
+	run_timers(&a, 3 * GIVE_UP + BATCH_TIME);
+	apply(&a, 2, append_at(&a, 1), 1000, 3 * GIVE_UP + BATCH_TIME);
+	ck_assert_int_eq(begin(&a, key, 7, 2, 4 * GIVE_UP), DFF_CLAIM_WAIT);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(abandoned_claim_is_released)
+{
+	dff_key_t key = {1, 2};
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	run_timers(&a, BATCH_TIME);
+	dff_claims_abandon(a.ctx, a.claims, 1);
+	apply(&a, 1, append_at(&a, 0), 1000, 2 * BATCH_TIME);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_WAIT);
+	run_timers(&a, 4 * BATCH_TIME);
+	apply(&a, 2, append_at(&a, 1), 1000, 4 * BATCH_TIME);
+	ck_assert_int_eq(begin(&a, key, 7, 2, 5 * BATCH_TIME), DFF_CLAIM_WAIT);
+	/* One that was never appended leaves nothing behind. */
+	dff_claims_abandon(a.ctx, a.claims, 2);
+	run_timers(&a, 9 * BATCH_TIME);
+	ck_assert_uint_eq(dff_effects_count(a.fx), 2);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(won_but_untold_is_released_when_abandoned)
+{
+	dff_key_t key = {1, 2};
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	run_timers(&a, BATCH_TIME);
+	apply(&a, 1, append_at(&a, 0), 1000, 2 * BATCH_TIME);
+	dff_claims_abandon(a.ctx, a.claims, 1);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_WAIT);
+	run_timers(&a, 4 * BATCH_TIME);
+	ck_assert_uint_eq(dff_effects_count(a.fx), 2);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(log_down_is_not_run)
+{
+	dff_key_t key = {1, 2};
+	dff_claim_answer_t answer;
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(dff_claims_begin(a.ctx, a.claims, key, 7, 1, false, 0,
+			     a.fx, &answer),
+	    DFF_CLAIM_DOWN);
+	run_timers(&a, GIVE_UP);
+	ck_assert_uint_eq(dff_effects_count(a.fx), 0);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(refused_append_is_tried_again_until_told)
+{
+	dff_key_t key = {1, 2};
+	size_t appends = 0;
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(begin(&a, key, 7, 1, 0), DFF_CLAIM_WAIT);
+	for (dff_time_t now = 0; now <= 2 * GIVE_UP; now += BATCH_TIME) {
+		run_timers(&a, now);
+		while (appends < dff_effects_count(a.fx)) {
+			appended(&a, append_at(&a, appends)->id,
+			    DFF_APPEND_REFUSED, now);
+			appends++;
+		}
+	}
+	ck_assert_uint_gt(appends, 1);
+	ck_assert_int_eq(verdict(&a, 1), DFF_CLAIM_DOWN);
+	ck_assert_uint_eq(dff_claims_open(a.claims), 0);
+	node_close(&a);
+}
+END_TEST
+
+START_TEST(holder_gone_is_unknown)
+{
+	dff_key_t key = {1, 2};
+	node_t a, b, c;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "b", 1);
+	node_open(&c, "a", 2);
+	win(&a, key);
+	apply(&b, 1, append_at(&a, 0), 1000, BATCH_TIME);
+	apply(&c, 1, append_at(&a, 0), 1000, BATCH_TIME);
+	ck_assert_int_eq(begin(&b, key, 7, 2, BATCH_TIME), DFF_CLAIM_RUNNING);
+	dff_claims_holder_gone(b.ctx, b.claims, "a", 1);
+	ck_assert_int_eq(begin(&b, key, 7, 2, BATCH_TIME), DFF_CLAIM_UNKNOWN);
+	/* The holder's next process gets no better answer. */
+	dff_claims_holder_gone(c.ctx, c.claims, "a", 1);
+	ck_assert_int_eq(begin(&c, key, 7, 2, BATCH_TIME), DFF_CLAIM_UNKNOWN);
+	node_close(&a);
+	node_close(&b);
+	node_close(&c);
+}
+END_TEST
+
+START_TEST(only_the_holder_releases)
+{
+	dff_key_t key = {1, 2};
+	node_t a, b, c;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "a", 2);
+	node_open(&c, "c", 1);
+	win(&a, key);
+	win(&b, key);
+	apply(&c, 1, append_at(&a, 0), 1000, BATCH_TIME);
+	/* b, a later process, believes that it won and lets go. */
+	dff_claims_finish(
+	    b.ctx, b.claims, key, DFF_CLAIM_DOWN, NULL, 2 * BATCH_TIME, b.fx);
+	run_timers(&b, 9 * BATCH_TIME);
+	apply(&c, 2, append_at(&b, 1), 1000, 9 * BATCH_TIME);
+	ck_assert_int_ne(begin(&c, key, 7, 2, BATCH_TIME), DFF_CLAIM_WAIT);
+	dff_claims_finish(
+	    a.ctx, a.claims, key, DFF_CLAIM_DOWN, NULL, 2 * BATCH_TIME, a.fx);
+	run_timers(&a, 9 * BATCH_TIME);
+	apply(&c, 3, append_at(&a, 1), 1000, 9 * BATCH_TIME);
+	ck_assert_int_eq(begin(&c, key, 7, 2, BATCH_TIME), DFF_CLAIM_WAIT);
+	node_close(&a);
+	node_close(&b);
+	node_close(&c);
+}
+END_TEST
+
+START_TEST(keys_are_pruned_by_the_platforms_clock)
+{
+	dff_key_t key = {1, 2};
+	dff_key_t other = {3, 4};
+	node_t a, b;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "b", 1);
+	win(&a, key);
+	ck_assert_int_eq(begin(&b, other, 7, 2, 0), DFF_CLAIM_WAIT);
+	run_timers(&b, BATCH_TIME);
+	apply(&a, 2, append_at(&b, 0), 1000 + WINDOW_MS, BATCH_TIME);
+	ck_assert_int_ne(begin(&a, key, 7, 3, BATCH_TIME), DFF_CLAIM_WAIT);
+	apply(&a, 3, append_at(&b, 0), 1001 + WINDOW_MS, BATCH_TIME);
+	/* A clock that goes back prunes nothing and brings nothing back. */
+	apply(&a, 4, append_at(&b, 0), 5, BATCH_TIME);
+	apply(&b, 1, append_at(&a, 0), 1000, BATCH_TIME);
+	apply(&b, 2, append_at(&b, 0), 1001 + WINDOW_MS, BATCH_TIME);
+	ck_assert_int_eq(begin(&b, key, 7, 3, BATCH_TIME), DFF_CLAIM_WAIT);
+	node_close(&a);
+	node_close(&b);
+}
+END_TEST
+
+START_TEST(snapshot_gives_the_same_state)
+{
+	dff_claim_answer_t answer = {
+	    200, "text/plain", (const uint8_t *)"x", 1};
+	dff_key_t key = {1, 2};
+	uint8_t *data;
+	uint8_t *again;
+	node_t a, b;
+	int len;
+
+	node_open(&a, "a", 1);
+	node_open(&b, "a", 1);
+	ck_assert_int_eq(dff_claims_save(a.ctx, a.claims, &data), -ENODATA);
+	win(&a, key);
+	dff_claims_finish(a.ctx, a.claims, key, DFF_CLAIM_REPEATED, &answer,
+	    2 * BATCH_TIME, a.fx);
+	run_timers(&a, 10 * BATCH_TIME);
+	apply(&a, 2, append_at(&a, 1), 1000, 10 * BATCH_TIME);
+	len = dff_claims_save(a.ctx, a.claims, &data);
+	ck_assert_int_gt(len, 0);
+	ck_assert_int_eq(
+	    dff_claims_load(b.ctx, b.claims, data, (size_t)len, 4), -ERANGE);
+	ck_assert_int_eq(
+	    dff_claims_load(b.ctx, b.claims, data, (size_t)len, 3), 0);
+	ck_assert_int_eq(
+	    dff_claims_load(b.ctx, b.claims, data, (size_t)len, 3), -EALREADY);
+	ck_assert_uint_eq(dff_claims_applied(b.claims), 2);
+	ck_assert_int_eq(dff_claims_save(b.ctx, b.claims, &again), len);
+	ck_assert_mem_eq(data, again, (size_t)len);
+	free(again);
+	ck_assert_int_eq(
+	    begin(&b, key, 7, 2, 20 * BATCH_TIME), DFF_CLAIM_REPEATED);
+	node_close(&b);
+	node_open(&b, "b", 1);
+	data[len - 3] ^= 1;
+	ck_assert_int_eq(
+	    dff_claims_load(b.ctx, b.claims, data, (size_t)len, 3), -EINVAL);
+	free(data);
+	node_close(&a);
+	node_close(&b);
+}
+END_TEST
+
+START_TEST(bad_records_only_move_the_offset)
+{
+	static const uint8_t garbage[] = {0xff, 0xff, 0xff, 0x01};
+	dff_fx_log_append_t append = {.data = garbage, .len = sizeof(garbage)};
+	node_t a;
+
+	node_open(&a, "a", 1);
+	ck_assert_int_eq(apply(&a, 1, &append, 1, 0), -EINVAL);
+	ck_assert_uint_eq(dff_claims_applied(a.claims), 1);
+	ck_assert_int_eq(apply(&a, 1, &append, 1, 0), -EALREADY);
+	ck_assert_int_eq(apply(&a, 3, &append, 1, 0), -ERANGE);
+	ck_assert_uint_eq(dff_claims_applied(a.claims), 1);
+	node_close(&a);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("claim");
+	TCase *tcase = tcase_create("claim");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, first_in_offset_order_wins);
+	tcase_add_test(tcase, second_call_here_is_running);
+	tcase_add_test(tcase, claims_of_a_batch_time_share_one_append);
+	tcase_add_test(tcase, answer_is_given_again);
+	tcase_add_test(tcase, large_answer_is_not_kept);
+	tcase_add_test(tcase, late_claim_is_released);
+	tcase_add_test(tcase, abandoned_claim_is_released);
+	tcase_add_test(tcase, won_but_untold_is_released_when_abandoned);
+	tcase_add_test(tcase, log_down_is_not_run);
+	tcase_add_test(tcase, refused_append_is_tried_again_until_told);
+	tcase_add_test(tcase, holder_gone_is_unknown);
+	tcase_add_test(tcase, only_the_holder_releases);
+	tcase_add_test(tcase, keys_are_pruned_by_the_platforms_clock);
+	tcase_add_test(tcase, snapshot_gives_the_same_state);
+	tcase_add_test(tcase, bad_records_only_move_the_offset);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
