--- /dev/null
+++ b/source/net/engine_report.c
@@ -0,0 +1,198 @@
+#include "net/engine.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "net/poll.h"
+
+/* Digits of a prefix hash. */
+#define HASH_DIGITS 16
+
+struct dff_reports {
+	dff_sink_t sink;
+	dff_poll_t *load;
+	dff_poll_t *cache;
+	GHashTable *incarnations; /* VM id to the one of its cache events */
+};
+
+static uint64_t
+number_of(const json_t *body, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(body, name));
+}
+
+static uint32_t
+count_of(const json_t *body, const char *name)
+{
+	json_int_t number = json_integer_value(json_object_get(body, name));
+
+	return (uint32_t)CLAMP(number, 0, UINT32_MAX);
+}
+
+static double
+real_of(const json_t *body, const char *name)
+{
+	double number = json_number_value(json_object_get(body, name));
+
+	return MAX(number, 0);
+}
+
+static const char *
+text_of(const json_t *body, const char *name)
+{
+	const char *text = json_string_value(json_object_get(body, name));
+
+	return text != NULL ? text : "";
+}
+
+static void
+on_load(void *arg, const char *vm, dff_time_t asked, const json_t *body,
+    uint64_t *number)
+{
+	dff_reports_t *reports = arg;
+	int role = dff_role_parse(text_of(body, "role"));
+	dff_time_t age = count_of(body, "age_ms") * DFF_MSEC;
+	dff_event_t event = {.type = DFF_EV_ENGINE_REPORT};
+	dff_ev_engine_report_t *report = &event.u.engine_report;
+
+	(void)number;
+	if (role < 0)
+		return;
+	report->vm = vm;
+	report->incarnation = number_of(body, "incarnation");
+	report->taken = asked - age;
+	report->role = (dff_role_t)role;
+	report->changing = json_is_true(json_object_get(body, "changing"));
+	report->model = text_of(body, "model");
+	report->version = count_of(body, "version");
+	report->running = count_of(body, "running");
+	report->waiting = count_of(body, "waiting");
+	report->backlog_tokens = number_of(body, "backlog_tokens");
+	report->free_pieces = count_of(body, "free_pieces");
+	report->total_pieces = count_of(body, "total_pieces");
+	report->token_us = real_of(body, "token_us");
+	report->prefill_us = real_of(body, "prefill_us");
+	report->fence = number_of(body, "fence");
+	reports->sink.feed(reports->sink.arg, &event);
+}
+
+static GArray *
+read_hashes(const json_t *list)
+{
+	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach((json_t *)list, i, item)
+	{
+		const char *text = json_string_value(item);
+		uint64_t hash;
+		char *end;
+
+		if (text == NULL || strlen(text) != HASH_DIGITS)
+			continue;
+		hash = g_ascii_strtoull(text, &end, 16);
+		if (*end == '\0')
+			g_array_append_val(hashes, hash);
+	}
+	return hashes;
+}
+
+/* Whether an engine's process is another than the one that numbered. */
+static bool
+is_new_process(dff_reports_t *reports, const char *vm, uint64_t incarnation)
+{
+	uint64_t *known = g_hash_table_lookup(reports->incarnations, vm);
+
+	if (known != NULL && *known == incarnation)
+		return false;
+	g_hash_table_insert(reports->incarnations, g_strdup(vm),
+	    g_memdup2(&incarnation, sizeof(incarnation)));
+	return known != NULL;
+}
+
+static void
+on_cache(void *arg, const char *vm, dff_time_t asked, const json_t *body,
+    uint64_t *number)
+{
+	dff_reports_t *reports = arg;
+	GArray *stored;
+	GArray *evicted;
+	dff_event_t event = {.type = DFF_EV_ENGINE_CACHE};
+	dff_ev_engine_cache_t *cache = &event.u.engine_cache;
+
+	(void)asked;
+	cache->vm = vm;
+	cache->gap = json_is_true(json_object_get(body, "gap"));
+	*number = number_of(body, "next");
+	if (is_new_process(reports, vm, number_of(body, "incarnation"))) {
+		/* The numbers are another process's: begin again. */
+		cache->gap = true;
+		*number = 0;
+	}
+	stored = read_hashes(json_object_get(body, "stored"));
+	evicted = read_hashes(json_object_get(body, "evicted"));
+	cache->stored = (const uint64_t *)(void *)stored->data;
+	cache->stored_count = stored->len;
+	cache->evicted = (const uint64_t *)(void *)evicted->data;
+	cache->evicted_count = evicted->len;
+	if (cache->gap || stored->len > 0 || evicted->len > 0)
+		reports->sink.feed(reports->sink.arg, &event);
+	g_array_unref(stored);
+	g_array_unref(evicted);
+}
+
+dff_reports_t *
+dff_reports_new(dff_ctx_t *ctx, uv_loop_t *loop, dff_httpc_t *httpc,
+    const dff_engine_config_t *config, const dff_sink_t *sink)
+{
+	const dff_poll_config_t load = {.kind = DFF_VM_ENGINE,
+	    .path = "/v1/load",
+	    .every = config->load_every,
+	    .silence = config->poll_silence};
+	const dff_poll_config_t cache = {.kind = DFF_VM_ENGINE,
+	    .path = "/v1/cache?since=",
+	    .numbered = true,
+	    .every = config->cache_every,
+	    .silence = config->poll_silence};
+	dff_reports_t *reports = g_new0(dff_reports_t, 1);
+
+	reports->sink = *sink;
+	reports->incarnations =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	reports->load = dff_poll_new(ctx, loop, httpc, &load, on_load, reports);
+	if (config->cache_every > 0)
+		reports->cache =
+		    dff_poll_new(ctx, loop, httpc, &cache, on_cache, reports);
+	return reports;
+}
+
+void
+dff_reports_drop(dff_reports_t *reports)
+{
+	if (reports == NULL)
+		return;
+	dff_poll_drop(reports->load);
+	dff_poll_drop(reports->cache);
+	g_hash_table_unref(reports->incarnations);
+	g_free(reports);
+}
+
+void
+dff_reports_load_vms(dff_reports_t *reports, const dff_vm_t *vms, size_t count)
+{
+	dff_poll_load_vms(reports->load, vms, count);
+	if (reports->cache != NULL)
+		dff_poll_load_vms(reports->cache, vms, count);
+}
+
+uint64_t
+dff_reports_failed(const dff_reports_t *reports)
+{
+	uint64_t failed = dff_poll_failed(reports->load);
+
+	if (reports->cache != NULL)
+		failed += dff_poll_failed(reports->cache);
+	return failed;
+}
