--- a/include/dragonflyfall/authority.h
+++ b/include/dragonflyfall/authority.h
@@ -10,6 +10,12 @@
 #include "dragonflyfall/catalogue.h"
 #include "dragonflyfall/timer.h"
 
+/*
+ * The top byte of the ids of this part's appends, so that the node can tell
+ * them from those of other parts.
+ */
+#define DFF_AUTHORITY_APPEND_TAG ((uint64_t)0xa1 << 56)
+
 /**
  * struct dff_authority_config - settings of the authority part
  * @node: VM id of this node
--- /dev/null
+++ b/source/authority/authority.c
@@ -0,0 +1,581 @@
+/* The authority part as the node sees it: events in, steps of each shard. */
+#include "dragonflyfall/authority.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "authority/parts.h"
+
+/* Appends not read back after this many terms are forgotten. */
+#define APPEND_TERMS 4
+
+static gint
+compare_names(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	(void)arg;
+	return strcmp(a, b);
+}
+
+dff_authority_t *
+dff_authority_new(
+    dff_ctx_t *ctx, const dff_authority_config_t *config, dff_timers_t *timers)
+{
+	dff_authority_t *auth;
+
+	(void)ctx;
+	auth = g_new0(dff_authority_t, 1);
+	auth->config = *config;
+	auth->timers = timers;
+	auth->tick_at = DFF_TIME_NEVER;
+	authority_state_init(&auth->state);
+	auth->vms = g_array_new(FALSE, FALSE, sizeof(dff_vm_t));
+	auth->shards = g_tree_new_full(compare_names, NULL, NULL, g_free);
+	auth->appends =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	auth->flights =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	auth->presence =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	auth->retry_at =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return auth;
+}
+
+void
+dff_authority_drop(dff_authority_t *auth)
+{
+	if (auth == NULL)
+		return;
+	authority_state_clear(&auth->state);
+	dff_catalogue_drop(auth->cat);
+	g_array_unref(auth->vms);
+	g_tree_unref(auth->shards);
+	g_hash_table_unref(auth->appends);
+	g_hash_table_unref(auth->flights);
+	g_hash_table_unref(auth->presence);
+	g_hash_table_unref(auth->retry_at);
+	g_free(auth);
+}
+
+/* ---- VMs, shards and pools ---- */
+
+/* A placer's id is that of its VM and ".placer". */
+void
+vm_of_node(const char *node, char id[DFF_NAME_MAX])
+{
+	static const char suffix[] = ".placer";
+	size_t len = strlen(node);
+
+	(void)dff_name_copy(id, node);
+	if (g_str_has_suffix(node, suffix))
+		id[len - (sizeof(suffix) - 1)] = '\0';
+}
+
+const dff_vm_t *
+find_vm(const dff_authority_t *auth, const char *id)
+{
+	for (guint i = 0; i < auth->vms->len; i++) {
+		const dff_vm_t *vm = &g_array_index(auth->vms, dff_vm_t, i);
+
+		if (strcmp(vm->id, id) == 0)
+			return vm;
+	}
+	return NULL;
+}
+
+dff_fencing_t
+pool_fencing(const dff_authority_t *auth, const char *pool)
+{
+	const dff_pool_t *pools;
+	uint32_t count;
+	int index;
+
+	/* Where nothing is declared, the weaker engine is assumed. */
+	if (auth->cat == NULL)
+		return DFF_FENCING_IGNORED;
+	index = dff_catalogue_find_pool(auth->cat, pool);
+	if (index < 0)
+		return DFF_FENCING_IGNORED;
+	pools = dff_catalogue_pools(auth->cat, &count);
+	return pools[index].fencing;
+}
+
+static void
+shard_name(char *name, const char *pool, const char *domain)
+{
+	g_strlcpy(name, pool, SHARD_NAME_MAX);
+	g_strlcat(name, "@", SHARD_NAME_MAX);
+	g_strlcat(name, domain, SHARD_NAME_MAX);
+}
+
+shard_t *
+shard_of_vm(const dff_authority_t *auth, const dff_vm_t *vm)
+{
+	char name[SHARD_NAME_MAX];
+
+	if (vm->kind != DFF_VM_ENGINE)
+		return NULL;
+	shard_name(name, vm->pool, vm->domain);
+	return g_tree_lookup(auth->shards, name);
+}
+
+static shard_t *
+add_shard(dff_authority_t *auth, const char *name, dff_time_t now)
+{
+	shard_t *shard = g_tree_lookup(auth->shards, name);
+	const char *at = strrchr(name, '@');
+
+	if (shard != NULL || at == NULL || (size_t)(at - name) >= DFF_NAME_MAX)
+		return shard;
+	shard = g_new0(shard_t, 1);
+	g_strlcpy(shard->name, name, sizeof(shard->name));
+	g_strlcpy(shard->pool, name, (gsize)(at - name) + 1);
+	g_strlcpy(shard->domain, at + 1, sizeof(shard->domain));
+	shard->known_at = now;
+	g_tree_insert(auth->shards, shard->name, shard);
+	return shard;
+}
+
+static GTreeNode *
+first_shard(const dff_authority_t *auth)
+{
+	return g_tree_node_first(auth->shards);
+}
+
+static void
+count_engines(dff_authority_t *auth, dff_time_t now)
+{
+	char name[SHARD_NAME_MAX];
+
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node))
+		((shard_t *)g_tree_node_value(node))->engines = 0;
+	for (guint i = 0; i < auth->vms->len; i++) {
+		const dff_vm_t *vm = &g_array_index(auth->vms, dff_vm_t, i);
+		shard_t *shard;
+
+		if (vm->kind != DFF_VM_ENGINE)
+			continue;
+		shard_name(name, vm->pool, vm->domain);
+		shard = add_shard(auth, name, now);
+		if (shard != NULL && !vm->leaving)
+			shard->engines++;
+	}
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node)) {
+		shard_t *shard = g_tree_node_value(node);
+
+		shard->rank = lease_rank(auth, shard);
+	}
+}
+
+void
+dff_authority_load_vms(dff_ctx_t *ctx, dff_authority_t *auth,
+    const dff_vm_t *vms, size_t count, dff_time_t now)
+{
+	(void)ctx;
+	auth->now = now;
+	auth->vms_at = now;
+	g_array_set_size(auth->vms, 0);
+	if (count > 0)
+		g_array_append_vals(auth->vms, vms, (guint)count);
+	count_engines(auth, now);
+	harmless_load_vms(auth, now);
+}
+
+void
+dff_authority_set_catalogue(dff_authority_t *auth, dff_catalogue_t *cat)
+{
+	dff_catalogue_drop(auth->cat);
+	auth->cat = cat != NULL ? dff_catalogue_keep(cat) : NULL;
+	/* An operator's edit is a reason to try again at once. */
+	g_hash_table_remove_all(auth->retry_at);
+}
+
+/* ---- ticks ---- */
+
+static bool
+is_busy(const dff_authority_t *auth)
+{
+	if (auth->stopping)
+		return true;
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node)) {
+		const shard_t *shard = g_tree_node_value(node);
+
+		if (shard->change.phase != CHANGE_NONE)
+			return true;
+	}
+	return false;
+}
+
+static void
+plan_tick(dff_authority_t *auth, dff_time_t now)
+{
+	dff_time_t wait = MIN(IDLE_TICK, append_retry(auth) / 2);
+
+	if (!auth->started)
+		return;
+	if (is_busy(auth))
+		wait = MIN(wait, CHANGE_TICK);
+	if (now + wait >= auth->tick_at)
+		return;
+	auth->tick_at = now + wait;
+	dff_timers_set(
+	    auth->timers, DFF_TIMER_AUTHORITY_TICK, 0, auth->tick_at);
+}
+
+static gboolean
+is_old_append(gpointer key, gpointer value, gpointer arg)
+{
+	const append_t *append = value;
+	const dff_authority_t *auth = arg;
+
+	(void)key;
+	return auth->now - append->sent_at > APPEND_TERMS * auth->config.term;
+}
+
+static gboolean
+is_landed(gpointer key, gpointer value, gpointer arg)
+{
+	const flight_t *flight = value;
+	const dff_authority_t *auth = arg;
+
+	(void)key;
+	return flight->answered && auth->now >= flight->clear_at &&
+	    authority_state_order(&auth->state, flight->order) == NULL;
+}
+
+/* Shards that only the stream knows, since a mark was left there. */
+static void
+add_marked_shards(dff_authority_t *auth, dff_time_t now)
+{
+	for (GTreeNode *node = g_tree_node_first(auth->state.marks);
+	     node != NULL; node = g_tree_node_next(node)) {
+		const mark_t *mark = g_tree_node_value(node);
+
+		if (g_tree_lookup(auth->shards, mark->shard) != NULL)
+			continue;
+		if (add_shard(auth, mark->shard, now) != NULL)
+			count_engines(auth, now);
+	}
+}
+
+void
+dff_authority_due(
+    dff_ctx_t *ctx, dff_authority_t *auth, dff_time_t now, dff_effects_t *fx)
+{
+	auth->now = now;
+	auth->tick_at = DFF_TIME_NEVER;
+	if (!auth->started)
+		return;
+	add_marked_shards(auth, now);
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node)) {
+		shard_t *shard = g_tree_node_value(node);
+
+		lease_step(ctx, auth, shard, now, fx);
+		if (!lease_valid(auth, shard, now) && !DFF_FAULT(SEND_LAPSED))
+			continue;
+		change_step(ctx, auth, shard, now, fx);
+		if (shard->change.phase == CHANGE_NONE && !auth->stopping)
+			desire_step(auth, shard, now, fx);
+	}
+	harmless_step(ctx, auth, now, fx);
+	g_hash_table_foreach_remove(auth->appends, is_old_append, auth);
+	g_hash_table_foreach_remove(auth->flights, is_landed, auth);
+	plan_tick(auth, now);
+}
+
+void
+dff_authority_start(dff_authority_t *auth, dff_time_t now)
+{
+	auth->now = now;
+	if (!auth->config.act || auth->started)
+		return;
+	auth->started = true;
+	auth->started_at = now;
+	plan_tick(auth, now);
+}
+
+void
+dff_authority_stop(
+    dff_ctx_t *ctx, dff_authority_t *auth, dff_time_t now, dff_effects_t *fx)
+{
+	auth->stopping = true;
+	dff_authority_due(ctx, auth, now, fx);
+}
+
+bool
+dff_authority_idle(const dff_authority_t *auth)
+{
+	if (!auth->started)
+		return true;
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node)) {
+		if (lease_valid(auth, g_tree_node_value(node), auth->now))
+			return false;
+	}
+	return true;
+}
+
+/* ---- events ---- */
+
+int
+dff_authority_propose(dff_ctx_t *ctx, dff_authority_t *auth, const char *vm,
+    dff_order_kind_t kind, const char *target, dff_time_t now,
+    dff_effects_t *fx)
+{
+	const dff_vm_t *engine = find_vm(auth, vm);
+	shard_t *shard;
+	int err;
+
+	auth->now = now;
+	if (engine == NULL || engine->leaving)
+		return -ENOENT;
+	shard = shard_of_vm(auth, engine);
+	if (shard == NULL)
+		return -ENOENT;
+	if (target[0] == '\0' || strlen(target) >= DFF_NAME_MAX ||
+	    (kind == DFF_ORDER_ROLE && dff_role_parse(target) < 0))
+		return -EINVAL;
+	err = change_may_start(auth, shard, engine, kind, now);
+	if (err != 0)
+		return err;
+	change_start(ctx, auth, shard, engine, kind, target, now, fx);
+	plan_tick(auth, now);
+	return 0;
+}
+
+void
+dff_authority_appended(dff_ctx_t *ctx, dff_authority_t *auth,
+    const dff_ev_log_appended_t *ev, dff_time_t now, dff_effects_t *fx)
+{
+	uint64_t sequence = ev->id & ~DFF_AUTHORITY_APPEND_TAG;
+	const append_t *append;
+	shard_t *shard;
+
+	(void)ctx;
+	(void)fx;
+	auth->now = now;
+	/* Done or unknown: the stream will tell, and only the stream. */
+	if ((ev->id & DFF_AUTHORITY_APPEND_TAG) != DFF_AUTHORITY_APPEND_TAG ||
+	    ev->outcome != DFF_APPEND_REFUSED)
+		return;
+	append = g_hash_table_lookup(auth->appends, &sequence);
+	if (append == NULL)
+		return;
+	shard = g_tree_lookup(auth->shards, append->shard);
+	if (shard != NULL)
+		change_refused(shard, append, now);
+	g_hash_table_remove(auth->appends, &sequence);
+}
+
+void
+dff_authority_state(dff_ctx_t *ctx, dff_authority_t *auth,
+    const dff_ev_engine_state_t *ev, dff_time_t now, dff_effects_t *fx)
+{
+	const dff_vm_t *vm = find_vm(auth, ev->vm);
+	const mark_t *mark = authority_state_mark(&auth->state, ev->vm);
+	shard_t *shard = NULL;
+
+	auth->now = now;
+	/* The engine of a change may have left the VM list by now. */
+	if (mark != NULL)
+		shard = g_tree_lookup(auth->shards, mark->shard);
+	else if (vm != NULL)
+		shard = shard_of_vm(auth, vm);
+	if (shard == NULL || !lease_valid(auth, shard, now))
+		return;
+	if (strcmp(shard->change.vm, ev->vm) == 0)
+		change_state(ctx, auth, shard, ev, now, fx);
+	else if (shard->change.phase == CHANGE_NONE)
+		desire_state(ctx, auth, shard, ev, now, fx);
+	plan_tick(auth, now);
+}
+
+void
+dff_authority_answer(dff_ctx_t *ctx, dff_authority_t *auth,
+    const dff_ev_order_answer_t *ev, dff_time_t now, dff_effects_t *fx)
+{
+	const intent_t *intent = authority_state_order(&auth->state, ev->order);
+	flight_t *flight = g_hash_table_lookup(auth->flights, &ev->order);
+	shard_t *shard;
+
+	auth->now = now;
+	if (flight != NULL) {
+		flight->answered = true;
+		flight->clear_at = now;
+		if (ev->answer == DFF_ORDER_UNKNOWN)
+			flight->clear_at += auth->config.tcp_timeout;
+	}
+	dff_log(ctx, DFF_LOG_INFO, "order",
+	    "answered order=%" G_GUINT64_FORMAT " answer=%s", ev->order,
+	    dff_order_answer_name(ev->answer));
+	if (intent == NULL)
+		return;
+	shard = g_tree_lookup(auth->shards, intent->shard);
+	if (shard != NULL)
+		change_answer(ctx, auth, shard, ev, now, fx);
+	plan_tick(auth, now);
+}
+
+void
+dff_authority_head(dff_authority_t *auth, dff_time_t asked)
+{
+	auth->head_asked = MAX(auth->head_asked, asked);
+}
+
+bool
+dff_authority_drained(const dff_authority_t *auth, const char *vm)
+{
+	return authority_state_mark(&auth->state, vm) != NULL;
+}
+
+size_t
+dff_authority_leases(
+    const dff_authority_t *auth, dff_lease_view_t *views, size_t max)
+{
+	size_t count = 0;
+
+	for (GTreeNode *node = g_tree_node_first(auth->state.leases);
+	     node != NULL; node = g_tree_node_next(node)) {
+		const lease_t *lease = g_tree_node_value(node);
+		const shard_t *shard =
+		    g_tree_lookup(auth->shards, lease->shard);
+
+		if (lease->released)
+			continue;
+		if (count < max) {
+			dff_lease_view_t *view = &views[count];
+
+			g_strlcpy(
+			    view->shard, lease->shard, sizeof(view->shard));
+			g_strlcpy(
+			    view->holder, lease->holder, sizeof(view->holder));
+			view->incarnation = lease->incarnation;
+			view->fence = lease->fence;
+			view->mine = shard != NULL &&
+			    lease_valid(auth, shard, auth->now);
+		}
+		count++;
+	}
+	return count;
+}
+
+/* ---- the stream ---- */
+
+/* An own record came back in its place. */
+static void
+read_back(dff_ctx_t *ctx, dff_authority_t *auth, const Dff__Record *record,
+    uint64_t offset, dff_time_t now)
+{
+	const append_t *append;
+	shard_t *shard;
+
+	if (record->incarnation != auth->config.incarnation ||
+	    strcmp(record->writer, auth->config.node) != 0)
+		return;
+	append = g_hash_table_lookup(auth->appends, &record->sequence);
+	if (append == NULL)
+		return;
+	shard = g_tree_lookup(auth->shards, append->shard);
+	if (shard != NULL &&
+	    (append->kind == APPEND_CLAIM || append->kind == APPEND_RENEW))
+		lease_read_back(ctx, auth, shard, append, offset, now);
+	g_hash_table_remove(auth->appends, &record->sequence);
+}
+
+/* The lease of a shard may have gone to another process. */
+static void
+note_claim(dff_ctx_t *ctx, dff_authority_t *auth, const Dff__Record *record,
+    dff_time_t now)
+{
+	const lease_t *lease =
+	    authority_state_lease(&auth->state, record->lease_claim->shard);
+	shard_t *shard =
+	    g_tree_lookup(auth->shards, record->lease_claim->shard);
+
+	harmless_note_claim(auth, record->writer, now);
+	if (shard == NULL ||
+	    lease_is_held_by(
+		lease, auth->config.node, auth->config.incarnation))
+		return;
+	if (shard->valid_until != 0)
+		dff_log(ctx, DFF_LOG_NOTICE, "lease",
+		    "lost shard=%s holder=%s fence=%" G_GUINT64_FORMAT,
+		    shard->name, lease->holder, lease->fence);
+	shard->valid_until = 0;
+	change_lost(ctx, shard);
+}
+
+int
+dff_authority_apply(dff_ctx_t *ctx, dff_authority_t *auth, uint64_t offset,
+    const uint8_t *data, size_t len, uint64_t time_ms, dff_time_t now,
+    dff_effects_t *fx)
+{
+	Dff__Record *record;
+	int changed;
+
+	(void)time_ms;
+	auth->now = now;
+	if (offset <= auth->state.applied)
+		return -EALREADY;
+	if (offset != auth->state.applied + 1)
+		return -ERANGE;
+	auth->state.applied = offset;
+	record = dff__record__unpack(NULL, len, data);
+	if (record == NULL)
+		return -EINVAL;
+	changed = authority_state_apply(&auth->state, record, offset, now);
+	if (changed >= 0) {
+		if (record->body_case == DFF__RECORD__BODY_LEASE_CLAIM)
+			note_claim(ctx, auth, record, now);
+		read_back(ctx, auth, record, offset, now);
+	}
+	dff__record__free_unpacked(record, NULL);
+	if (!auth->started)
+		return changed;
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node))
+		change_step(ctx, auth, g_tree_node_value(node), now, fx);
+	plan_tick(auth, now);
+	return changed;
+}
+
+int
+dff_authority_load(dff_ctx_t *ctx, dff_authority_t *auth, const uint8_t *data,
+    size_t len, uint64_t first, dff_time_t now)
+{
+	int err;
+
+	auth->now = now;
+	err = authority_state_load(&auth->state, data, len, first, now);
+	if (err != 0)
+		return err;
+	/* What went on here was seen to its end by others, or is adopted. */
+	for (GTreeNode *node = first_shard(auth); node != NULL;
+	     node = g_tree_node_next(node)) {
+		shard_t *shard = g_tree_node_value(node);
+
+		shard->valid_until = 0;
+		change_lost(ctx, shard);
+	}
+	return 0;
+}
+
+int
+dff_authority_save(dff_ctx_t *ctx, const dff_authority_t *auth, uint8_t **data)
+{
+	(void)ctx;
+	if (auth->state.applied == 0)
+		return -ENODATA;
+	return (int)authority_state_save(
+	    &auth->state, auth->config.node, auth->config.incarnation, data);
+}
+
+uint64_t
+dff_authority_applied(const dff_authority_t *auth)
+{
+	return auth->state.applied;
+}
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &dff__drain_mark__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__intent_held__init
+                     (Dff__IntentHeld         *message)
+{
+  static const Dff__IntentHeld init_value = DFF__INTENT_HELD__INIT;
+  *message = init_value;
+}
+size_t dff__intent_held__get_packed_size
+                     (const Dff__IntentHeld *message)
+{
+  assert(message->base.descriptor == &dff__intent_held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__intent_held__pack
+                     (const Dff__IntentHeld *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__intent_held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__intent_held__pack_to_buffer
+                     (const Dff__IntentHeld *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__intent_held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__IntentHeld *
+       dff__intent_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__IntentHeld *)
+     protobuf_c_message_unpack (&dff__intent_held__descriptor,
+                                allocator, len, data);
+}
+void   dff__intent_held__free_unpacked
+                     (Dff__IntentHeld *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__intent_held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__authority_snapshot__init
                      (Dff__AuthoritySnapshot         *message)
 {
@@ -1402,7 +1447,7 @@
   (ProtobufCMessageInit) dff__catalogue_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__lease__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dff__lease__field_descriptors[7] =
 {
   {
     "shard",
@@ -1464,18 +1509,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Lease, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Lease, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__lease__field_indices_by_name[] = {
+  5,   /* field[5] = after */
   4,   /* field[4] = fence */
   1,   /* field[1] = holder */
   2,   /* field[2] = incarnation */
+  6,   /* field[6] = released */
   0,   /* field[0] = shard */
   3,   /* field[3] = term_ms */
 };
 static const ProtobufCIntRange dff__lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dff__lease__descriptor =
 {
@@ -1485,7 +1556,7 @@
   "Dff__Lease",
   "dff",
   sizeof(Dff__Lease),
-  5,
+  7,
   dff__lease__field_descriptors,
   dff__lease__field_indices_by_name,
   1,  dff__lease__number_ranges,
@@ -1672,7 +1743,7 @@
   (ProtobufCMessageInit) dff__order_outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__drain_mark__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dff__drain_mark__field_descriptors[6] =
 {
   {
     "shard",
@@ -1722,17 +1793,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mark",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__DrainMark, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weights",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__DrainMark, weights),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__drain_mark__field_indices_by_name[] = {
   1,   /* field[1] = fence */
+  4,   /* field[4] = mark */
   3,   /* field[3] = on */
   0,   /* field[0] = shard */
   2,   /* field[2] = vm */
+  5,   /* field[5] = weights */
 };
 static const ProtobufCIntRange dff__drain_mark__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dff__drain_mark__descriptor =
 {
@@ -1742,14 +1839,117 @@
   "Dff__DrainMark",
   "dff",
   sizeof(Dff__DrainMark),
-  4,
+  6,
   dff__drain_mark__field_descriptors,
   dff__drain_mark__field_indices_by_name,
   1,  dff__drain_mark__number_ranges,
   (ProtobufCMessageInit) dff__drain_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__authority_snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dff__intent_held__field_descriptors[6] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__IntentHeld, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dff__IntentHeld, intent),
+    &dff__order_intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__IntentHeld, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "senders",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__IntentHeld, n_senders),
+    offsetof(Dff__IntentHeld, senders),
+    &dff__lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dff__IntentHeld, writer),
+    &dff__lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__IntentHeld, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__intent_held__field_indices_by_name[] = {
+  1,   /* field[1] = intent */
+  2,   /* field[2] = open */
+  0,   /* field[0] = order */
+  3,   /* field[3] = senders */
+  5,   /* field[5] = sequence */
+  4,   /* field[4] = writer */
+};
+static const ProtobufCIntRange dff__intent_held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor dff__intent_held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.IntentHeld",
+  "IntentHeld",
+  "Dff__IntentHeld",
+  "dff",
+  sizeof(Dff__IntentHeld),
+  6,
+  dff__intent_held__field_descriptors,
+  dff__intent_held__field_indices_by_name,
+  1,  dff__intent_held__number_ranges,
+  (ProtobufCMessageInit) dff__intent_held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__authority_snapshot__field_descriptors[7] =
 {
   {
     "through",
@@ -1823,10 +2023,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "intents",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__AuthoritySnapshot, n_intents),
+    offsetof(Dff__AuthoritySnapshot, intents),
+    &dff__intent_held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__authority_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = drains */
   5,   /* field[5] = hash */
+  6,   /* field[6] = intents */
   1,   /* field[1] = leases */
   2,   /* field[2] = open */
   3,   /* field[3] = open_offsets */
@@ -1835,7 +2048,7 @@
 static const ProtobufCIntRange dff__authority_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dff__authority_snapshot__descriptor =
 {
@@ -1845,7 +2058,7 @@
   "Dff__AuthoritySnapshot",
   "dff",
   sizeof(Dff__AuthoritySnapshot),
-  6,
+  7,
   dff__authority_snapshot__field_descriptors,
   dff__authority_snapshot__field_indices_by_name,
   1,  dff__authority_snapshot__number_ranges,
@@ -2276,7 +2489,7 @@
   (ProtobufCMessageInit) dff__claims_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__record__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dff__record__field_descriptors[16] =
 {
   {
     "version",
@@ -2314,6 +2527,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Record, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "edit",
     10,
@@ -2422,6 +2647,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_ack",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Record, body_case),
+    offsetof(Dff__Record, lease_ack),
+    &dff__lease__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "claims",
     30,
@@ -2448,28 +2685,30 @@
   },
 };
 static const unsigned dff__record__field_indices_by_name[] = {
-  11,   /* field[11] = authority_snapshot */
-  4,   /* field[4] = catalogue_snapshot */
-  12,   /* field[12] = claims */
-  13,   /* field[13] = claims_snapshot */
-  10,   /* field[10] = drain */
-  3,   /* field[3] = edit */
+  12,   /* field[12] = authority_snapshot */
+  5,   /* field[5] = catalogue_snapshot */
+  14,   /* field[14] = claims */
+  15,   /* field[15] = claims_snapshot */
+  11,   /* field[11] = drain */
+  4,   /* field[4] = edit */
   2,   /* field[2] = incarnation */
-  8,   /* field[8] = intent */
-  5,   /* field[5] = lease_claim */
-  7,   /* field[7] = lease_release */
-  6,   /* field[6] = lease_renew */
-  9,   /* field[9] = order_outcome */
+  9,   /* field[9] = intent */
+  13,   /* field[13] = lease_ack */
+  6,   /* field[6] = lease_claim */
+  8,   /* field[8] = lease_release */
+  7,   /* field[7] = lease_renew */
+  10,   /* field[10] = order_outcome */
+  3,   /* field[3] = sequence */
   0,   /* field[0] = version */
   1,   /* field[1] = writer */
 };
 static const ProtobufCIntRange dff__record__number_ranges[4 + 1] =
 {
   { 1, 0 },
-  { 10, 3 },
-  { 20, 5 },
-  { 30, 12 },
-  { 0, 14 }
+  { 10, 4 },
+  { 20, 6 },
+  { 30, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor dff__record__descriptor =
 {
@@ -2479,7 +2718,7 @@
   "Dff__Record",
   "dff",
   sizeof(Dff__Record),
-  14,
+  16,
   dff__record__field_descriptors,
   dff__record__field_indices_by_name,
   4,  dff__record__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Dff__OrderIntent Dff__OrderIntent;
 typedef struct Dff__OrderOutcome Dff__OrderOutcome;
 typedef struct Dff__DrainMark Dff__DrainMark;
+typedef struct Dff__IntentHeld Dff__IntentHeld;
 typedef struct Dff__AuthoritySnapshot Dff__AuthoritySnapshot;
 typedef struct Dff__Claim Dff__Claim;
 typedef struct Dff__ClaimOutcome Dff__ClaimOutcome;
@@ -116,10 +117,18 @@
    * renewals and releases: offset of the claim
    */
   uint64_t fence;
+  /*
+   * claims: last record of the lease that was read
+   */
+  uint64_t after;
+  /*
+   * snapshots: it was given back
+   */
+  protobuf_c_boolean released;
 };
 #define DFF__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__lease__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Dff__OrderIntent
@@ -160,10 +169,46 @@
   uint64_t fence;
   char *vm;
   protobuf_c_boolean on;
+  /*
+   * if not on: offset of the mark that this ends
+   */
+  uint64_t mark;
+  /*
+   * the change loads weights
+   */
+  protobuf_c_boolean weights;
 };
 #define DFF__DRAIN_MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__drain_mark__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Dff__IntentHeld
+{
+  ProtobufCMessage base;
+  /*
+   * offset of the intent
+   */
+  uint64_t order;
+  Dff__OrderIntent *intent;
+  /*
+   * no outcome recorded
+   */
+  protobuf_c_boolean open;
+  /*
+   * who may still have a copy under way
+   */
+  size_t n_senders;
+  Dff__Lease **senders;
+  Dff__Lease *writer;
+  /*
+   * of the intent's record
+   */
+  uint64_t sequence;
+};
+#define DFF__INTENT_HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__intent_held__descriptor) \
+    , 0, NULL, 0, 0,NULL, NULL, 0 }
 
 
 struct  Dff__AuthoritySnapshot
@@ -179,10 +224,15 @@
   size_t n_drains;
   Dff__DrainMark **drains;
   uint64_t hash;
+  /*
+   * in place of open and open_offsets
+   */
+  size_t n_intents;
+  Dff__IntentHeld **intents;
 };
 #define DFF__AUTHORITY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__authority_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Dff__Claim
@@ -275,6 +325,7 @@
   DFF__RECORD__BODY_INTENT = 23,
   DFF__RECORD__BODY_ORDER_OUTCOME = 24,
   DFF__RECORD__BODY_DRAIN = 25,
+  DFF__RECORD__BODY_LEASE_ACK = 27,
   DFF__RECORD__BODY_AUTHORITY_SNAPSHOT = 26,
   DFF__RECORD__BODY_CLAIMS = 30,
   DFF__RECORD__BODY_CLAIMS_SNAPSHOT = 31
@@ -287,6 +338,10 @@
   uint32_t version;
   char *writer;
   uint64_t incarnation;
+  /*
+   * writer's number, to know its own record again
+   */
+  uint64_t sequence;
   Dff__Record__BodyCase body_case;
   union {
     Dff__CatalogueEdit *edit;
@@ -297,6 +352,10 @@
     Dff__OrderIntent *intent;
     Dff__OrderOutcome *order_outcome;
     Dff__DrainMark *drain;
+    /*
+     * this holder will send nothing more
+     */
+    Dff__Lease *lease_ack;
     Dff__AuthoritySnapshot *authority_snapshot;
     Dff__ClaimBatch *claims;
     Dff__ClaimsSnapshot *claims_snapshot;
@@ -304,7 +363,7 @@
 };
 #define DFF__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, DFF__RECORD__BODY__NOT_SET, {0} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, DFF__RECORD__BODY__NOT_SET, {0} }
 
 
 struct  Dff__StreamOffset
@@ -595,6 +654,25 @@
 void   dff__drain_mark__free_unpacked
                      (Dff__DrainMark *message,
                       ProtobufCAllocator *allocator);
+/* Dff__IntentHeld methods */
+void   dff__intent_held__init
+                     (Dff__IntentHeld         *message);
+size_t dff__intent_held__get_packed_size
+                     (const Dff__IntentHeld   *message);
+size_t dff__intent_held__pack
+                     (const Dff__IntentHeld   *message,
+                      uint8_t             *out);
+size_t dff__intent_held__pack_to_buffer
+                     (const Dff__IntentHeld   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__IntentHeld *
+       dff__intent_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__intent_held__free_unpacked
+                     (Dff__IntentHeld *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__AuthoritySnapshot methods */
 void   dff__authority_snapshot__init
                      (Dff__AuthoritySnapshot         *message);
@@ -960,6 +1038,9 @@
 typedef void (*Dff__DrainMark_Closure)
                  (const Dff__DrainMark *message,
                   void *closure_data);
+typedef void (*Dff__IntentHeld_Closure)
+                 (const Dff__IntentHeld *message,
+                  void *closure_data);
 typedef void (*Dff__AuthoritySnapshot_Closure)
                  (const Dff__AuthoritySnapshot *message,
                   void *closure_data);
@@ -1027,6 +1108,7 @@
 extern const ProtobufCMessageDescriptor dff__order_intent__descriptor;
 extern const ProtobufCMessageDescriptor dff__order_outcome__descriptor;
 extern const ProtobufCMessageDescriptor dff__drain_mark__descriptor;
+extern const ProtobufCMessageDescriptor dff__intent_held__descriptor;
 extern const ProtobufCMessageDescriptor dff__authority_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor dff__claim__descriptor;
 extern const ProtobufCMessageDescriptor dff__claim_outcome__descriptor;
