--- /dev/null
+++ b/source/member/member.c
@@ -0,0 +1,341 @@
+#include "dragonflyfall/member.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define PART "member"
+
+struct dff_members {
+	dff_members_config_t config;
+	GPtrArray *list; /* dff_member_t, in order of id */
+	GHashTable *by_id; /* id -> dff_member_t, borrowed */
+	GPtrArray *domains; /* names of the other domains, borrowed */
+};
+
+static const char *const state_names[] = {
+    "unknown", "live", "suspect", "dead", "left"};
+
+const char *
+dff_member_state_name(dff_member_state_t state)
+{
+	return state < G_N_ELEMENTS(state_names) ? state_names[state] : "?";
+}
+
+dff_members_t *
+dff_members_new(dff_ctx_t *ctx, const dff_members_config_t *config)
+{
+	dff_members_t *members;
+
+	(void)ctx;
+	members = g_new0(dff_members_t, 1);
+	members->config = *config;
+	members->list = g_ptr_array_new_with_free_func(g_free);
+	members->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	members->domains = g_ptr_array_new();
+	return members;
+}
+
+void
+dff_members_drop(dff_members_t *members)
+{
+	if (members == NULL)
+		return;
+	g_hash_table_unref(members->by_id);
+	g_ptr_array_unref(members->domains);
+	g_ptr_array_unref(members->list);
+	g_free(members);
+}
+
+static dff_member_t *
+find(const dff_members_t *members, const char *id)
+{
+	return g_hash_table_lookup(members->by_id, id);
+}
+
+/* A peer that is in the VM list: kept if known, else made. */
+static dff_member_t *
+member_of_vm(
+    dff_ctx_t *ctx, dff_members_t *members, const dff_vm_t *vm, dff_time_t now)
+{
+	dff_member_t *old;
+	dff_member_t *member;
+
+	member = g_new0(dff_member_t, 1);
+	old = find(members, vm->id);
+	if (old != NULL && strcmp(old->addr, vm->addr) == 0) {
+		*member = *old;
+	} else {
+		(void)dff_name_copy(member->id, vm->id);
+		member->heard = now;
+		dff_log(ctx, DFF_LOG_INFO, PART,
+		    "peer listed. peer=%s addr=%s domain=%s", vm->id, vm->addr,
+		    vm->domain);
+	}
+	(void)g_strlcpy(member->addr, vm->addr, sizeof(member->addr));
+	(void)dff_name_copy(member->domain, vm->domain);
+	member->near = strcmp(vm->domain, members->config.domain) == 0;
+	return member;
+}
+
+static bool
+has_domain(const dff_members_t *members, const char *domain)
+{
+	for (guint i = 0; i < members->domains->len; i++) {
+		if (strcmp(g_ptr_array_index(members->domains, i), domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+index_members(dff_members_t *members)
+{
+	g_hash_table_remove_all(members->by_id);
+	g_ptr_array_set_size(members->domains, 0);
+	for (guint i = 0; i < members->list->len; i++) {
+		dff_member_t *member = g_ptr_array_index(members->list, i);
+
+		g_hash_table_insert(members->by_id, member->id, member);
+		if (!member->near && !has_domain(members, member->domain))
+			g_ptr_array_add(members->domains, member->domain);
+	}
+}
+
+static gint
+compare_id(gconstpointer a, gconstpointer b)
+{
+	const dff_member_t *const *x = a;
+	const dff_member_t *const *y = b;
+
+	return strcmp((*x)->id, (*y)->id);
+}
+
+void
+dff_members_load_vms(dff_ctx_t *ctx, dff_members_t *members,
+    const dff_vm_t *vms, size_t count, dff_time_t now)
+{
+	GPtrArray *list;
+
+	list = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < count; i++) {
+		if (vms[i].kind != DFF_VM_ENTRY)
+			continue;
+		if (strcmp(vms[i].id, members->config.id) == 0)
+			continue;
+		g_ptr_array_add(list, member_of_vm(ctx, members, &vms[i], now));
+	}
+	g_ptr_array_sort(list, compare_id);
+	g_hash_table_remove_all(members->by_id);
+	g_ptr_array_unref(members->list);
+	members->list = list;
+	index_members(members);
+}
+
+dff_heard_t
+dff_members_hear(dff_ctx_t *ctx, dff_members_t *members, const char *id,
+    uint64_t incarnation, dff_time_t now, dff_member_t **member)
+{
+	dff_member_t *peer;
+	dff_heard_t heard = DFF_HEARD_SAME;
+
+	peer = find(members, id);
+	if (peer == NULL)
+		return DFF_HEARD_ALIEN;
+	*member = peer;
+	if (incarnation < peer->incarnation) {
+		dff_log(ctx, DFF_LOG_NOTICE, PART,
+		    "frame of an old process dropped. peer=%s", id);
+		return DFF_HEARD_STALE;
+	}
+	if (peer->state == DFF_MEMBER_LEFT && incarnation == peer->incarnation)
+		return DFF_HEARD_STALE;
+	if (incarnation > peer->incarnation && peer->incarnation != 0)
+		heard = DFF_HEARD_NEW;
+	else if (peer->state != DFF_MEMBER_LIVE)
+		heard = DFF_HEARD_BACK;
+	if (heard != DFF_HEARD_SAME)
+		dff_log(ctx, DFF_LOG_NOTICE, PART,
+		    "peer is live. peer=%s incarnation=%" PRIu64 " was=%s", id,
+		    incarnation, dff_member_state_name(peer->state));
+	peer->incarnation = incarnation;
+	peer->state = DFF_MEMBER_LIVE;
+	peer->heard = now;
+	return heard;
+}
+
+void
+dff_members_left(dff_ctx_t *ctx, dff_members_t *members, const char *id)
+{
+	dff_member_t *peer;
+
+	peer = find(members, id);
+	if (peer == NULL)
+		return;
+	peer->state = DFF_MEMBER_LEFT;
+	dff_log(ctx, DFF_LOG_NOTICE, PART, "peer leaves. peer=%s", id);
+}
+
+/* Far members that are no relay are silent by design. */
+static bool
+is_watched(const dff_member_t *member)
+{
+	return member->near || member->incarnation != 0;
+}
+
+const dff_member_t *
+dff_members_sweep(dff_ctx_t *ctx, dff_members_t *members, dff_time_t now)
+{
+	const dff_members_config_t *config = &members->config;
+
+	for (guint i = 0; i < members->list->len; i++) {
+		dff_member_t *member = g_ptr_array_index(members->list, i);
+		dff_time_t silence = now - member->heard;
+
+		if (member->state == DFF_MEMBER_DEAD ||
+		    member->state == DFF_MEMBER_LEFT || !is_watched(member))
+			continue;
+		if (silence >= config->dead_after) {
+			member->state = DFF_MEMBER_DEAD;
+			dff_log(ctx, DFF_LOG_WARNING, PART,
+			    "peer declared dead. peer=%s silence_ms=%" PRId64,
+			    member->id, silence / DFF_MSEC);
+			return member;
+		}
+		if (silence >= config->suspect_after &&
+		    member->state == DFF_MEMBER_LIVE) {
+			member->state = DFF_MEMBER_SUSPECT;
+			dff_log(ctx, DFF_LOG_NOTICE, PART,
+			    "peer suspected. peer=%s silence_ms=%" PRId64,
+			    member->id, silence / DFF_MSEC);
+		}
+	}
+	return NULL;
+}
+
+size_t
+dff_members_count(const dff_members_t *members)
+{
+	return members->list->len;
+}
+
+const dff_member_t *
+dff_members_at(const dff_members_t *members, size_t i)
+{
+	return g_ptr_array_index(members->list, i);
+}
+
+const dff_member_t *
+dff_members_find(const dff_members_t *members, const char *id)
+{
+	return find(members, id);
+}
+
+static uint64_t
+relay_rank(const char *domain, const char *id)
+{
+	return dff_hash(id, strlen(id), dff_hash(domain, strlen(domain), 0));
+}
+
+static bool
+may_relay(const dff_member_t *member)
+{
+	return member->state != DFF_MEMBER_DEAD &&
+	    member->state != DFF_MEMBER_LEFT;
+}
+
+bool
+dff_members_is_relay(const dff_members_t *members)
+{
+	const dff_members_config_t *config = &members->config;
+	uint64_t own;
+
+	own = relay_rank(config->domain, config->id);
+	for (guint i = 0; i < members->list->len; i++) {
+		const dff_member_t *peer = g_ptr_array_index(members->list, i);
+
+		if (!peer->near || !may_relay(peer))
+			continue;
+		if (relay_rank(peer->domain, peer->id) > own)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * The member of a domain with the highest rank. While the whole domain is
+ * silent its members take turns, since the first in rank may have died
+ * without anyone here having been told.
+ */
+static const dff_member_t *
+relay_of(const dff_members_t *members, const char *domain, dff_time_t now)
+{
+	const dff_member_t *best = NULL;
+	dff_time_t turn = now / members->config.suspect_after;
+	dff_time_t heard = INT64_MIN;
+	uint64_t best_rank = 0;
+
+	for (guint i = 0; i < members->list->len; i++) {
+		const dff_member_t *peer = g_ptr_array_index(members->list, i);
+
+		if (strcmp(peer->domain, domain) == 0 && peer->incarnation != 0)
+			heard = MAX(heard, peer->heard);
+	}
+	for (guint i = 0; i < members->list->len; i++) {
+		const dff_member_t *peer = g_ptr_array_index(members->list, i);
+		uint64_t rank;
+
+		if (!may_relay(peer) || strcmp(peer->domain, domain) != 0)
+			continue;
+		rank = relay_rank(domain, peer->id);
+		if (heard < now - members->config.suspect_after)
+			rank = dff_hash(&turn, sizeof(turn), rank);
+		if (best == NULL || rank > best_rank) {
+			best = peer;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+size_t
+dff_members_relays(const dff_members_t *members, dff_time_t now,
+    const dff_member_t **relays, size_t max)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < members->domains->len && count < max; i++) {
+		const char *domain = g_ptr_array_index(members->domains, i);
+
+		relays[count] = relay_of(members, domain, now);
+		if (relays[count] != NULL)
+			count++;
+	}
+	return count;
+}
+
+uint32_t
+dff_members_seen(const dff_members_t *members, dff_time_t now, uint32_t *all)
+{
+	dff_time_t bound = members->config.dead_after;
+	uint32_t near = 1;
+	uint32_t far = 0;
+	uint32_t far_told = 0;
+
+	for (guint i = 0; i < members->list->len; i++) {
+		const dff_member_t *peer = g_ptr_array_index(members->list, i);
+
+		if (peer->incarnation == 0 || now - peer->heard >= bound ||
+		    !may_relay(peer))
+			continue;
+		if (peer->near) {
+			near++;
+			far_told = MAX(far_told, peer->far_live);
+		} else {
+			far += peer->far_live;
+		}
+	}
+	*all = members->list->len + 1;
+	return MIN(near + MAX(far, far_told), *all);
+}
--- /dev/null
+++ b/source/node/call.c
@@ -0,0 +1,561 @@
+/*
+ * A caller's request from its arrival to its final answer.
+ */
+#include "parts.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+
+#define PART "call"
+
+/* The longest Idempotency-Key. */
+#define IDEM_KEY_MAX 200
+/* When to come back to a node that is starting or stopping. */
+#define RETRY_NOT_READY (1 * DFF_SEC)
+/* When to come back for a call that is under way with the same key. */
+#define RETRY_IN_PROGRESS (1 * DFF_SEC)
+/* When to come back while the log is down. */
+#define RETRY_LOG_DOWN (5 * DFF_SEC)
+/* A running answer is given up after this many times its class's time. */
+#define OVERTIME 3
+
+/* What a request is refused with before it becomes a call. */
+typedef struct refusal {
+	int status;
+	const char *code;
+	const char *text;
+	dff_time_t retry_after;
+} refusal_t;
+
+static void
+add_refuse(
+    uint64_t shell, const refusal_t *refusal, dff_ran_t ran, dff_effects_t *fx)
+{
+	dff_effect_t *effect;
+
+	effect = dff_effects_add(fx, DFF_FX_CALL_REFUSE);
+	effect->u.call_refuse.call = shell;
+	effect->u.call_refuse.status = refusal->status;
+	effect->u.call_refuse.code = refusal->code;
+	effect->u.call_refuse.ran = ran;
+	effect->u.call_refuse.retry_after = refusal->retry_after;
+	effect->u.call_refuse.text = refusal->text;
+}
+
+call_t *
+call_of_attempt(dff_node_t *node, uint64_t attempt)
+{
+	dff_handle_t *handle;
+
+	handle = g_hash_table_lookup(node->by_attempt, &attempt);
+	if (handle == NULL)
+		return NULL;
+	return dff_table_get(node->calls, *handle);
+}
+
+static call_t *
+call_of_shell(dff_node_t *node, uint64_t shell)
+{
+	dff_handle_t *handle;
+
+	handle = g_hash_table_lookup(node->by_shell, &shell);
+	if (handle == NULL)
+		return NULL;
+	return dff_table_get(node->calls, *handle);
+}
+
+void
+call_close(dff_node_t *node, call_t *call)
+{
+	dff_timers_cancel(node->timers, DFF_TIMER_CALL_DEADLINE, call->handle);
+	if (call->attempt != 0)
+		g_hash_table_remove(node->by_attempt, &call->attempt);
+	g_hash_table_remove(node->by_shell, &call->shell);
+	g_free(call->idem_key);
+	g_free(call->prefix);
+	dff_table_give(node->calls, call->handle);
+}
+
+void
+call_refuse(dff_ctx_t *ctx, dff_node_t *node, call_t *call, int status,
+    const char *code, dff_ran_t ran, dff_time_t retry_after, const char *text,
+    dff_effects_t *fx)
+{
+	refusal_t refusal = {status, code, text, retry_after};
+
+	if (call->claimed) {
+		dff_claims_finish(ctx, node->claims, call->key,
+		    ran == DFF_RAN_NOT ? DFF_CLAIM_DOWN : DFF_CLAIM_UNKNOWN,
+		    NULL, node->now, fx);
+		call->claimed = false;
+	}
+	dff_log(ctx, DFF_LOG_INFO, PART,
+	    "call refused. call=%s-%" PRIu64 " entry=%s owner=%s code=%s"
+	    " ran=%s retry_after_ms=%" PRId64 " why=%s",
+	    node->config.id, call->shell, call->entry, call->owner, code,
+	    dff_ran_name(ran), retry_after / DFF_MSEC, text);
+	node->counters[ran == DFF_RAN_NOT ? DFF_COUNT_REFUSED :
+					    DFF_COUNT_FAILED]++;
+	if (!call->gone) {
+		refusal.text = dff_effects_text(fx, text);
+		add_refuse(call->shell, &refusal, ran, fx);
+	}
+	call_close(node, call);
+}
+
+/* Checks that need neither catalogue nor owner. */
+static const refusal_t *
+check_node(const dff_node_t *node)
+{
+	static const refusal_t draining = {503, "draining",
+	    "this node is being stopped; ask another", RETRY_NOT_READY};
+	static const refusal_t not_ready = {503, "not_ready",
+	    "this node takes no new work now; ask another", RETRY_NOT_READY};
+	static const refusal_t full = {503, "too_many_calls",
+	    "this node has as many calls as it may", RETRY_NOT_READY};
+
+	if (node->stopping)
+		return &draining;
+	if (!node->ready)
+		return &not_ready;
+	if (dff_table_count(node->calls) >= node->config.max_calls)
+		return &full;
+	return NULL;
+}
+
+static const refusal_t *
+check_owner(
+    const dff_catalogue_t *cat, const dff_ev_call_open_t *ev, int *entry)
+{
+	static const refusal_t no_entry = {
+	    404, "unknown_entry", "the catalogue has no such entry", 0};
+	static const refusal_t no_key = {
+	    401, "unknown_key", "the API key belongs to no owner", 0};
+	static const refusal_t wrong_owner = {
+	    403, "wrong_owner", "the entry belongs to another owner", 0};
+	const dff_entry_t *entries;
+	uint32_t count;
+	int owner;
+
+	owner = dff_catalogue_find_secret(cat, ev->secret);
+	if (owner < 0)
+		return &no_key;
+	*entry = dff_catalogue_find_entry(cat, ev->entry);
+	if (*entry < 0)
+		return &no_entry;
+	entries = dff_catalogue_entries(cat, &count);
+	if (entries[*entry].owner != (uint32_t)owner)
+		return &wrong_owner;
+	return NULL;
+}
+
+static const refusal_t *
+check_key(const dff_entry_t *entry, const dff_ev_call_open_t *ev)
+{
+	static const refusal_t no_key = {400, "key_required",
+	    "calls to this entry need an Idempotency-Key", 0};
+	static const refusal_t long_key = {400, "key_too_long",
+	    "the Idempotency-Key is longer than 200 bytes", 0};
+	static const refusal_t old_key = {409, "key_expired",
+	    "the Idempotency-Key is older than the entry's retry window", 0};
+	uint64_t window_ms = (uint64_t)(entry->retry_window / DFF_MSEC);
+
+	if (strlen(ev->idem_key) > IDEM_KEY_MAX)
+		return &long_key;
+	if (entry->may_repeat)
+		return NULL;
+	if (ev->idem_key[0] == '\0')
+		return &no_key;
+	if (ev->key_made_ms != 0 && ev->key_made_ms + window_ms < ev->now_ms)
+		return &old_key;
+	return NULL;
+}
+
+static const refusal_t *
+check_size(const dff_catalogue_t *cat, const dff_entry_t *entry,
+    const dff_ev_call_open_t *ev)
+{
+	static const refusal_t wrong_kind = {400, "wrong_kind",
+	    "the entry is of the other kind: model or service", 0};
+	static const refusal_t long_prompt = {413, "prompt_too_long",
+	    "the prompt is longer than the entry allows", 0};
+	static const refusal_t long_answer = {400, "max_tokens_too_large",
+	    "max_tokens is more than the entry allows", 0};
+	const dff_pool_t *pools;
+	dff_vm_kind_t want;
+	uint32_t count;
+
+	pools = dff_catalogue_pools(cat, &count);
+	want = ev->kind == DFF_CALL_MODEL ? DFF_VM_ENGINE : DFF_VM_SERVICE;
+	if (pools[entry->pool].kind != want)
+		return &wrong_kind;
+	if (ev->kind != DFF_CALL_MODEL)
+		return NULL;
+	if (ev->prompt_len / DFF_TOKEN_BYTES > entry->max_prompt_tokens)
+		return &long_prompt;
+	if (ev->max_tokens > entry->max_output_tokens)
+		return &long_answer;
+	return NULL;
+}
+
+static const refusal_t *
+check_call(const dff_node_t *node, const dff_ev_call_open_t *ev, int *index)
+{
+	const dff_catalogue_t *cat = node_catalogue(node);
+	const dff_entry_t *entries;
+	const refusal_t *refusal;
+	uint32_t count;
+
+	refusal = check_node(node);
+	if (refusal != NULL)
+		return refusal;
+	refusal = check_owner(cat, ev, index);
+	if (refusal != NULL)
+		return refusal;
+	entries = dff_catalogue_entries(cat, &count);
+	refusal = check_key(&entries[*index], ev);
+	if (refusal != NULL)
+		return refusal;
+	return check_size(cat, &entries[*index], ev);
+}
+
+static void
+set_work(call_t *call, const dff_entry_t *entry, int index,
+    const dff_ev_call_open_t *ev, dff_time_t now)
+{
+	dff_work_t *work = &call->work;
+
+	call->prefix =
+	    g_memdup2(ev->prefix, ev->prefix_count * sizeof(ev->prefix[0]));
+	work->call = call->handle;
+	work->entry = (uint32_t)index;
+	work->arrived = now;
+	work->prompt_tokens =
+	    (ev->prompt_len + DFF_TOKEN_BYTES - 1) / DFF_TOKEN_BYTES;
+	work->max_tokens =
+	    ev->max_tokens != 0 ? ev->max_tokens : entry->max_output_tokens;
+	work->body_hash = ev->body_hash;
+	work->prefix = call->prefix;
+	work->prefix_count = ev->prefix_count;
+}
+
+static call_t *
+call_new(
+    dff_node_t *node, const dff_ev_call_open_t *ev, int index, dff_time_t now)
+{
+	const dff_catalogue_t *cat = node_catalogue(node);
+	const dff_entry_t *entry;
+	const dff_pool_t *pool;
+	dff_handle_t handle;
+	uint32_t count;
+	call_t *call;
+
+	entry = &dff_catalogue_entries(cat, &count)[index];
+	pool = &dff_catalogue_pools(cat, &count)[entry->pool];
+	call = dff_table_take(node->calls, &handle);
+	call->handle = handle;
+	call->shell = ev->call;
+	call->kind = ev->kind;
+	call->cls = dff_catalogue_classes(cat, &count)[entry->cls];
+	call->may_repeat = entry->may_repeat;
+	call->idem_key = g_strdup(ev->idem_key);
+	(void)dff_name_copy(call->entry, entry->name);
+	(void)dff_name_copy(
+	    call->owner, dff_catalogue_owners(cat, &count)[entry->owner].name);
+	(void)dff_name_copy(call->pool, pool->name);
+	(void)dff_name_copy(call->model, pool->model);
+	(void)g_strlcpy(call->path, entry->path, sizeof(call->path));
+	set_work(call, entry, index, ev, now);
+	call->deadline = now + call->cls.whole;
+	g_hash_table_insert(node->by_shell,
+	    g_memdup2(&call->shell, sizeof(call->shell)),
+	    g_memdup2(&handle, sizeof(handle)));
+	dff_timers_set(
+	    node->timers, DFF_TIMER_CALL_DEADLINE, handle, call->deadline);
+	return call;
+}
+
+static void
+give_repeated(dff_ctx_t *ctx, dff_node_t *node, call_t *call,
+    const dff_claim_answer_t *answer, dff_effects_t *fx)
+{
+	dff_effect_t *effect;
+
+	dff_log(ctx, DFF_LOG_INFO, PART,
+	    "answer given again. call=%s-%" PRIu64 " entry=%s status=%d",
+	    node->config.id, call->shell, call->entry, answer->status);
+	node->counters[DFF_COUNT_REPEATED]++;
+	if (!call->gone) {
+		effect = dff_effects_add(fx, DFF_FX_CALL_REPLY);
+		effect->u.call_reply.call = call->shell;
+		effect->u.call_reply.status = answer->status;
+		effect->u.call_reply.content_type =
+		    dff_effects_text(fx, answer->content_type);
+		effect->u.call_reply.body =
+		    dff_effects_copy(fx, answer->body, answer->len);
+		effect->u.call_reply.len = answer->len;
+		effect->u.call_reply.repeated = true;
+	}
+	call_close(node, call);
+}
+
+/* What became of a call's claim. */
+static void
+take_verdict(dff_ctx_t *ctx, dff_node_t *node, call_t *call,
+    dff_claim_state_t state, const dff_claim_answer_t *answer, dff_time_t now,
+    dff_effects_t *fx)
+{
+	switch (state) {
+	case DFF_CLAIM_WAIT:
+		return;
+	case DFF_CLAIM_WON:
+		call->claimed = true;
+		call_offer(ctx, node, call, now, fx);
+		return;
+	case DFF_CLAIM_REPEATED:
+		give_repeated(ctx, node, call, answer, fx);
+		return;
+	case DFF_CLAIM_RUNNING:
+		call_refuse(ctx, node, call, 409, "in_progress",
+		    DFF_RAN_UNKNOWN, RETRY_IN_PROGRESS,
+		    "a call with this key is under way", fx);
+		return;
+	case DFF_CLAIM_UNKNOWN:
+		call_refuse(ctx, node, call, 409, "outcome_unknown",
+		    DFF_RAN_UNKNOWN, 0,
+		    "a call with this key may have run; it is not run again",
+		    fx);
+		return;
+	case DFF_CLAIM_MISMATCH:
+		call_refuse(ctx, node, call, 422, "key_reused", DFF_RAN_NOT, 0,
+		    "the key was used with another request", fx);
+		return;
+	case DFF_CLAIM_DOWN:
+		call_refuse(ctx, node, call, 503, "log_down", DFF_RAN_NOT,
+		    RETRY_LOG_DOWN,
+		    "the log does not answer, so this may not run now", fx);
+		return;
+	}
+}
+
+static void
+begin_claim(dff_ctx_t *ctx, dff_node_t *node, call_t *call, uint64_t body_hash,
+    dff_time_t now, dff_effects_t *fx)
+{
+	dff_claim_answer_t answer = {0};
+	dff_claim_state_t state;
+
+	call->state = CALL_CLAIMING;
+	call->key = dff_key_make(call->owner, call->entry, call->idem_key);
+	state = dff_claims_begin(ctx, node->claims, call->key, body_hash,
+	    call->handle, stream_up(node, DFF_STREAM_CLAIMS, now), now, fx,
+	    &answer);
+	dff_log(ctx, DFF_LOG_INFO, "claim",
+	    "claim asked. call=%s-%" PRIu64 " entry=%s state=%s",
+	    node->config.id, call->shell, call->entry,
+	    dff_claim_state_name(state));
+	take_verdict(ctx, node, call, state, &answer, now, fx);
+}
+
+void
+call_open(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_call_open_t *ev,
+    dff_time_t now, dff_effects_t *fx)
+{
+	const refusal_t *refusal;
+	call_t *call;
+	int index = 0;
+
+	node->counters[DFF_COUNT_CALLS]++;
+	refusal = check_call(node, ev, &index);
+	if (refusal != NULL) {
+		node->counters[DFF_COUNT_REFUSED]++;
+		dff_log(ctx, DFF_LOG_INFO, PART,
+		    "call refused. call=%s-%" PRIu64 " entry=%s code=%s"
+		    " ran=not_run why=%s",
+		    node->config.id, ev->call, ev->entry, refusal->code,
+		    refusal->text);
+		add_refuse(ev->call, refusal, DFF_RAN_NOT, fx);
+		return;
+	}
+	call = call_new(node, ev, index, now);
+	if (call->may_repeat)
+		call_offer(ctx, node, call, now, fx);
+	else
+		begin_claim(ctx, node, call, ev->body_hash, now, fx);
+}
+
+void
+call_gone(dff_ctx_t *ctx, dff_node_t *node, uint64_t shell, dff_time_t now,
+    dff_effects_t *fx)
+{
+	call_t *call;
+
+	call = call_of_shell(node, shell);
+	if (call == NULL)
+		return;
+	node->counters[DFF_COUNT_GONE]++;
+	call->gone = true;
+	dff_log(ctx, DFF_LOG_INFO, PART,
+	    "caller went away. call=%s-%" PRIu64 " entry=%s", node->config.id,
+	    call->shell, call->entry);
+	switch (call->state) {
+	case CALL_CLAIMING:
+		dff_claims_abandon(ctx, node->claims, call->handle);
+		break;
+	case CALL_WAITING:
+		dff_policy_leave(node->policy, call->handle);
+		break;
+	case CALL_RUNNING:
+		/* What may not run twice runs on, for its outcome. */
+		if (call->claimed)
+			return;
+		attempt_cancel(ctx, node, call, DFF_TRY_CANCELLED, now, fx);
+		break;
+	}
+	if (call->claimed)
+		dff_claims_finish(ctx, node->claims, call->key, DFF_CLAIM_DOWN,
+		    NULL, now, fx);
+	call_close(node, call);
+}
+
+/* Whether work of a call has run, for a caller that gets no more of it. */
+static dff_ran_t
+ran_so_far(const call_t *call)
+{
+	if (call->begun)
+		return DFF_RAN_YES;
+	return call->ever_sent ? DFF_RAN_UNKNOWN : DFF_RAN_NOT;
+}
+
+static void
+carry_out(dff_ctx_t *ctx, dff_node_t *node, call_t *call,
+    const dff_decision_t *decision, dff_time_t now, dff_effects_t *fx)
+{
+	switch (decision->what) {
+	case DFF_DECIDE_RUN:
+		attempt_start(ctx, node, call, decision, now, fx);
+		return;
+	case DFF_DECIDE_WAIT:
+		call->state = CALL_WAITING;
+		dff_log(ctx, DFF_LOG_INFO, "route",
+		    "call waits. call=%s-%" PRIu64 " entry=%s %s",
+		    node->config.id, call->shell, call->entry, decision->why);
+		return;
+	case DFF_DECIDE_REFUSE:
+		call_refuse(ctx, node, call, decision->status, decision->code,
+		    ran_so_far(call), decision->retry_after, decision->why, fx);
+		return;
+	}
+}
+
+void
+call_offer(dff_ctx_t *ctx, dff_node_t *node, call_t *call, dff_time_t now,
+    dff_effects_t *fx)
+{
+	dff_decision_t decision;
+	int index;
+
+	index = dff_catalogue_find_entry(node_catalogue(node), call->entry);
+	if (index < 0) {
+		call_refuse(ctx, node, call, 404, "unknown_entry",
+		    ran_so_far(call), 0, "the entry has been withdrawn", fx);
+		return;
+	}
+	call->work.entry = (uint32_t)index;
+	if (poison_crashes(node->poison, call->work.body_hash, now) >=
+	    POISON_LIMIT) {
+		node->counters[DFF_COUNT_POISON]++;
+		call_refuse(ctx, node, call, 422, "poison", ran_so_far(call), 0,
+		    "engines crashed under this request", fx);
+		return;
+	}
+	call->work.suspect =
+	    poison_crashes(node->poison, call->work.body_hash, now) > 0;
+	memset(&decision, 0, sizeof(decision));
+	dff_policy_offer(ctx, node->policy, &call->work, now, &decision);
+	carry_out(ctx, node, call, &decision, now, fx);
+}
+
+static void
+pump_verdicts(
+    dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	dff_claim_verdict_t verdict;
+
+	while (dff_claims_next_verdict(node->claims, &verdict)) {
+		call_t *call;
+
+		call = dff_table_get(node->calls, verdict.call);
+		if (call == NULL || call->state != CALL_CLAIMING)
+			continue;
+		dff_log(ctx, DFF_LOG_INFO, "claim",
+		    "claim decided. call=%s-%" PRIu64 " entry=%s state=%s",
+		    node->config.id, call->shell, call->entry,
+		    dff_claim_state_name(verdict.state));
+		take_verdict(
+		    ctx, node, call, verdict.state, &verdict.answer, now, fx);
+	}
+}
+
+void
+call_pump(dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	dff_decision_t decision;
+
+	pump_verdicts(ctx, node, now, fx);
+	memset(&decision, 0, sizeof(decision));
+	while (dff_policy_next(ctx, node->policy, now, &decision)) {
+		call_t *call;
+
+		call = dff_table_get(node->calls, decision.call);
+		if (call != NULL && call->state == CALL_WAITING)
+			carry_out(ctx, node, call, &decision, now, fx);
+		memset(&decision, 0, sizeof(decision));
+	}
+}
+
+static void
+deadline_passed(dff_ctx_t *ctx, dff_node_t *node, call_t *call, dff_time_t now,
+    dff_effects_t *fx)
+{
+	dff_time_t bound = call->work.arrived + OVERTIME * call->cls.whole;
+
+	switch (call->state) {
+	case CALL_CLAIMING:
+		dff_claims_abandon(ctx, node->claims, call->handle);
+		call_refuse(ctx, node, call, 503, "log_slow", DFF_RAN_NOT,
+		    RETRY_LOG_DOWN, "the log did not answer in time", fx);
+		return;
+	case CALL_WAITING:
+		dff_policy_leave(node->policy, call->handle);
+		call_refuse(ctx, node, call, 503, "too_late", ran_so_far(call),
+		    call->cls.first_token,
+		    "the time of its class has passed in the queue", fx);
+		return;
+	case CALL_RUNNING:
+		if (call->kind == DFF_CALL_SERVICE)
+			return;
+		if (now < bound) {
+			dff_timers_set(node->timers, DFF_TIMER_CALL_DEADLINE,
+			    call->handle, bound);
+			return;
+		}
+		attempt_cancel(ctx, node, call, DFF_TRY_TIMEOUT, now, fx);
+		call_refuse(ctx, node, call, 504, "overtime",
+		    call->begun ? DFF_RAN_YES : DFF_RAN_UNKNOWN, 0,
+		    "the answer took many times the time of its class", fx);
+		return;
+	}
+}
+
+void
+call_due(dff_ctx_t *ctx, dff_node_t *node, const dff_timer_t *timer,
+    dff_time_t now, dff_effects_t *fx)
+{
+	call_t *call;
+
+	call = dff_table_get(node->calls, timer->subject);
+	if (call != NULL)
+		deadline_passed(ctx, node, call, now, fx);
+}
--- /dev/null
+++ b/source/node/node.c
@@ -0,0 +1,529 @@
+/*
+ * The reducer: each event goes to the parts that it concerns, then the
+ * parts' verdicts are carried on, then the node's readiness and its next
+ * wake-up are told.
+ */
+#include "parts.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+
+#define PART "node"
+
+/* Time between looks at engine roles by a placer. */
+#define ROLE_TICK (1 * DFF_SEC)
+/* The most leases of one placer that are looked at. */
+#define LEASES_MAX 512
+/* Bits of a try's number that count; the others tell the process. */
+#define ATTEMPT_COUNT_BITS 32
+
+void
+dff_node_defaults(dff_node_config_t *config)
+{
+	memset(config, 0, sizeof(*config));
+	config->beat = 500 * DFF_MSEC;
+	config->suspect_after = 1500 * DFF_MSEC;
+	config->dead_after = 4 * DFF_SEC;
+	config->blind_after = 5 * DFF_SEC;
+	config->snapshot_every = 60 * DFF_SEC;
+	config->drain_time = 30 * DFF_SEC;
+	config->try_silence = 10 * DFF_SEC;
+	config->max_calls = 10000;
+	config->policy.kind = DFF_POLICY_PREDICT;
+	config->claims.batch_time = 5 * DFF_MSEC;
+	config->claims.batch_max = 256;
+	config->claims.give_up = 3 * DFF_SEC;
+	config->claims.window_ms = 24ULL * 3600 * 1000;
+	config->authority.term = 6 * DFF_SEC;
+	config->authority.drift = 500 * DFF_MSEC;
+	config->authority.tcp_timeout = 5 * DFF_SEC;
+	config->authority.drain_time = 60 * DFF_SEC;
+}
+
+static void
+fill_config(dff_node_t *node, const dff_node_config_t *given)
+{
+	dff_node_config_t *config = &node->config;
+
+	*config = *given;
+	(void)dff_name_copy(config->claims.node, config->id);
+	config->claims.incarnation = config->incarnation;
+	(void)dff_name_copy(config->authority.node, config->id);
+	(void)dff_name_copy(config->authority.domain, config->domain);
+	config->authority.incarnation = config->incarnation;
+	config->authority.act = config->place;
+	(void)dff_name_copy(config->policy.domain, config->domain);
+}
+
+dff_node_t *
+dff_node_new(dff_ctx_t *ctx, const dff_node_config_t *given)
+{
+	dff_members_config_t members = {0};
+	const dff_node_config_t *config;
+	uint64_t process;
+	dff_node_t *node;
+
+	node = g_new0(dff_node_t, 1);
+	fill_config(node, given);
+	config = &node->config;
+	node->timers = dff_timers_new();
+	node->history = dff_history_new(ctx);
+	node->claims = dff_claims_new(ctx, &config->claims, node->timers);
+	node->authority =
+	    dff_authority_new(ctx, &config->authority, node->timers);
+	node->policy = dff_policy_new(ctx, &config->policy);
+	node->roles = dff_roles_new(ctx);
+	(void)dff_name_copy(members.id, config->id);
+	(void)dff_name_copy(members.domain, config->domain);
+	members.incarnation = config->incarnation;
+	members.suspect_after = config->suspect_after;
+	members.dead_after = config->dead_after;
+	node->members = dff_members_new(ctx, &members);
+	node->poison = poison_new();
+	node->peers = peers_new();
+	node->calls = dff_table_new(sizeof(call_t));
+	node->by_shell =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	node->by_attempt =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	node->vms = g_array_new(FALSE, FALSE, sizeof(dff_vm_t));
+	node->processes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	stream_init(node);
+	process = dff_hash(config->id, strlen(config->id), config->incarnation);
+	node->attempt_base = process << ATTEMPT_COUNT_BITS;
+	node->wake_at = DFF_TIME_NEVER;
+	node->why = "starting";
+	return node;
+}
+
+static void
+drop_calls(dff_node_t *node)
+{
+	void *row;
+
+	for (dff_handle_t h = 0;
+	     (h = dff_table_next(node->calls, h, &row)) != 0;)
+		call_close(node, row);
+}
+
+void
+dff_node_drop(dff_node_t *node)
+{
+	if (node == NULL)
+		return;
+	drop_calls(node);
+	stream_free(node);
+	g_hash_table_unref(node->by_shell);
+	g_hash_table_unref(node->by_attempt);
+	g_hash_table_unref(node->processes);
+	g_array_unref(node->vms);
+	dff_table_drop(node->calls);
+	poison_drop(node->poison);
+	peers_drop(node->peers);
+	dff_members_drop(node->members);
+	dff_roles_drop(node->roles);
+	dff_policy_drop(node->policy);
+	dff_authority_drop(node->authority);
+	dff_claims_drop(node->claims);
+	dff_history_drop(node->history);
+	dff_timers_drop(node->timers);
+	g_free(node);
+}
+
+uint64_t
+node_append_id(dff_node_t *node)
+{
+	node->append_count++;
+	return APPEND_SNAPSHOT | node->append_count;
+}
+
+dff_catalogue_t *
+node_catalogue(const dff_node_t *node)
+{
+	return dff_history_catalogue(node->history);
+}
+
+void
+node_drains_changed(dff_ctx_t *ctx, dff_node_t *node)
+{
+	for (guint i = 0; i < node->vms->len; i++) {
+		const dff_vm_t *vm = &g_array_index(node->vms, dff_vm_t, i);
+
+		if (vm->kind != DFF_VM_ENGINE)
+			continue;
+		dff_policy_set_drain(ctx, node->policy, vm->id,
+		    dff_authority_drained(node->authority, vm->id));
+	}
+}
+
+void
+node_catalogue_changed(dff_ctx_t *ctx, dff_node_t *node)
+{
+	dff_catalogue_t *cat = node_catalogue(node);
+
+	if (cat == NULL)
+		return;
+	dff_log(ctx, DFF_LOG_NOTICE, PART,
+	    "catalogue in force. revision=%" PRIu64,
+	    dff_history_revision(node->history));
+	dff_policy_set_catalogue(ctx, node->policy, cat);
+	dff_authority_set_catalogue(node->authority, cat);
+	dff_roles_set_catalogue(node->roles, cat);
+}
+
+/* Claims of a process whose VM is gone will get no outcome from it. */
+static void
+note_gone_vms(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_vm_list_t *ev)
+{
+	for (guint i = 0; i < node->vms->len; i++) {
+		const dff_vm_t *old = &g_array_index(node->vms, dff_vm_t, i);
+		bool there = false;
+
+		if (old->kind != DFF_VM_ENTRY)
+			continue;
+		for (size_t k = 0; k < ev->count && !there; k++)
+			there = strcmp(ev->vms[k].id, old->id) == 0;
+		if (!there)
+			dff_claims_holder_gone(
+			    ctx, node->claims, old->id, UINT64_MAX);
+	}
+}
+
+static void
+take_vm_list(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_vm_list_t *ev,
+    dff_time_t now)
+{
+	note_gone_vms(ctx, node, ev);
+	g_array_set_size(node->vms, 0);
+	if (ev->count > 0)
+		g_array_append_vals(node->vms, ev->vms, (guint)ev->count);
+	node->vms_known = true;
+	dff_members_load_vms(ctx, node->members, ev->vms, ev->count, now);
+	dff_policy_load_vms(ctx, node->policy, ev->vms, ev->count, now);
+	dff_authority_load_vms(ctx, node->authority, ev->vms, ev->count, now);
+	dff_roles_load_vms(node->roles, ev->vms, ev->count, now);
+	node_drains_changed(ctx, node);
+}
+
+static void
+take_report(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_engine_report_t *ev,
+    dff_time_t now)
+{
+	uint64_t *incarnation;
+
+	incarnation = g_hash_table_lookup(node->processes, ev->vm);
+	if (incarnation == NULL) {
+		incarnation = g_new0(uint64_t, 1);
+		g_hash_table_insert(
+		    node->processes, g_strdup(ev->vm), incarnation);
+	}
+	*incarnation = ev->incarnation;
+	poison_note_report(node->poison, ev->vm, ev->incarnation, ev->taken);
+	dff_policy_load_report(ctx, node->policy, ev, now);
+	dff_roles_load_report(ctx, node->roles, ev, now);
+}
+
+static void
+start(dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	const dff_node_config_t *config = &node->config;
+
+	node->started = true;
+	node->started_at = now;
+	dff_log(ctx, DFF_LOG_NOTICE, PART,
+	    "node starts. id=%s domain=%s incarnation=%" PRIu64
+	    " serve=%d place=%d",
+	    config->id, config->domain, config->incarnation, config->serve,
+	    config->place);
+	stream_start(node, now, fx);
+	if (config->serve)
+		dff_timers_set(node->timers, DFF_TIMER_MEMBER_BEAT, 0, now);
+	if (config->place) {
+		dff_authority_start(node->authority, now);
+		dff_timers_set(
+		    node->timers, DFF_TIMER_ROLE_TICK, 0, now + ROLE_TICK);
+	}
+	for (int i = 0; i < DFF_STREAM_COUNT; i++)
+		dff_timers_set(node->timers, DFF_TIMER_SNAPSHOT, (uint64_t)i,
+		    now + config->snapshot_every);
+}
+
+static void
+stop(dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	if (node->stopping)
+		return;
+	node->stopping = true;
+	dff_log(ctx, DFF_LOG_NOTICE, PART, "node drains. calls=%zu",
+	    dff_table_count(node->calls));
+	if (node->config.serve)
+		peer_leave(ctx, node, fx);
+	if (node->config.place)
+		dff_authority_stop(ctx, node->authority, now, fx);
+	dff_timers_set(
+	    node->timers, DFF_TIMER_DRAIN, 0, now + node->config.drain_time);
+}
+
+/* Propose the change of role that pays most in each domain held. */
+static void
+role_tick(dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	dff_lease_view_t *views;
+	dff_role_change_t change;
+	size_t count;
+	int err;
+
+	dff_timers_set(node->timers, DFF_TIMER_ROLE_TICK, 0, now + ROLE_TICK);
+	if (node->stopping)
+		return;
+	views = g_new0(dff_lease_view_t, LEASES_MAX);
+	count = dff_authority_leases(node->authority, views, LEASES_MAX);
+	for (size_t i = 0; i < MIN(count, LEASES_MAX); i++) {
+		const char *domain = strrchr(views[i].shard, '@');
+
+		if (!views[i].mine || domain == NULL)
+			continue;
+		if (!dff_roles_propose(
+			ctx, node->roles, domain + 1, now, &change))
+			continue;
+		err = dff_authority_propose(ctx, node->authority, change.vm,
+		    DFF_ORDER_ROLE, dff_role_name(change.role), now, fx);
+		dff_log(ctx, DFF_LOG_INFO, "place",
+		    "role change proposed. vm=%s role=%s taken=%d %s",
+		    change.vm, dff_role_name(change.role), err, change.why);
+		if (err == 0)
+			dff_roles_note(node->roles, &change, now);
+	}
+	g_free(views);
+}
+
+static void
+timer_due(dff_ctx_t *ctx, dff_node_t *node, const dff_timer_t *timer,
+    dff_time_t now, dff_effects_t *fx)
+{
+	switch (timer->kind) {
+	case DFF_TIMER_CALL_DEADLINE:
+		call_due(ctx, node, timer, now, fx);
+		return;
+	case DFF_TIMER_CLAIM_FLUSH:
+	case DFF_TIMER_CLAIM_SWEEP:
+		dff_claims_due(ctx, node->claims, timer, now, fx);
+		return;
+	case DFF_TIMER_MEMBER_BEAT:
+		if (!node->stopping)
+			peer_beat(ctx, node, now, fx);
+		return;
+	case DFF_TIMER_AUTHORITY_TICK:
+		dff_authority_due(ctx, node->authority, now, fx);
+		return;
+	case DFF_TIMER_ROLE_TICK:
+		role_tick(ctx, node, now, fx);
+		return;
+	case DFF_TIMER_SNAPSHOT:
+		stream_snapshot(
+		    ctx, node, (dff_stream_t)timer->subject, now, fx);
+		return;
+	case DFF_TIMER_DRAIN:
+		if (node->stopping && !node->stopped) {
+			node->stopped = true;
+			dff_log(ctx, DFF_LOG_WARNING, PART,
+			    "drain time is over. calls=%zu",
+			    dff_table_count(node->calls));
+			dff_effects_add(fx, DFF_FX_STOPPED);
+		}
+		return;
+	case DFF_TIMER_CALL_QUEUE:
+	case DFF_TIMER_TRY:
+	case DFF_TIMER_FLEET_TICK:
+	case DFF_TIMER_NONE:
+		return;
+	}
+}
+
+static void
+run_timers(dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	dff_timer_t timer;
+
+	while (dff_timers_pop(node->timers, now, &timer))
+		timer_due(ctx, node, &timer, now, fx);
+}
+
+static const char *
+find_why(const dff_node_t *node, dff_time_t now)
+{
+	const stream_t *stream = &node->streams[DFF_STREAM_CATALOGUE];
+	uint32_t seen;
+	uint32_t all;
+
+	if (node->stopping)
+		return "draining";
+	if (!node->started || !stream->caught_up || !stream->based)
+		return "catalogue not read up to its end";
+	if (node_catalogue(node) == NULL)
+		return "no catalogue in force";
+	if (!node->vms_known)
+		return "VM list not read";
+	if (now - stream->head_at <= node->config.blind_after)
+		return NULL;
+	seen = dff_members_seen(node->members, now, &all);
+	/* Most peers at hand: nothing newer can be in force unseen. */
+	if (2 * seen > all)
+		return NULL;
+	return "log and most peers out of reach";
+}
+
+static void
+update_ready(
+    dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	const char *why = find_why(node, now);
+	dff_effect_t *effect;
+	bool ready = why == NULL;
+
+	if (ready)
+		why = "ready";
+	if (node->why == why)
+		return;
+	node->ready = ready;
+	node->why = why;
+	dff_log(ctx, DFF_LOG_NOTICE, PART, "health changed. ready=%d why=%s",
+	    ready, why);
+	effect = dff_effects_add(fx, DFF_FX_HEALTH);
+	effect->u.health.ready = ready;
+	effect->u.health.why = why;
+}
+
+static int
+take_event(dff_ctx_t *ctx, dff_node_t *node, const dff_event_t *event,
+    dff_time_t now, dff_effects_t *fx)
+{
+	switch (event->type) {
+	case DFF_EV_START:
+		if (node->started)
+			return -EINVAL;
+		start(ctx, node, now, fx);
+		return 0;
+	case DFF_EV_WAKE:
+		return 0;
+	case DFF_EV_STOP:
+		stop(ctx, node, now, fx);
+		return 0;
+	case DFF_EV_VM_LIST:
+		take_vm_list(ctx, node, &event->u.vm_list, now);
+		return 0;
+	case DFF_EV_LOG_RECORD:
+		stream_record(ctx, node, &event->u.log_record, now, fx);
+		return 0;
+	case DFF_EV_LOG_HEAD:
+		stream_head(ctx, node, &event->u.log_head, now);
+		return 0;
+	case DFF_EV_LOG_DOWN:
+		stream_down(ctx, node, event->u.log_down.stream);
+		return 0;
+	case DFF_EV_LOG_APPENDED:
+		node->counters[DFF_COUNT_APPENDS]++;
+		if (event->u.log_appended.id & APPEND_SNAPSHOT)
+			return 0;
+		dff_claims_appended(
+		    ctx, node->claims, &event->u.log_appended, now, fx);
+		dff_authority_appended(
+		    ctx, node->authority, &event->u.log_appended, now, fx);
+		return 0;
+	case DFF_EV_PEER_UP:
+	case DFF_EV_PEER_DOWN:
+		return 0;
+	case DFF_EV_PEER_FRAME:
+		peer_frame(ctx, node, &event->u.peer, now, fx);
+		return 0;
+	case DFF_EV_CALL_OPEN:
+		call_open(ctx, node, &event->u.call_open, now, fx);
+		return 0;
+	case DFF_EV_CALL_GONE:
+		call_gone(ctx, node, event->u.call_gone.call, now, fx);
+		return 0;
+	case DFF_EV_TRY_TOKENS:
+		attempt_tokens(ctx, node, &event->u.try_tokens, now, fx);
+		return 0;
+	case DFF_EV_TRY_END:
+		attempt_end(ctx, node, &event->u.try_end, now, fx);
+		return 0;
+	case DFF_EV_TRY_REPLY:
+		attempt_reply(ctx, node, &event->u.try_reply, now, fx);
+		return 0;
+	case DFF_EV_TRY_FAILED:
+		attempt_failed(ctx, node, &event->u.try_failed, now, fx);
+		return 0;
+	case DFF_EV_ENGINE_REPORT:
+		take_report(ctx, node, &event->u.engine_report, now);
+		return 0;
+	case DFF_EV_ENGINE_CACHE:
+		dff_policy_load_cache(
+		    ctx, node->policy, &event->u.engine_cache, now);
+		return 0;
+	case DFF_EV_ENGINE_STATE:
+		dff_authority_state(
+		    ctx, node->authority, &event->u.engine_state, now, fx);
+		return 0;
+	case DFF_EV_ORDER_ANSWER:
+		dff_authority_answer(
+		    ctx, node->authority, &event->u.order_answer, now, fx);
+		return 0;
+	}
+	return -EINVAL;
+}
+
+static bool
+is_idle(const dff_node_t *node)
+{
+	return dff_table_count(node->calls) == 0 &&
+	    dff_claims_open(node->claims) == 0 &&
+	    (!node->config.place || dff_authority_idle(node->authority));
+}
+
+static void
+check_stopped(dff_ctx_t *ctx, dff_node_t *node, dff_effects_t *fx)
+{
+	if (!node->stopping || node->stopped || !is_idle(node))
+		return;
+	node->stopped = true;
+	dff_log(ctx, DFF_LOG_NOTICE, PART, "node has drained.");
+	dff_effects_add(fx, DFF_FX_STOPPED);
+}
+
+static void
+set_wake(dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	dff_time_t at;
+
+	at = dff_timers_next(node->timers);
+	at = MIN(at, dff_policy_wake(node->policy, now));
+	if (at == node->wake_at)
+		return;
+	node->wake_at = at;
+	dff_effects_add(fx, DFF_FX_WAKE_AT)->u.wake_at.at = at;
+}
+
+int
+dff_node_step(dff_ctx_t *ctx, dff_node_t *node, const dff_event_t *event,
+    dff_time_t now, dff_effects_t *fx)
+{
+	int err;
+
+	node->now = now;
+	if (event->type == DFF_EV_WAKE)
+		node->wake_at = DFF_TIME_NEVER;
+	/* A process that was frozen must not act on what it knew before. */
+	update_ready(ctx, node, now, fx);
+	run_timers(ctx, node, now, fx);
+	err = take_event(ctx, node, event, now, fx);
+	if (err != 0)
+		return err;
+	call_pump(ctx, node, now, fx);
+	update_ready(ctx, node, now, fx);
+	check_stopped(ctx, node, fx);
+	set_wake(node, now, fx);
+	return 0;
+}
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &dff__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__summary__init
+                     (Dff__Summary         *message)
+{
+  static const Dff__Summary init_value = DFF__SUMMARY__INIT;
+  *message = init_value;
+}
+size_t dff__summary__get_packed_size
+                     (const Dff__Summary *message)
+{
+  assert(message->base.descriptor == &dff__summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__summary__pack
+                     (const Dff__Summary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__summary__pack_to_buffer
+                     (const Dff__Summary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__Summary *
+       dff__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__Summary *)
+     protobuf_c_message_unpack (&dff__summary__descriptor,
+                                allocator, len, data);
+}
+void   dff__summary__free_unpacked
+                     (Dff__Summary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__leave__init
                      (Dff__Leave         *message)
 {
@@ -2794,6 +2839,122 @@
   (ProtobufCMessageInit) dff__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dff__summary__field_descriptors[7] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Summary, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Summary, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "live",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Summary, live),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offsets",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Summary, n_offsets),
+    offsetof(Dff__Summary, offsets),
+    &dff__stream_offset__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Summary, n_work),
+    offsetof(Dff__Summary, work),
+    &dff__engine_work__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "use",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Summary, n_use),
+    offsetof(Dff__Summary, use),
+    &dff__owner_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "merged",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Summary, merged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__summary__field_indices_by_name[] = {
+  1,   /* field[1] = domain */
+  2,   /* field[2] = live */
+  6,   /* field[6] = merged */
+  3,   /* field[3] = offsets */
+  0,   /* field[0] = sequence */
+  5,   /* field[5] = use */
+  4,   /* field[4] = work */
+};
+static const ProtobufCIntRange dff__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dff__summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.Summary",
+  "Summary",
+  "Dff__Summary",
+  "dff",
+  sizeof(Dff__Summary),
+  7,
+  dff__summary__field_descriptors,
+  dff__summary__field_indices_by_name,
+  1,  dff__summary__number_ranges,
+  (ProtobufCMessageInit) dff__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dff__leave__field_descriptors[1] =
 {
   {
@@ -2998,7 +3159,7 @@
   (ProtobufCMessageInit) dff__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__suspect__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dff__suspect__field_descriptors[2] =
 {
   {
     "body_hash",
@@ -3024,28 +3185,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "left_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dff__Suspect, left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dff__suspect__field_indices_by_name[] = {
   0,   /* field[0] = body_hash */
   1,   /* field[1] = crashes */
-  2,   /* field[2] = left_ms */
 };
 static const ProtobufCIntRange dff__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dff__suspect__descriptor =
 {
@@ -3055,7 +3203,7 @@
   "Dff__Suspect",
   "dff",
   sizeof(Dff__Suspect),
-  3,
+  2,
   dff__suspect__field_descriptors,
   dff__suspect__field_indices_by_name,
   1,  dff__suspect__number_ranges,
@@ -3100,7 +3248,7 @@
   (ProtobufCMessageInit) dff__suspects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dff__frame__field_descriptors[9] =
 {
   {
     "version",
@@ -3198,6 +3346,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "summary",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Frame, body_case),
+    offsetof(Dff__Frame, summary),
+    &dff__summary__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__frame__field_indices_by_name[] = {
   1,   /* field[1] = from */
@@ -3205,6 +3365,7 @@
   2,   /* field[2] = incarnation */
   4,   /* field[4] = leave */
   6,   /* field[6] = records */
+  8,   /* field[8] = summary */
   7,   /* field[7] = suspects */
   0,   /* field[0] = version */
   5,   /* field[5] = wanted */
@@ -3213,7 +3374,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dff__frame__descriptor =
 {
@@ -3223,7 +3384,7 @@
   "Dff__Frame",
   "dff",
   sizeof(Dff__Frame),
-  8,
+  9,
   dff__frame__field_descriptors,
   dff__frame__field_indices_by_name,
   2,  dff__frame__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Dff__EngineWork Dff__EngineWork;
 typedef struct Dff__OwnerUse Dff__OwnerUse;
 typedef struct Dff__Heartbeat Dff__Heartbeat;
+typedef struct Dff__Summary Dff__Summary;
 typedef struct Dff__Leave Dff__Leave;
 typedef struct Dff__PeerRecord Dff__PeerRecord;
 typedef struct Dff__RecordsWanted Dff__RecordsWanted;
@@ -337,6 +338,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * What one node tells the others of its failure domain.
+ */
 struct  Dff__Heartbeat
 {
   ProtobufCMessage base;
@@ -356,6 +360,29 @@
     , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * What the relay of a failure domain tells the relays of the others. With
+ * `merged`, what a relay passes on in its own domain: all other domains.
+ */
+struct  Dff__Summary
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  char *domain;
+  uint32_t live;
+  size_t n_offsets;
+  Dff__StreamOffset **offsets;
+  size_t n_work;
+  Dff__EngineWork **work;
+  size_t n_use;
+  Dff__OwnerUse **use;
+  protobuf_c_boolean merged;
+};
+#define DFF__SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__summary__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 struct  Dff__Leave
 {
   ProtobufCMessage base;
@@ -366,6 +393,9 @@
     , 0 }
 
 
+/*
+ * offset 0: the record is a snapshot made by the peer.
+ */
 struct  Dff__PeerRecord
 {
   ProtobufCMessage base;
@@ -379,6 +409,9 @@
     , 0, 0, {0,NULL}, 0 }
 
 
+/*
+ * from 0: a snapshot is wanted.
+ */
 struct  Dff__RecordsWanted
 {
   ProtobufCMessage base;
@@ -406,11 +439,10 @@
   ProtobufCMessage base;
   uint64_t body_hash;
   uint32_t crashes;
-  uint64_t left_ms;
 };
 #define DFF__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__suspect__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0 }
 
 
 struct  Dff__Suspects
@@ -430,7 +462,8 @@
   DFF__FRAME__BODY_LEAVE = 11,
   DFF__FRAME__BODY_WANTED = 12,
   DFF__FRAME__BODY_RECORDS = 13,
-  DFF__FRAME__BODY_SUSPECTS = 14
+  DFF__FRAME__BODY_SUSPECTS = 14,
+  DFF__FRAME__BODY_SUMMARY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DFF__FRAME__BODY__CASE)
 } Dff__Frame__BodyCase;
 
@@ -447,6 +480,7 @@
     Dff__RecordsWanted *wanted;
     Dff__Records *records;
     Dff__Suspects *suspects;
+    Dff__Summary *summary;
   };
 };
 #define DFF__FRAME__INIT \
@@ -796,6 +830,25 @@
 void   dff__heartbeat__free_unpacked
                      (Dff__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Dff__Summary methods */
+void   dff__summary__init
+                     (Dff__Summary         *message);
+size_t dff__summary__get_packed_size
+                     (const Dff__Summary   *message);
+size_t dff__summary__pack
+                     (const Dff__Summary   *message,
+                      uint8_t             *out);
+size_t dff__summary__pack_to_buffer
+                     (const Dff__Summary   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__Summary *
+       dff__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__summary__free_unpacked
+                     (Dff__Summary *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__Leave methods */
 void   dff__leave__init
                      (Dff__Leave         *message);
@@ -985,6 +1038,9 @@
 typedef void (*Dff__Heartbeat_Closure)
                  (const Dff__Heartbeat *message,
                   void *closure_data);
+typedef void (*Dff__Summary_Closure)
+                 (const Dff__Summary *message,
+                  void *closure_data);
 typedef void (*Dff__Leave_Closure)
                  (const Dff__Leave *message,
                   void *closure_data);
@@ -1030,6 +1086,7 @@
 extern const ProtobufCMessageDescriptor dff__engine_work__descriptor;
 extern const ProtobufCMessageDescriptor dff__owner_use__descriptor;
 extern const ProtobufCMessageDescriptor dff__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor dff__summary__descriptor;
 extern const ProtobufCMessageDescriptor dff__leave__descriptor;
 extern const ProtobufCMessageDescriptor dff__peer_record__descriptor;
 extern const ProtobufCMessageDescriptor dff__records_wanted__descriptor;
