--- a/include/dragonflyfall/catalogue.h
+++ b/include/dragonflyfall/catalogue.h
@@ -170,15 +170,58 @@
 
 /* ---- the catalogue stream ---- */
 
+/* Edits whose verdicts are kept, the newest ones. */
+#define DFF_EDITS_KEPT 256
+
+/**
+ * struct dff_edit - one edit, as the operators' tool appends it
+ * @edit_id: printable ASCII, made once and kept when the append is repeated
+ * @against: revision that the edit was made against; 0 for the first
+ * @text: the whole catalogue file, NUL-terminated
+ * @author: who edits, for people
+ * @note: why, for people
+ * @written_ms: wall clock of the writer, for people
+ */
+typedef struct dff_edit {
+	const char *edit_id;
+	uint64_t against;
+	const char *text;
+	const char *author;
+	const char *note;
+	uint64_t written_ms;
+} dff_edit_t;
+
+/**
+ * dff_edit_pack() - make the record of an edit
+ * @edit: edit
+ * @data: set to the record, which the caller frees with free()
+ *
+ * Return: its length, or -EINVAL for an edit id that is empty, too long or
+ * not printable.
+ */
+int dff_edit_pack(const dff_edit_t *edit, uint8_t **data);
+
 /** enum dff_edit_verdict - what became of an edit */
 typedef enum dff_edit_verdict {
-	DFF_EDIT_NONE, /* not seen */
-	DFF_EDIT_ACCEPTED, /* its offset is the revision in force */
+	DFF_EDIT_NONE, /* not seen, or longer ago than is kept */
+	DFF_EDIT_ACCEPTED, /* its offset became the revision in force */
 	DFF_EDIT_BEATEN, /* another edit came first */
 	DFF_EDIT_BAD, /* it does not pass the checks */
 } dff_edit_verdict_t;
 
-/** typedef dff_history_t - state of the catalogue stream */
+/** dff_edit_verdict_name() - "none", "accepted", "beaten" or "bad" */
+const char *dff_edit_verdict_name(dff_edit_verdict_t verdict);
+
+/**
+ * typedef dff_history_t - state of the catalogue stream
+ *
+ * A pure function of the records applied, whoever applies them. An edit is
+ * accepted if it was made against the revision in force, which is the offset
+ * of the last accepted edit; the first such edit in offset order wins. Of
+ * records with the same edit id only the first counts. A repeat that comes
+ * after its id was forgotten has no effect either: the revision that it was
+ * made against is not in force any more and never will be again.
+ */
 typedef struct dff_history dff_history_t;
 
 /** dff_history_new() - state before the first record; the caller drops it */
@@ -197,7 +240,9 @@
  * @time_ms: platform's clock when it took the record
  *
  * A record that cannot be understood, or that fails a check, is skipped by
- * every node alike: it only moves the applied offset.
+ * every node alike: it only moves the applied offset. So is a record of a
+ * later version than is known here; fields that are not known here are
+ * passed over.
  *
  * Return: 1 if the catalogue in force changed, 0 if not, -EINVAL if the
  * record was skipped as bad, -EALREADY if the offset was applied before,
