--- /dev/null
+++ b/source/net/program.c
@@ -0,0 +1,645 @@
+#include "dragonflyfall/program.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "net/address.h"
+
+#define DFF_VERSION "0.1.0"
+
+/* Lines with the same sentence that pass in one window. */
+#define REPEAT_MAX 10
+/* Length of a window. */
+#define REPEAT_WINDOW DFF_SEC
+/* Sentences whose rate is kept at once. */
+#define REPEAT_SENTENCES 512
+/* Status of a process that a second signal ends. */
+#define EXIT_SIGNALLED 130
+
+/* Parts whose lines tell a decision and are never held back. */
+static const char *const decision_parts[] = {
+    "call", "route", "place", "order", "lease", NULL};
+
+static const char *const level_names = "err|warning|notice|info|debug";
+
+/* How often one sentence came in the present window. */
+typedef struct repeat {
+	dff_time_t since;
+	uint32_t count;
+	uint32_t held_back;
+	dff_level_t level;
+} repeat_t;
+
+/* Standard error, its log level and the signals are one per process. */
+static struct {
+	char name[DFF_NAME_MAX];
+	dff_level_t level;
+	GHashTable *repeats; /* "part: sentence" to repeat_t */
+	dff_time_t told;
+	uv_signal_t signals[2];
+	void (*stop)(void *arg);
+	void *stop_arg;
+	bool stopping;
+} process = {.name = "dff", .level = DFF_LOG_INFO};
+
+/* ---- clocks ---- */
+
+dff_time_t
+dff_program_now(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (dff_time_t)ts.tv_sec * DFF_SEC + ts.tv_nsec / 1000;
+}
+
+uint64_t
+dff_program_wall_ms(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/* ---- log lines ---- */
+
+static void
+print_line(dff_level_t level, const char *part, const char *text)
+{
+	char line[1400];
+	int len;
+
+	len = snprintf(line, sizeof(line), "<%d>%s %s: %s\n", (int)level,
+	    process.name, part, text);
+	if (len >= (int)sizeof(line)) {
+		len = sizeof(line) - 1;
+		line[len - 1] = '\n';
+	}
+	/* One write a line keeps the lines of several processes apart. */
+	if (write(STDERR_FILENO, line, (size_t)len) < 0)
+		return;
+}
+
+static bool
+is_decision(const char *part)
+{
+	for (size_t i = 0; decision_parts[i] != NULL; i++) {
+		if (strcmp(part, decision_parts[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The sentence is what stands before the first key=value field. */
+static char *
+repeat_key(const char *part, const char *text)
+{
+	const char *end;
+
+	end = strchr(text, '=');
+	if (end == NULL)
+		end = text + strlen(text);
+	while (*end != '\0' && end > text && end[-1] != ' ')
+		end--;
+	return g_strdup_printf("%s: %.*s", part, (int)(end - text), text);
+}
+
+static void
+tell_held_back(const char *sentence, const repeat_t *repeat)
+{
+	char text[400];
+
+	if (repeat->held_back == 0)
+		return;
+	(void)snprintf(text, sizeof(text),
+	    "repeats held back count=%" PRIu32 " sentence=\"%.300s\"",
+	    repeat->held_back, sentence);
+	print_line(repeat->level, "log", text);
+}
+
+/* Tell what windows that have ended held back, and forget them. */
+static void
+sweep_repeats(dff_time_t now)
+{
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	process.told = now;
+	g_hash_table_iter_init(&iter, process.repeats);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const repeat_t *repeat = value;
+
+		if (now - repeat->since < REPEAT_WINDOW)
+			continue;
+		tell_held_back(key, repeat);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static bool
+pass_repeat(dff_level_t level, const char *part, const char *text)
+{
+	dff_time_t now = dff_program_now();
+	repeat_t *repeat;
+	char *key;
+
+	if (now - process.told >= REPEAT_WINDOW)
+		sweep_repeats(now);
+	key = repeat_key(part, text);
+	repeat = g_hash_table_lookup(process.repeats, key);
+	if (repeat == NULL) {
+		if (g_hash_table_size(process.repeats) >= REPEAT_SENTENCES) {
+			g_free(key);
+			return true;
+		}
+		repeat = g_new0(repeat_t, 1);
+		repeat->since = now;
+		repeat->level = level;
+		g_hash_table_insert(process.repeats, key, repeat);
+	} else
+		g_free(key);
+	repeat->count++;
+	if (repeat->count <= REPEAT_MAX)
+		return true;
+	repeat->held_back++;
+	return false;
+}
+
+static void
+log_line(void *arg, dff_level_t level, const char *part, const char *text)
+{
+	(void)arg;
+	if (is_decision(part) || pass_repeat(level, part, text))
+		print_line(level, part, text);
+}
+
+dff_ctx_t *
+dff_program_ctx(const char *name, uint32_t seed)
+{
+	(void)snprintf(process.name, sizeof(process.name), "%s", name);
+	if (process.repeats == NULL)
+		process.repeats = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free);
+	return dff_ctx_new(seed, process.level, log_line, NULL);
+}
+
+/* ---- settings ---- */
+
+/* What the flags gave, before it is understood. */
+typedef struct flags {
+	const dff_setting_t *settings;
+	size_t count;
+	char **raw; /* one a setting; NULL where no flag was given */
+	char *level;
+	gboolean help;
+	gboolean version;
+	gboolean check;
+} flags_t;
+
+static void complain(const char *fmt, ...)
+    __attribute__((format(printf, 1, 2)));
+
+static void
+complain(const char *fmt, ...)
+{
+	char text[800];
+	va_list args;
+
+	va_start(args, fmt);
+	(void)vsnprintf(text, sizeof(text), fmt, args);
+	va_end(args);
+	print_line(DFF_LOG_ERR, "settings", text);
+}
+
+static gboolean
+take_flag(const char *name, const char *value, void *data, GError **error)
+{
+	flags_t *flags = data;
+
+	(void)error;
+	while (*name == '-')
+		name++;
+	for (size_t i = 0; i < flags->count; i++) {
+		if (strcmp(name, flags->settings[i].name) != 0)
+			continue;
+		g_free(flags->raw[i]);
+		flags->raw[i] = g_strdup(value != NULL ? value : "true");
+		return TRUE;
+	}
+	return FALSE;
+}
+
+static char *
+env_name(const char *flag)
+{
+	char *name;
+
+	name = g_strdup_printf("DFF_%s", flag);
+	for (char *c = name; *c != '\0'; c++)
+		*c = *c == '-' ? '_' : g_ascii_toupper(*c);
+	return name;
+}
+
+static const char *
+setting_unit(const dff_setting_t *setting)
+{
+	if (setting->unit != NULL)
+		return setting->unit;
+	return setting->kind == DFF_SETTING_MSEC ? "ms" : "";
+}
+
+/* What a setting allows, in words; the caller frees it. */
+static char *
+setting_allowed(const dff_setting_t *setting)
+{
+	const char *unit = setting_unit(setting);
+	const char *gap = *unit != '\0' ? " " : "";
+
+	switch (setting->kind) {
+	case DFF_SETTING_TEXT:
+		return g_strdup("a text");
+	case DFF_SETTING_ADDR:
+		return g_strdup("ip:port");
+	case DFF_SETTING_INT:
+	case DFF_SETTING_MSEC:
+		return g_strdup_printf("a whole number from %.0f to %.0f%s%s",
+		    setting->min, setting->max, gap, unit);
+	case DFF_SETTING_REAL:
+		return g_strdup_printf("a number from %g to %g%s%s",
+		    setting->min, setting->max, gap, unit);
+	case DFF_SETTING_FLAG:
+		return g_strdup("true or false");
+	case DFF_SETTING_CHOICE:
+		return g_strdup_printf("one of %s", setting->allowed);
+	}
+	return g_strdup("");
+}
+
+static const char *
+kind_word(dff_setting_kind_t kind)
+{
+	switch (kind) {
+	case DFF_SETTING_ADDR:
+		return "IP:PORT";
+	case DFF_SETTING_INT:
+		return "N";
+	case DFF_SETTING_MSEC:
+		return "MS";
+	case DFF_SETTING_REAL:
+		return "X";
+	case DFF_SETTING_FLAG:
+		return "BOOL";
+	case DFF_SETTING_TEXT:
+	case DFF_SETTING_CHOICE:
+		return "TEXT";
+	}
+	return "";
+}
+
+static char *
+setting_help(const dff_setting_t *setting)
+{
+	char *allowed = setting_allowed(setting);
+	char *env = env_name(setting->name);
+	char *help;
+
+	help = g_strdup_printf("%s; %s; %s%s; %s", setting->help, allowed,
+	    setting->fallback != NULL ? "default " : "must be given",
+	    setting->fallback != NULL && *setting->fallback == '\0' ?
+		"none" :
+		(setting->fallback != NULL ? setting->fallback : ""),
+	    env);
+	g_free(allowed);
+	g_free(env);
+	return help;
+}
+
+static int
+read_number(const char *text, const dff_setting_t *setting, double *number)
+{
+	char *end;
+
+	errno = 0;
+	*number = g_ascii_strtod(text, &end);
+	if (errno != 0 || end == text || *end != '\0' || !isfinite(*number))
+		return -EINVAL;
+	if (*number < setting->min || *number > setting->max)
+		return -ERANGE;
+	if (setting->kind != DFF_SETTING_REAL && *number != floor(*number))
+		return -EINVAL;
+	return 0;
+}
+
+static int
+read_bool(const char *text, bool *value)
+{
+	if (strcmp(text, "true") == 0 || strcmp(text, "1") == 0)
+		*value = true;
+	else if (strcmp(text, "false") == 0 || strcmp(text, "0") == 0)
+		*value = false;
+	else
+		return -EINVAL;
+	return 0;
+}
+
+static bool
+is_allowed(const char *text, const char *allowed)
+{
+	char **words = g_strsplit(allowed, "|", -1);
+	bool found = g_strv_contains((const char *const *)words, text);
+
+	g_strfreev(words);
+	return found;
+}
+
+static void
+store_text(const dff_setting_t *setting, const char *text)
+{
+	char **value = setting->value;
+
+	g_free(*value);
+	*value = g_strdup(text);
+}
+
+static int
+store_setting(const dff_setting_t *setting, const char *text)
+{
+	struct sockaddr_storage addr;
+	double number = 0;
+	int err;
+
+	switch (setting->kind) {
+	case DFF_SETTING_ADDR:
+		/* An empty default says that the setting may stay unset. */
+		if (*text != '\0' && dff_address_parse(text, &addr) < 0)
+			return -EINVAL;
+		store_text(setting, text);
+		return 0;
+	case DFF_SETTING_CHOICE:
+		if (!is_allowed(text, setting->allowed))
+			return -EINVAL;
+		store_text(setting, text);
+		return 0;
+	case DFF_SETTING_TEXT:
+		store_text(setting, text);
+		return 0;
+	case DFF_SETTING_FLAG:
+		return read_bool(text, setting->value);
+	case DFF_SETTING_INT:
+	case DFF_SETTING_MSEC:
+	case DFF_SETTING_REAL:
+		break;
+	}
+	err = read_number(text, setting, &number);
+	if (err < 0)
+		return err;
+	if (setting->kind == DFF_SETTING_INT)
+		*(int64_t *)setting->value = (int64_t)number;
+	else if (setting->kind == DFF_SETTING_MSEC)
+		*(dff_time_t *)setting->value = (dff_time_t)number * DFF_MSEC;
+	else
+		*(double *)setting->value = number;
+	return 0;
+}
+
+static int
+load_setting(const dff_setting_t *setting, const char *raw)
+{
+	char *env = env_name(setting->name);
+	const char *text = raw;
+	char *allowed;
+	int err = 0;
+
+	if (text == NULL)
+		text = getenv(env);
+	if (text == NULL)
+		text = setting->fallback;
+	allowed = setting_allowed(setting);
+	if (text == NULL) {
+		complain("flag --%s (or %s) is missing, allowed: %s",
+		    setting->name, env, allowed);
+		err = -EINVAL;
+	} else if (store_setting(setting, text) < 0) {
+		complain("flag --%s (or %s) has value \"%s\", allowed: %s",
+		    setting->name, env, text, allowed);
+		err = -EINVAL;
+	}
+	g_free(allowed);
+	g_free(env);
+	return err;
+}
+
+static int
+load_level(const char *raw)
+{
+	static const dff_level_t levels[] = {DFF_LOG_ERR, DFF_LOG_WARNING,
+	    DFF_LOG_NOTICE, DFF_LOG_INFO, DFF_LOG_DEBUG};
+	char **words;
+	char *name = NULL;
+	const dff_setting_t setting = {.name = "log-level",
+	    .kind = DFF_SETTING_CHOICE,
+	    .value = &name,
+	    .fallback = "info",
+	    .allowed = level_names};
+
+	if (load_setting(&setting, raw) < 0)
+		return -EINVAL;
+	words = g_strsplit(level_names, "|", -1);
+	for (size_t i = 0; words[i] != NULL; i++) {
+		if (strcmp(words[i], name) == 0)
+			process.level = levels[i];
+	}
+	g_strfreev(words);
+	g_free(name);
+	return 0;
+}
+
+static int
+load_all(const flags_t *flags)
+{
+	int err;
+
+	err = load_level(flags->level);
+	for (size_t i = 0; i < flags->count; i++) {
+		if (load_setting(&flags->settings[i], flags->raw[i]) < 0)
+			err = -EINVAL;
+	}
+	return err;
+}
+
+/* One option a setting; the help texts go to @texts. */
+static GOptionEntry *
+make_entries(const flags_t *flags, GPtrArray *texts)
+{
+	GOptionEntry *entries = g_new0(GOptionEntry, flags->count + 1);
+
+	for (size_t i = 0; i < flags->count; i++) {
+		const dff_setting_t *setting = &flags->settings[i];
+		char *help = setting_help(setting);
+
+		g_ptr_array_add(texts, help);
+		entries[i].long_name = setting->name;
+		entries[i].arg = G_OPTION_ARG_CALLBACK;
+		entries[i].arg_data = (void *)take_flag;
+		entries[i].description = help;
+		entries[i].arg_description = kind_word(setting->kind);
+		if (setting->kind == DFF_SETTING_FLAG)
+			entries[i].flags = G_OPTION_FLAG_OPTIONAL_ARG;
+	}
+	return entries;
+}
+
+static GOptionContext *
+make_context(const char *summary, flags_t *flags, GPtrArray *texts)
+{
+	GOptionEntry common[] = {
+	    {"log-level", 0, 0, G_OPTION_ARG_STRING, &flags->level,
+		"least severe lines logged; one of "
+		"err|warning|notice|info|debug; default info; DFF_LOG_LEVEL",
+		"TEXT"},
+	    {"check", 0, 0, G_OPTION_ARG_NONE, &flags->check,
+		"check the settings and end", NULL},
+	    {"version", 0, 0, G_OPTION_ARG_NONE, &flags->version,
+		"print the version and end", NULL},
+	    {"help", 'h', 0, G_OPTION_ARG_NONE, &flags->help,
+		"print this help and end", NULL},
+	    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+	GOptionContext *context = g_option_context_new(NULL);
+	GOptionEntry *entries = make_entries(flags, texts);
+	GOptionGroup *group;
+
+	group = g_option_group_new("main", "", "", flags, NULL);
+	g_option_group_add_entries(group, entries);
+	g_option_group_add_entries(group, common);
+	g_option_context_set_main_group(context, group);
+	g_option_context_set_help_enabled(context, FALSE);
+	g_option_context_set_summary(context, summary);
+	g_free(entries);
+	return context;
+}
+
+static void
+name_process(const char *arg)
+{
+	char *base = g_path_get_basename(arg);
+
+	(void)snprintf(process.name, sizeof(process.name), "%s", base);
+	g_free(base);
+}
+
+static int
+run_context(GOptionContext *context, flags_t *flags, int *argc, char ***argv)
+{
+	GError *error = NULL;
+	char *help;
+
+	if (!g_option_context_parse(context, argc, argv, &error)) {
+		complain("%s; --help lists the flags", error->message);
+		g_error_free(error);
+		return -EINVAL;
+	}
+	if (flags->help) {
+		help = g_option_context_get_help(context, TRUE, NULL);
+		(void)fputs(help, stdout);
+		g_free(help);
+		return 1;
+	}
+	if (flags->version) {
+		(void)printf("%s %s\n", process.name, DFF_VERSION);
+		return 1;
+	}
+	if (load_all(flags) < 0)
+		return -EINVAL;
+	if (flags->check) {
+		(void)printf("%s: the settings are fine\n", process.name);
+		return 1;
+	}
+	return 0;
+}
+
+int
+dff_settings_load(
+    const char *summary, const dff_setting_t *settings, int *argc, char ***argv)
+{
+	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+	flags_t flags = {.settings = settings};
+	GOptionContext *context;
+	int rc;
+
+	if (*argc > 0)
+		name_process((*argv)[0]);
+	while (settings[flags.count].name != NULL)
+		flags.count++;
+	flags.raw = g_new0(char *, flags.count + 1);
+	context = make_context(summary, &flags, texts);
+	rc = run_context(context, &flags, argc, argv);
+	g_option_context_free(context);
+	for (size_t i = 0; i < flags.count; i++)
+		g_free(flags.raw[i]);
+	g_free(flags.raw);
+	g_free(flags.level);
+	g_ptr_array_unref(texts);
+	return rc;
+}
+
+void
+dff_settings_drop(const dff_setting_t *settings)
+{
+	for (; settings->name != NULL; settings++) {
+		if (settings->kind != DFF_SETTING_TEXT &&
+		    settings->kind != DFF_SETTING_ADDR &&
+		    settings->kind != DFF_SETTING_CHOICE)
+			continue;
+		g_free(*(char **)settings->value);
+		*(char **)settings->value = NULL;
+	}
+}
+
+/* ---- signals ---- */
+
+static void
+on_signal(uv_signal_t *handle, int signum)
+{
+	(void)handle;
+	(void)signum;
+	if (process.stopping)
+		_exit(EXIT_SIGNALLED);
+	process.stopping = true;
+	process.stop(process.stop_arg);
+}
+
+int
+dff_program_on_stop(uv_loop_t *loop, void (*stop)(void *arg), void *arg)
+{
+	static const int signums[] = {SIGTERM, SIGINT};
+	int err;
+
+	process.stop = stop;
+	process.stop_arg = arg;
+	process.stopping = false;
+	if (signal(SIGPIPE, SIG_IGN) == SIG_ERR)
+		return -errno;
+	for (size_t i = 0; i < G_N_ELEMENTS(signums); i++) {
+		err = uv_signal_init(loop, &process.signals[i]);
+		if (err < 0)
+			return err;
+		/* Waiting for a signal alone keeps no loop running. */
+		uv_unref((uv_handle_t *)&process.signals[i]);
+		err =
+		    uv_signal_start(&process.signals[i], on_signal, signums[i]);
+		if (err < 0)
+			return err;
+	}
+	return 0;
+}
--- a/source/tool/dff-engine.c
+++ b/source/tool/dff-engine.c
@@ -140,8 +140,8 @@
 	if (generation == NULL)
 		return;
 	(void)dff_model_token(item->prompt_hash, item->index, text);
-	len = g_snprintf(line, sizeof(line), "{\"i\":%" PRIu32 ",\"t\":\"%s\"}\n",
-	    item->index, text);
+	len = g_snprintf(line, sizeof(line),
+	    "{\"i\":%" PRIu32 ",\"t\":\"%s\"}\n", item->index, text);
 	dff_httpd_write(generation->req, line, (size_t)len);
 }
 
@@ -253,8 +253,8 @@
 		return;
 	}
 	dff_engine_model_state(engine->model, &state);
-	body = json_pack("{s:s,s:s}", "model", state.model, "engine",
-	    engine->settings->id);
+	body = json_pack(
+	    "{s:s,s:s}", "model", state.model, "engine", engine->settings->id);
 	text = json_dumps(body, JSON_COMPACT);
 	call.body = text;
 	call.len = strlen(text);
@@ -283,8 +283,8 @@
 		ask_leave(engine);
 		break;
 	case DFF_ENGINE_OUT_CRASH:
-		dff_log(engine->standin.ctx, DFF_LOG_WARNING, "engine",
-		    "crashed");
+		dff_log(
+		    engine->standin.ctx, DFF_LOG_WARNING, "engine", "crashed");
 		standin_vanish(&engine->standin);
 		break;
 	case DFF_ENGINE_OUT_BACK:
@@ -497,8 +497,8 @@
 	request->prefix = prefix;
 	request->prefix_count = dff_model_prefix(prompt, len, prefix);
 	request->poison = poison[0] != '\0' && strstr(prompt, poison) != NULL;
-	return dff_engine_model_submit(engine->standin.ctx, engine->model,
-	    request, dff_program_now());
+	return dff_engine_model_submit(
+	    engine->standin.ctx, engine->model, request, dff_program_now());
 }
 
 static void
@@ -513,8 +513,8 @@
 		return;
 	verdict = submit(engine, body, &request);
 	dff_log(engine->standin.ctx, DFF_LOG_INFO, "generate",
-	    "request id=%" PRIu64 " verdict=%s prompt=%" PRIu32
-	    " max=%" PRIu32 " resume_at=%" PRIu32,
+	    "request id=%" PRIu64 " verdict=%s prompt=%" PRIu32 " max=%" PRIu32
+	    " resume_at=%" PRIu32,
 	    request.id, dff_engine_verdict_name(verdict), request.prompt_tokens,
 	    request.max_tokens, request.resume_at);
 	if (verdict == DFF_ENGINE_TAKEN)
@@ -611,8 +611,7 @@
 }
 
 static void
-answer_order(
-    engine_t *engine, dff_httpd_req_t *req, dff_order_answer_t answer)
+answer_order(engine_t *engine, dff_httpd_req_t *req, dff_order_answer_t answer)
 {
 	dff_engine_state_t state;
 
--- a/source/tool/dff-platform.c
+++ b/source/tool/dff-platform.c
@@ -99,16 +99,15 @@
 	gchar *text = g_base64_encode(entry->data, entry->len);
 	json_t *record;
 
-	record = json_pack("{s:I,s:I,s:s}", "offset",
-	    (json_int_t)entry->offset, "time_ms", (json_int_t)entry->time_ms,
-	    "data", text);
+	record = json_pack("{s:I,s:I,s:s}", "offset", (json_int_t)entry->offset,
+	    "time_ms", (json_int_t)entry->time_ms, "data", text);
 	g_free(text);
 	return record;
 }
 
 static void
-answer_read(platform_t *platform, const reader_t *reader,
-    const dff_log_range_t *range)
+answer_read(
+    platform_t *platform, const reader_t *reader, const dff_log_range_t *range)
 {
 	json_t *records = json_array();
 	uint64_t offset = MAX(reader->from, range->first);
@@ -302,8 +301,8 @@
 	const struct {
 		const char *key;
 		char *dst;
-	} names[] = {{"id", vm->id}, {"addr", vm->addr},
-	    {"domain", vm->domain}, {"pool", vm->pool}};
+	} names[] = {{"id", vm->id}, {"addr", vm->addr}, {"domain", vm->domain},
+	    {"pool", vm->pool}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		const char *text = standin_text(object, names[i].key);
--- a/source/tool/dff-service.c
+++ b/source/tool/dff-service.c
@@ -57,11 +57,11 @@
 		return;
 	dff_httpd_set_data(req, NULL);
 	g_hash_table_remove(service->open, &item->id);
-	g_snprintf(hash, sizeof(hash), "%016" G_GINT64_MODIFIER "x",
-	    item->body_hash);
+	g_snprintf(
+	    hash, sizeof(hash), "%016" G_GINT64_MODIFIER "x", item->body_hash);
 	standin_answer(req, 200,
-	    json_pack("{s:I,s:s}", "ran", (json_int_t)item->ran, "body_hash",
-		hash));
+	    json_pack(
+		"{s:I,s:s}", "ran", (json_int_t)item->ran, "body_hash", hash));
 }
 
 static void
--- a/source/tool/standin.c
+++ b/source/tool/standin.c
@@ -138,8 +138,8 @@
 	}
 	if (dff_program_now() < standin->stop_at)
 		return;
-	dff_log(standin->ctx, DFF_LOG_WARNING, "stop",
-	    "bound reached open=%zu", dff_httpd_open(standin->httpd));
+	dff_log(standin->ctx, DFF_LOG_WARNING, "stop", "bound reached open=%zu",
+	    dff_httpd_open(standin->httpd));
 	end(standin);
 }
 
@@ -153,8 +153,8 @@
 	standin->stop_at = dff_program_now() + standin->drain_time;
 	if (standin->httpd != NULL)
 		dff_httpd_shut(standin->httpd);
-	(void)uv_timer_start(&standin->stop_timer, on_stop_poll, STOP_POLL_MSEC,
-	    STOP_POLL_MSEC);
+	(void)uv_timer_start(
+	    &standin->stop_timer, on_stop_poll, STOP_POLL_MSEC, STOP_POLL_MSEC);
 }
 
 int
