--- a/source/node/node.c
+++ b/source/node/node.c
@@ -425,7 +425,7 @@
 		return 0;
 	case DFF_EV_LOG_APPENDED:
 		node->counters[DFF_COUNT_APPENDS]++;
-		if (event->u.log_appended.id & APPEND_SNAPSHOT)
+		if (event->u.log_appended.id >> 56 == APPEND_SNAPSHOT >> 56)
 			return 0;
 		dff_claims_appended(
 		    ctx, node->claims, &event->u.log_appended, now, fx);
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -24,8 +24,8 @@
 #define SUMMARY_OWNERS_MAX 64
 /* Engines lost to one request before it is refused everywhere. */
 #define POISON_LIMIT 2
-/* Append ids of the node's own snapshots have this bit. */
-#define APPEND_SNAPSHOT (1ULL << 63)
+/* Append ids of the node's own snapshots begin with this byte. */
+#define APPEND_SNAPSHOT (0x51ULL << 56)
 
 /**
  * struct recent - one record kept for peers
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -744,7 +744,7 @@
 		take_suspects(ctx, node, peer, frame->suspects, now, fx);
 		return;
 	case DFF__FRAME__BODY__NOT_SET:
-	case _DFF__FRAME__BODY_IS_INT_SIZE:
+	case _DFF__FRAME__BODY__CASE_IS_INT_SIZE:
 		/* A later release may send what this one does not know. */
 		node->counters[DFF_COUNT_FRAMES_BAD]++;
 		return;
