--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Dff__OrderIntent Dff__OrderIntent;
 typedef struct Dff__OrderOutcome Dff__OrderOutcome;
 typedef struct Dff__DrainMark Dff__DrainMark;
+typedef struct Dff__IntentHeld Dff__IntentHeld;
 typedef struct Dff__AuthoritySnapshot Dff__AuthoritySnapshot;
 typedef struct Dff__Claim Dff__Claim;
 typedef struct Dff__ClaimOutcome Dff__ClaimOutcome;
@@ -33,6 +34,7 @@
 typedef struct Dff__EngineWork Dff__EngineWork;
 typedef struct Dff__OwnerUse Dff__OwnerUse;
 typedef struct Dff__Heartbeat Dff__Heartbeat;
+typedef struct Dff__Summary Dff__Summary;
 typedef struct Dff__Leave Dff__Leave;
 typedef struct Dff__PeerRecord Dff__PeerRecord;
 typedef struct Dff__RecordsWanted Dff__RecordsWanted;
@@ -116,10 +118,18 @@
    * renewals and releases: offset of the claim
    */
   uint64_t fence;
+  /*
+   * claims: last record of the lease that was read
+   */
+  uint64_t after;
+  /*
+   * snapshots: it was given back
+   */
+  protobuf_c_boolean released;
 };
 #define DFF__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__lease__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Dff__OrderIntent
@@ -160,10 +170,46 @@
   uint64_t fence;
   char *vm;
   protobuf_c_boolean on;
+  /*
+   * if not on: offset of the mark that this ends
+   */
+  uint64_t mark;
+  /*
+   * the change loads weights
+   */
+  protobuf_c_boolean weights;
 };
 #define DFF__DRAIN_MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__drain_mark__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Dff__IntentHeld
+{
+  ProtobufCMessage base;
+  /*
+   * offset of the intent
+   */
+  uint64_t order;
+  Dff__OrderIntent *intent;
+  /*
+   * no outcome recorded
+   */
+  protobuf_c_boolean open;
+  /*
+   * who may still have a copy under way
+   */
+  size_t n_senders;
+  Dff__Lease **senders;
+  Dff__Lease *writer;
+  /*
+   * of the intent's record
+   */
+  uint64_t sequence;
+};
+#define DFF__INTENT_HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__intent_held__descriptor) \
+    , 0, NULL, 0, 0,NULL, NULL, 0 }
 
 
 struct  Dff__AuthoritySnapshot
@@ -179,10 +225,15 @@
   size_t n_drains;
   Dff__DrainMark **drains;
   uint64_t hash;
+  /*
+   * in place of open and open_offsets
+   */
+  size_t n_intents;
+  Dff__IntentHeld **intents;
 };
 #define DFF__AUTHORITY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__authority_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Dff__Claim
@@ -275,6 +326,7 @@
   DFF__RECORD__BODY_INTENT = 23,
   DFF__RECORD__BODY_ORDER_OUTCOME = 24,
   DFF__RECORD__BODY_DRAIN = 25,
+  DFF__RECORD__BODY_LEASE_ACK = 27,
   DFF__RECORD__BODY_AUTHORITY_SNAPSHOT = 26,
   DFF__RECORD__BODY_CLAIMS = 30,
   DFF__RECORD__BODY_CLAIMS_SNAPSHOT = 31
@@ -287,6 +339,10 @@
   uint32_t version;
   char *writer;
   uint64_t incarnation;
+  /*
+   * writer's number, to know its own record again
+   */
+  uint64_t sequence;
   Dff__Record__BodyCase body_case;
   union {
     Dff__CatalogueEdit *edit;
@@ -297,6 +353,10 @@
     Dff__OrderIntent *intent;
     Dff__OrderOutcome *order_outcome;
     Dff__DrainMark *drain;
+    /*
+     * this holder will send nothing more
+     */
+    Dff__Lease *lease_ack;
     Dff__AuthoritySnapshot *authority_snapshot;
     Dff__ClaimBatch *claims;
     Dff__ClaimsSnapshot *claims_snapshot;
@@ -304,7 +364,7 @@
 };
 #define DFF__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, DFF__RECORD__BODY__NOT_SET, {0} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, DFF__RECORD__BODY__NOT_SET, {0} }
 
 
 struct  Dff__StreamOffset
@@ -345,6 +405,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * What one node tells the others of its failure domain.
+ */
 struct  Dff__Heartbeat
 {
   ProtobufCMessage base;
@@ -364,6 +427,29 @@
     , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * What the relay of a failure domain tells the relays of the others. With
+ * `merged`, what a relay passes on in its own domain: all other domains.
+ */
+struct  Dff__Summary
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  char *domain;
+  uint32_t live;
+  size_t n_offsets;
+  Dff__StreamOffset **offsets;
+  size_t n_work;
+  Dff__EngineWork **work;
+  size_t n_use;
+  Dff__OwnerUse **use;
+  protobuf_c_boolean merged;
+};
+#define DFF__SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__summary__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 struct  Dff__Leave
 {
   ProtobufCMessage base;
@@ -374,6 +460,9 @@
     , 0 }
 
 
+/*
+ * offset 0: the record is a snapshot made by the peer.
+ */
 struct  Dff__PeerRecord
 {
   ProtobufCMessage base;
@@ -387,6 +476,9 @@
     , 0, 0, {0,NULL}, 0 }
 
 
+/*
+ * from 0: a snapshot is wanted.
+ */
 struct  Dff__RecordsWanted
 {
   ProtobufCMessage base;
@@ -414,11 +506,10 @@
   ProtobufCMessage base;
   uint64_t body_hash;
   uint32_t crashes;
-  uint64_t left_ms;
 };
 #define DFF__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__suspect__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0 }
 
 
 struct  Dff__Suspects
@@ -438,7 +529,8 @@
   DFF__FRAME__BODY_LEAVE = 11,
   DFF__FRAME__BODY_WANTED = 12,
   DFF__FRAME__BODY_RECORDS = 13,
-  DFF__FRAME__BODY_SUSPECTS = 14
+  DFF__FRAME__BODY_SUSPECTS = 14,
+  DFF__FRAME__BODY_SUMMARY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DFF__FRAME__BODY__CASE)
 } Dff__Frame__BodyCase;
 
@@ -455,6 +547,7 @@
     Dff__RecordsWanted *wanted;
     Dff__Records *records;
     Dff__Suspects *suspects;
+    Dff__Summary *summary;
   };
 };
 #define DFF__FRAME__INIT \
@@ -595,6 +688,25 @@
 void   dff__drain_mark__free_unpacked
                      (Dff__DrainMark *message,
                       ProtobufCAllocator *allocator);
+/* Dff__IntentHeld methods */
+void   dff__intent_held__init
+                     (Dff__IntentHeld         *message);
+size_t dff__intent_held__get_packed_size
+                     (const Dff__IntentHeld   *message);
+size_t dff__intent_held__pack
+                     (const Dff__IntentHeld   *message,
+                      uint8_t             *out);
+size_t dff__intent_held__pack_to_buffer
+                     (const Dff__IntentHeld   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__IntentHeld *
+       dff__intent_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__intent_held__free_unpacked
+                     (Dff__IntentHeld *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__AuthoritySnapshot methods */
 void   dff__authority_snapshot__init
                      (Dff__AuthoritySnapshot         *message);
@@ -804,6 +916,25 @@
 void   dff__heartbeat__free_unpacked
                      (Dff__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Dff__Summary methods */
+void   dff__summary__init
+                     (Dff__Summary         *message);
+size_t dff__summary__get_packed_size
+                     (const Dff__Summary   *message);
+size_t dff__summary__pack
+                     (const Dff__Summary   *message,
+                      uint8_t             *out);
+size_t dff__summary__pack_to_buffer
+                     (const Dff__Summary   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__Summary *
+       dff__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__summary__free_unpacked
+                     (Dff__Summary *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__Leave methods */
 void   dff__leave__init
                      (Dff__Leave         *message);
@@ -960,6 +1091,9 @@
 typedef void (*Dff__DrainMark_Closure)
                  (const Dff__DrainMark *message,
                   void *closure_data);
+typedef void (*Dff__IntentHeld_Closure)
+                 (const Dff__IntentHeld *message,
+                  void *closure_data);
 typedef void (*Dff__AuthoritySnapshot_Closure)
                  (const Dff__AuthoritySnapshot *message,
                   void *closure_data);
@@ -993,6 +1127,9 @@
 typedef void (*Dff__Heartbeat_Closure)
                  (const Dff__Heartbeat *message,
                   void *closure_data);
+typedef void (*Dff__Summary_Closure)
+                 (const Dff__Summary *message,
+                  void *closure_data);
 typedef void (*Dff__Leave_Closure)
                  (const Dff__Leave *message,
                   void *closure_data);
@@ -1027,6 +1164,7 @@
 extern const ProtobufCMessageDescriptor dff__order_intent__descriptor;
 extern const ProtobufCMessageDescriptor dff__order_outcome__descriptor;
 extern const ProtobufCMessageDescriptor dff__drain_mark__descriptor;
+extern const ProtobufCMessageDescriptor dff__intent_held__descriptor;
 extern const ProtobufCMessageDescriptor dff__authority_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor dff__claim__descriptor;
 extern const ProtobufCMessageDescriptor dff__claim_outcome__descriptor;
@@ -1038,6 +1176,7 @@
 extern const ProtobufCMessageDescriptor dff__engine_work__descriptor;
 extern const ProtobufCMessageDescriptor dff__owner_use__descriptor;
 extern const ProtobufCMessageDescriptor dff__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor dff__summary__descriptor;
 extern const ProtobufCMessageDescriptor dff__leave__descriptor;
 extern const ProtobufCMessageDescriptor dff__peer_record__descriptor;
 extern const ProtobufCMessageDescriptor dff__records_wanted__descriptor;
