--- a/source/net/httpd.c
+++ b/source/net/httpd.c
@@ -218,6 +218,18 @@
 	return req->over ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
 }
 
+/*
+ * h2o sends chunks with status 200 only; any other streamed answer would
+ * end with the connection, so that a caller could not tell a whole one from
+ * one cut short. Such an answer is held back until its length is known.
+ */
+static bool
+is_held_back(const dff_httpd_req_t *req)
+{
+	return !req->head_sent && !req->over && req->h2o->res.status != 200 &&
+	    req->waiting->len <= req->httpd->unread_max;
+}
+
 /* Give h2o what waits. The request may be gone afterwards. */
 static void
 flush_req(dff_httpd_req_t *req)
@@ -231,7 +243,7 @@
 		break_off(req);
 		unmark_dirty(req);
 	}
-	if (!req->begun || req->in_flight || req->finished)
+	if (!req->begun || req->in_flight || req->finished || is_held_back(req))
 		return;
 	state = send_state(req);
 	if (bytes->len == 0 && req->head_sent &&
@@ -240,6 +252,8 @@
 	req->waiting = req->sending;
 	req->sending = bytes;
 	g_byte_array_set_size(req->waiting, 0);
+	if (!req->head_sent && state == H2O_SEND_STATE_FINAL)
+		req->h2o->res.content_length = bytes->len;
 	if (!req->head_sent)
 		h2o_start_response(req->h2o, &req->generator);
 	req->head_sent = true;
