--- a/source/node/node.c
+++ b/source/node/node.c
@@ -23,8 +23,8 @@
 {
 	memset(config, 0, sizeof(*config));
 	config->beat = 500 * DFF_MSEC;
-	config->suspect_after = 1500 * DFF_MSEC;
-	config->dead_after = 4 * DFF_SEC;
+	config->suspect_after = 3 * DFF_SEC;
+	config->dead_after = 6 * DFF_SEC;
 	config->blind_after = 5 * DFF_SEC;
 	config->snapshot_every = 60 * DFF_SEC;
 	config->drain_time = 30 * DFF_SEC;
--- /dev/null
+++ b/test/test_node.c
@@ -0,0 +1,653 @@
+/*
+ * The reducer driven by hand: one node, no network, no clock.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dragonflyfall/node.h"
+#include "proto/dragonflyfall.pb-c.h"
+
+#define SECRET "test-key"
+
+static const char catalogue_text[] =
+    "[dragonflyfall]\nformat=1\n"
+    "[owner yard]\n"
+    "secret_sha256="
+    "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef\n"
+    "weight=1\n"
+    "[owner other]\n"
+    "secret_sha256="
+    "cfc4224853950e0c65738b75d9e9fde3458914db71c1aa19dcad30d313fe35af\n"
+    "weight=1\n"
+    "[class quick]\nfirst_token_ms=2000\ntoken_gap_ms=500\n"
+    "whole_ms=20000\npriority=0\n"
+    "[pool engines]\nkind=engine\nmodel=m\nversion=1\nfencing=ignored\n"
+    "[pool ledger]\nkind=service\n"
+    "[entry grade]\nowner=yard\nclass=quick\npool=engines\n"
+    "max_prompt_tokens=1000\nmax_output_tokens=16\n"
+    "[entry foreign]\nowner=other\nclass=quick\npool=engines\n"
+    "max_prompt_tokens=1000\nmax_output_tokens=16\n"
+    "[entry pay]\nowner=yard\nclass=quick\npool=ledger\npath=/pay\n"
+    "may_repeat=false\nretry_window_ms=600000\n";
+
+static dff_ctx_t *ctx;
+static dff_node_t *node;
+static dff_effects_t *fx;
+static dff_time_t now;
+static uint64_t next_offset[DFF_STREAM_COUNT];
+static uint64_t next_call;
+
+/* What the last steps asked for. */
+static dff_fx_try_start_t start;
+static dff_fx_call_refuse_t refuse;
+static dff_fx_call_reply_t reply;
+static dff_fx_log_append_t append;
+static char vm_name[DFF_NAME_MAX];
+static char code[64];
+static uint8_t append_data[64 * 1024];
+static GString *text;
+static int starts;
+static int cancels;
+static int refusals;
+static int ends;
+static int replies;
+static int appends;
+static int stops;
+
+static void
+note(const dff_effect_t *effect)
+{
+	switch (effect->type) {
+	case DFF_FX_TRY_START:
+		start = effect->u.try_start;
+		(void)dff_name_copy(vm_name, start.vm);
+		starts++;
+		break;
+	case DFF_FX_TRY_CANCEL:
+		cancels++;
+		break;
+	case DFF_FX_CALL_REFUSE:
+		refuse = effect->u.call_refuse;
+		(void)g_strlcpy(code, refuse.code, sizeof(code));
+		refusals++;
+		break;
+	case DFF_FX_CALL_TOKENS:
+		g_string_append_len(text, effect->u.call_tokens.text,
+		    (gssize)effect->u.call_tokens.len);
+		break;
+	case DFF_FX_CALL_END:
+		ends++;
+		break;
+	case DFF_FX_CALL_REPLY:
+		reply = effect->u.call_reply;
+		replies++;
+		break;
+	case DFF_FX_LOG_APPEND:
+		append = effect->u.log_append;
+		memcpy(append_data, append.data, append.len);
+		appends++;
+		break;
+	case DFF_FX_STOPPED:
+		stops++;
+		break;
+	default:
+		break;
+	}
+}
+
+static int
+step(const dff_event_t *event)
+{
+	int err;
+
+	dff_effects_clear(fx);
+	err = dff_node_step(ctx, node, event, now, fx);
+	for (size_t i = 0; i < dff_effects_count(fx); i++)
+		note(dff_effects_at(fx, i));
+	return err;
+}
+
+static void
+wait_until(dff_time_t at)
+{
+	dff_event_t wake = {.type = DFF_EV_WAKE};
+
+	while (now < at) {
+		now = MIN(now + 100 * DFF_MSEC, at);
+		(void)step(&wake);
+	}
+}
+
+static void
+feed_head(dff_stream_t stream)
+{
+	dff_event_t event = {.type = DFF_EV_LOG_HEAD};
+
+	event.u.log_head.stream = stream;
+	event.u.log_head.first = 1;
+	event.u.log_head.next = next_offset[stream];
+	event.u.log_head.asked = now;
+	(void)step(&event);
+}
+
+static void
+feed_record(dff_stream_t stream, const uint8_t *data, size_t len)
+{
+	dff_event_t event = {.type = DFF_EV_LOG_RECORD};
+
+	event.u.log_record.stream = stream;
+	event.u.log_record.offset = next_offset[stream]++;
+	event.u.log_record.data = data;
+	event.u.log_record.len = len;
+	event.u.log_record.time_ms = (uint64_t)(now / DFF_MSEC);
+	(void)step(&event);
+}
+
+static void
+feed_edit(const char *edit_id, uint64_t against, const char *file)
+{
+	Dff__CatalogueEdit edit = DFF__CATALOGUE_EDIT__INIT;
+	Dff__Record record = DFF__RECORD__INIT;
+	uint8_t data[8192];
+	size_t len;
+
+	edit.edit_id = (char *)(uintptr_t)edit_id;
+	edit.against = against;
+	edit.text = (char *)(uintptr_t)file;
+	record.version = 1;
+	record.body_case = DFF__RECORD__BODY_EDIT;
+	record.edit = &edit;
+	len = dff__record__pack(&record, data);
+	feed_record(DFF_STREAM_CATALOGUE, data, len);
+}
+
+static void
+set_vm(dff_vm_t *vm, const char *id, const char *pool, dff_vm_kind_t kind)
+{
+	memset(vm, 0, sizeof(*vm));
+	(void)dff_name_copy(vm->id, id);
+	(void)dff_name_copy(vm->pool, pool);
+	(void)dff_name_copy(vm->domain, "a");
+	(void)strcpy(vm->addr, "127.0.0.1:1");
+	vm->kind = kind;
+	vm->incarnation = 1;
+}
+
+static void
+feed_vms(void)
+{
+	dff_event_t event = {.type = DFF_EV_VM_LIST};
+	dff_vm_t vms[5];
+
+	set_vm(&vms[0], "engine-1", "engines", DFF_VM_ENGINE);
+	set_vm(&vms[1], "engine-2", "engines", DFF_VM_ENGINE);
+	set_vm(&vms[2], "engine-3", "engines", DFF_VM_ENGINE);
+	set_vm(&vms[3], "ledger-1", "ledger", DFF_VM_SERVICE);
+	set_vm(&vms[4], "entry-1", "", DFF_VM_ENTRY);
+	event.u.vm_list.vms = vms;
+	event.u.vm_list.count = 5;
+	(void)step(&event);
+}
+
+static void
+feed_report(const char *vm, uint64_t incarnation)
+{
+	dff_event_t event = {.type = DFF_EV_ENGINE_REPORT};
+	dff_ev_engine_report_t *report = &event.u.engine_report;
+
+	report->vm = vm;
+	report->incarnation = incarnation;
+	report->taken = now;
+	report->model = "m";
+	report->version = 1;
+	report->free_pieces = 1000;
+	report->total_pieces = 1000;
+	report->token_us = 10000;
+	report->prefill_us = 100;
+	(void)step(&event);
+}
+
+static void
+feed_reports(void)
+{
+	feed_report("engine-1", 1);
+	feed_report("engine-2", 1);
+	feed_report("engine-3", 1);
+	feed_report("ledger-1", 1);
+}
+
+static void
+setup(void)
+{
+	dff_node_config_t config;
+	dff_event_t event = {.type = DFF_EV_START};
+
+	dff_node_defaults(&config);
+	(void)strcpy(config.id, "entry-1");
+	(void)strcpy(config.domain, "a");
+	config.incarnation = 7;
+	config.serve = true;
+	ctx = dff_ctx_new(1, DFF_LOG_DEBUG, NULL, NULL);
+	node = dff_node_new(ctx, &config);
+	fx = dff_effects_new();
+	text = g_string_new(NULL);
+	now = DFF_SEC;
+	starts = cancels = refusals = ends = replies = appends = stops = 0;
+	next_call = 0;
+	for (int i = 0; i < DFF_STREAM_COUNT; i++)
+		next_offset[i] = 1;
+	(void)step(&event);
+}
+
+/* A node that has read everything and serves. */
+static void
+setup_ready(void)
+{
+	const char *why;
+
+	setup();
+	feed_vms();
+	feed_edit("first", 0, catalogue_text);
+	for (int i = 0; i < DFF_STREAM_COUNT; i++)
+		feed_head((dff_stream_t)i);
+	feed_reports();
+	ck_assert_msg(dff_node_ready(node, &why), "%s", why);
+}
+
+static void
+teardown(void)
+{
+	dff_node_drop(node);
+	dff_effects_drop(fx);
+	g_string_free(text, TRUE);
+	dff_ctx_drop(ctx);
+}
+
+static uint64_t
+open_call_as(const char *entry, const char *secret, const char *key)
+{
+	dff_event_t event = {.type = DFF_EV_CALL_OPEN};
+	dff_ev_call_open_t *call = &event.u.call_open;
+
+	call->call = ++next_call;
+	call->kind =
+	    strcmp(entry, "pay") == 0 ? DFF_CALL_SERVICE : DFF_CALL_MODEL;
+	call->secret = secret;
+	call->entry = entry;
+	call->idem_key = key;
+	call->prompt_len = 400;
+	call->max_tokens = 8;
+	call->body_hash = 99;
+	(void)step(&event);
+	return call->call;
+}
+
+static uint64_t
+open_call(const char *entry)
+{
+	return open_call_as(entry, SECRET, "");
+}
+
+static void
+give_tokens(uint64_t attempt, uint32_t first, const char *words)
+{
+	dff_event_t event = {.type = DFF_EV_TRY_TOKENS};
+
+	event.u.try_tokens.attempt = attempt;
+	event.u.try_tokens.first = first;
+	event.u.try_tokens.count = (uint32_t)strlen(words);
+	event.u.try_tokens.text = words;
+	event.u.try_tokens.len = strlen(words);
+	(void)step(&event);
+}
+
+static void
+give_end(uint64_t attempt, uint32_t tokens)
+{
+	dff_event_t event = {.type = DFF_EV_TRY_END};
+
+	event.u.try_end.attempt = attempt;
+	event.u.try_end.prompt_tokens = 100;
+	event.u.try_end.output_tokens = tokens;
+	(void)step(&event);
+}
+
+static void
+fail_try(uint64_t attempt, dff_try_fail_t reason, bool sent)
+{
+	dff_event_t event = {.type = DFF_EV_TRY_FAILED};
+
+	event.u.try_failed.attempt = attempt;
+	event.u.try_failed.reason = reason;
+	event.u.try_failed.sent = sent;
+	(void)step(&event);
+}
+
+START_TEST(takes_no_work_before_the_catalogue)
+{
+	const char *why;
+
+	ck_assert(!dff_node_ready(node, &why));
+	(void)open_call("grade");
+	ck_assert_str_eq(code, "not_ready");
+	ck_assert_int_eq(refuse.ran, DFF_RAN_NOT);
+	ck_assert_int_gt(refuse.retry_after, 0);
+}
+END_TEST
+
+START_TEST(serves_a_whole_answer)
+{
+	(void)open_call("grade");
+	ck_assert_int_eq(starts, 1);
+	give_tokens(start.attempt, 0, "ab");
+	give_tokens(start.attempt, 2, "c");
+	give_end(start.attempt, 3);
+	ck_assert_str_eq(text->str, "abc");
+	ck_assert_int_eq(ends, 1);
+	ck_assert_int_eq(refusals, 0);
+}
+END_TEST
+
+START_TEST(tells_why_it_refuses)
+{
+	(void)open_call_as("grade", "wrong", "");
+	ck_assert_str_eq(code, "unknown_key");
+	(void)open_call("nothing");
+	ck_assert_str_eq(code, "unknown_entry");
+	(void)open_call("foreign");
+	ck_assert_str_eq(code, "wrong_owner");
+	(void)open_call("pay");
+	ck_assert_str_eq(code, "key_required");
+	ck_assert_int_eq(starts, 0);
+}
+END_TEST
+
+START_TEST(resumes_at_the_next_token_elsewhere)
+{
+	char first_vm[DFF_NAME_MAX];
+	uint64_t old;
+
+	(void)open_call("grade");
+	old = start.attempt;
+	(void)strcpy(first_vm, vm_name);
+	give_tokens(old, 0, "ab");
+	fail_try(old, DFF_FAIL_BROKEN, true);
+	ck_assert_int_eq(starts, 2);
+	ck_assert_uint_eq(start.resume_at, 2);
+	ck_assert_str_ne(vm_name, first_vm);
+	/* The old try's bytes come late and are dropped. */
+	give_tokens(old, 2, "XYZ");
+	give_tokens(start.attempt, 2, "cd");
+	give_end(old, 5);
+	give_end(start.attempt, 4);
+	ck_assert_str_eq(text->str, "abcd");
+	ck_assert_int_eq(ends, 1);
+	ck_assert_uint_eq(dff_node_counter(node, DFF_COUNT_LATE_DROPPED), 2);
+}
+END_TEST
+
+START_TEST(never_passes_on_tokens_out_of_turn)
+{
+	(void)open_call("grade");
+	give_tokens(start.attempt, 0, "ab");
+	give_tokens(start.attempt, 3, "d");
+	ck_assert_int_eq(cancels, 1);
+	ck_assert_int_eq(starts, 2);
+	ck_assert_uint_eq(start.resume_at, 2);
+	ck_assert_str_eq(text->str, "ab");
+}
+END_TEST
+
+START_TEST(a_short_answer_never_looks_whole)
+{
+	(void)open_call("grade");
+	give_tokens(start.attempt, 0, "ab");
+	give_end(start.attempt, 7);
+	ck_assert_int_eq(ends, 0);
+	ck_assert_int_eq(starts, 2);
+}
+END_TEST
+
+START_TEST(gives_up_with_an_explicit_error)
+{
+	(void)open_call("grade");
+	give_tokens(start.attempt, 0, "a");
+	for (int i = 0; i < 10 && refusals == 0; i++) {
+		fail_try(start.attempt, DFF_FAIL_TIMEOUT, true);
+		wait_until(now + 200 * DFF_MSEC);
+		feed_reports();
+	}
+	ck_assert_int_eq(refusals, 1);
+	ck_assert_int_eq(refuse.ran, DFF_RAN_YES);
+	ck_assert_int_eq(ends, 0);
+}
+END_TEST
+
+START_TEST(cancels_for_a_caller_that_went_away)
+{
+	dff_event_t event = {.type = DFF_EV_CALL_GONE};
+
+	event.u.call_gone.call = open_call("grade");
+	(void)step(&event);
+	ck_assert_int_eq(cancels, 1);
+	give_tokens(start.attempt, 0, "a");
+	ck_assert_str_eq(text->str, "");
+}
+END_TEST
+
+/* The claim that this node appended comes back in the stream. */
+static void
+land_claim(void)
+{
+	wait_until(now + 20 * DFF_MSEC);
+	ck_assert_int_ge(appends, 1);
+	feed_record(DFF_STREAM_CLAIMS, append_data, append.len);
+}
+
+START_TEST(runs_a_payout_only_after_its_claim)
+{
+	dff_event_t event = {.type = DFF_EV_TRY_REPLY};
+
+	(void)open_call_as("pay", SECRET, "k1");
+	ck_assert_int_eq(starts, 0);
+	land_claim();
+	ck_assert_int_eq(starts, 1);
+	ck_assert_str_eq(start.path, "/pay");
+	event.u.try_reply.attempt = start.attempt;
+	event.u.try_reply.status = 201;
+	event.u.try_reply.content_type = "text/plain";
+	event.u.try_reply.body = (const uint8_t *)"paid";
+	event.u.try_reply.len = 4;
+	(void)step(&event);
+	ck_assert_int_eq(replies, 1);
+	/* The caller asks again with the same key: no second run. */
+	(void)open_call_as("pay", SECRET, "k1");
+	wait_until(now + 20 * DFF_MSEC);
+	ck_assert_int_eq(starts, 1);
+}
+END_TEST
+
+START_TEST(never_repeats_a_payout_that_may_have_run)
+{
+	(void)open_call_as("pay", SECRET, "k1");
+	land_claim();
+	fail_try(start.attempt, DFF_FAIL_BROKEN, true);
+	ck_assert_int_eq(starts, 1);
+	ck_assert_int_eq(refusals, 1);
+	ck_assert_int_eq(refuse.ran, DFF_RAN_UNKNOWN);
+}
+END_TEST
+
+START_TEST(tries_a_payout_elsewhere_if_nothing_was_sent)
+{
+	(void)open_call_as("pay", SECRET, "k1");
+	land_claim();
+	fail_try(start.attempt, DFF_FAIL_CONNECT, false);
+	wait_until(now + 5 * DFF_SEC);
+	/* Its only service is out of reach: a true "not run" in the end. */
+	ck_assert(refusals == 1 ? refuse.ran == DFF_RAN_NOT : starts > 1);
+}
+END_TEST
+
+START_TEST(refuses_payouts_while_the_log_is_down)
+{
+	dff_event_t event = {.type = DFF_EV_LOG_DOWN};
+
+	event.u.log_down.stream = DFF_STREAM_CLAIMS;
+	(void)step(&event);
+	(void)open_call_as("pay", SECRET, "k1");
+	ck_assert_str_eq(code, "log_down");
+	ck_assert_int_eq(refuse.ran, DFF_RAN_NOT);
+	ck_assert_int_gt(refuse.retry_after, 0);
+	(void)open_call("grade");
+	ck_assert_int_eq(starts, 1);
+}
+END_TEST
+
+START_TEST(loses_two_engines_at_most_to_one_request)
+{
+	int lost = 0;
+
+	/* Its caller sends it again and again; each engine that takes it
+	 * crashes and comes back as another process. */
+	for (int i = 0; i < 6; i++) {
+		int before = starts;
+
+		(void)open_call("grade");
+		while (starts > before) {
+			before = starts;
+			lost++;
+			fail_try(start.attempt, DFF_FAIL_BROKEN, true);
+			now += DFF_SEC;
+			feed_report(vm_name, (uint64_t)(10 + lost));
+			feed_reports();
+		}
+	}
+	ck_assert_int_eq(lost, 2);
+	ck_assert_str_eq(code, "poison");
+}
+END_TEST
+
+START_TEST(a_broken_link_makes_no_poison)
+{
+	for (int i = 0; i < 4; i++) {
+		(void)open_call("grade");
+		fail_try(start.attempt, DFF_FAIL_BROKEN, true);
+		now += DFF_SEC;
+		feed_reports();
+		give_tokens(start.attempt, 0, "a");
+		give_end(start.attempt, 1);
+		now += 10 * DFF_SEC;
+		feed_head(DFF_STREAM_CATALOGUE);
+		feed_reports();
+	}
+	ck_assert_int_eq(ends, 4);
+}
+END_TEST
+
+START_TEST(a_blind_node_takes_no_new_work)
+{
+	dff_event_t event = {.type = DFF_EV_VM_LIST};
+	const char *why;
+	dff_vm_t vms[3];
+
+	set_vm(&vms[0], "entry-1", "", DFF_VM_ENTRY);
+	set_vm(&vms[1], "entry-2", "", DFF_VM_ENTRY);
+	set_vm(&vms[2], "entry-3", "", DFF_VM_ENTRY);
+	event.u.vm_list.vms = vms;
+	event.u.vm_list.count = 3;
+	(void)step(&event);
+	wait_until(now + 4 * DFF_SEC);
+	ck_assert(dff_node_ready(node, &why));
+	wait_until(now + 2 * DFF_SEC);
+	ck_assert(!dff_node_ready(node, &why));
+	feed_head(DFF_STREAM_CATALOGUE);
+	ck_assert(dff_node_ready(node, &why));
+}
+END_TEST
+
+/* Frozen for a minute: the first thing it meets on waking is a call. */
+START_TEST(a_woken_node_takes_no_new_work_unread)
+{
+	dff_event_t event = {.type = DFF_EV_VM_LIST};
+	dff_vm_t vms[3];
+
+	set_vm(&vms[0], "entry-1", "", DFF_VM_ENTRY);
+	set_vm(&vms[1], "entry-2", "", DFF_VM_ENTRY);
+	set_vm(&vms[2], "entry-3", "", DFF_VM_ENTRY);
+	event.u.vm_list.vms = vms;
+	event.u.vm_list.count = 3;
+	(void)step(&event);
+	now += 60 * DFF_SEC;
+	(void)open_call("grade");
+	ck_assert_str_eq(code, "not_ready");
+}
+END_TEST
+
+START_TEST(a_stopping_node_finishes_what_runs)
+{
+	dff_event_t event = {.type = DFF_EV_STOP};
+
+	(void)open_call("grade");
+	(void)step(&event);
+	ck_assert_int_eq(stops, 0);
+	(void)open_call("grade");
+	ck_assert_str_eq(code, "draining");
+	give_tokens(start.attempt, 0, "a");
+	give_end(start.attempt, 1);
+	ck_assert_int_eq(ends, 1);
+	ck_assert_int_eq(stops, 1);
+}
+END_TEST
+
+START_TEST(the_revision_never_goes_back)
+{
+	uint64_t revision = dff_node_revision(node);
+
+	feed_edit("late", 0, catalogue_text);
+	ck_assert_uint_eq(dff_node_revision(node), revision);
+	feed_edit("next", revision, catalogue_text);
+	ck_assert_uint_gt(dff_node_revision(node), revision);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("node");
+	TCase *boot = tcase_create("boot");
+	TCase *ready = tcase_create("ready");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(boot, setup, teardown);
+	tcase_add_test(boot, takes_no_work_before_the_catalogue);
+	tcase_add_checked_fixture(ready, setup_ready, teardown);
+	tcase_add_test(ready, serves_a_whole_answer);
+	tcase_add_test(ready, tells_why_it_refuses);
+	tcase_add_test(ready, resumes_at_the_next_token_elsewhere);
+	tcase_add_test(ready, never_passes_on_tokens_out_of_turn);
+	tcase_add_test(ready, a_short_answer_never_looks_whole);
+	tcase_add_test(ready, gives_up_with_an_explicit_error);
+	tcase_add_test(ready, cancels_for_a_caller_that_went_away);
+	tcase_add_test(ready, runs_a_payout_only_after_its_claim);
+	tcase_add_test(ready, never_repeats_a_payout_that_may_have_run);
+	tcase_add_test(ready, tries_a_payout_elsewhere_if_nothing_was_sent);
+	tcase_add_test(ready, refuses_payouts_while_the_log_is_down);
+	tcase_add_test(ready, loses_two_engines_at_most_to_one_request);
+	tcase_add_test(ready, a_broken_link_makes_no_poison);
+	tcase_add_test(ready, a_blind_node_takes_no_new_work);
+	tcase_add_test(ready, a_woken_node_takes_no_new_work_unread);
+	tcase_add_test(ready, a_stopping_node_finishes_what_runs);
+	tcase_add_test(ready, the_revision_never_goes_back);
+	suite_add_tcase(suite, boot);
+	suite_add_tcase(suite, ready);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
