--- a/test/test_node.c
+++ b/test/test_node.c
@@ -210,13 +210,25 @@
 	(void)step(&event);
 }
 
+static const char *const upstreams[] = {
+    "engine-1", "engine-2", "engine-3", "ledger-1"};
+/* What each upstream's process calls itself; grows when it crashes. */
+static uint64_t processes[G_N_ELEMENTS(upstreams)];
+
 static void
 feed_reports(void)
 {
-	feed_report("engine-1", 1);
-	feed_report("engine-2", 1);
-	feed_report("engine-3", 1);
-	feed_report("ledger-1", 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		feed_report(upstreams[i], processes[i]);
+}
+
+static void
+crash(const char *vm)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+		if (strcmp(upstreams[i], vm) == 0)
+			processes[i]++;
+	}
 }
 
 static void
@@ -239,6 +251,8 @@
 	next_call = 0;
 	for (int i = 0; i < DFF_STREAM_COUNT; i++)
 		next_offset[i] = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		processes[i] = 1;
 	(void)step(&event);
 }
 
@@ -520,9 +534,9 @@
 		while (starts > before) {
 			before = starts;
 			lost++;
+			crash(vm_name);
 			fail_try(start.attempt, DFF_FAIL_BROKEN, true);
 			now += DFF_SEC;
-			feed_report(vm_name, (uint64_t)(10 + lost));
 			feed_reports();
 		}
 	}
