--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -35,6 +35,7 @@
 	dff_time_t retry; /* next wait after a failure */
 	uint64_t turn; /* counts the calls of dff_platform_follow() */
 	uint32_t max; /* records asked for in one read */
+	bool fresh; /* no read was answered since the last break */
 } follower_t;
 
 struct dff_platform {
@@ -177,6 +178,7 @@
 	json_decref(body);
 	if (follower->turn != turn)
 		return;
+	follower->fresh = !good;
 	if (!good) {
 		fail_read(follower);
 		return;
@@ -189,16 +191,18 @@
 read_stream(follower_t *follower)
 {
 	dff_platform_t *platform = follower->platform;
+	/* The first answer tells where the stream ends: do not wait for it. */
+	dff_time_t wait = follower->fresh ? 0 : platform->config.poll_wait;
 	char path[128];
 	const dff_httpc_call_t call = {.addr = platform->addr,
 	    .method = "GET",
 	    .path = path,
-	    .silence = platform->config.poll_wait + platform->config.silence};
+	    .silence = wait + platform->config.silence};
 
 	(void)snprintf(path, sizeof(path),
 	    "/log/%s?from=%" PRIu64 "&max=%" PRIu32 "&wait_ms=%" PRId64,
 	    dff_stream_name(follower->stream), follower->from, follower->max,
-	    platform->config.poll_wait / DFF_MSEC);
+	    wait / DFF_MSEC);
 	follower->asked = dff_program_now();
 	follower->fetch = dff_fetch_start(platform->reads, &call, READ_MAX,
 	    on_read, g_memdup2(&follower->stream, sizeof(follower->stream)));
@@ -210,6 +214,7 @@
 	follower_t *follower = &platform->followers[follow->stream];
 
 	follower->turn++;
+	follower->fresh = true;
 	if (follower->fetch != NULL)
 		dff_fetch_cancel(follower->fetch);
 	follower->fetch = NULL;
--- a/source/net/runner.c
+++ b/source/net/runner.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -263,11 +264,14 @@
 	runner_t *runner = arg;
 	GString *text = g_string_new(NULL);
 	const char *why;
+	char name[128];
 
 	for (int i = 0; i < DFF_COUNT_COUNT; i++) {
 		dff_counter_t counter = (dff_counter_t)i;
 
-		add_metric(text, dff_counter_name(counter), "counter",
+		(void)snprintf(
+		    name, sizeof(name), "dff_%s", dff_counter_name(counter));
+		add_metric(text, name, "counter",
 		    dff_node_counter(runner->node, counter));
 	}
 	add_peer_metrics(text, runner);
