--- a/include/dragonflyfall/authority.h
+++ b/include/dragonflyfall/authority.h
@@ -140,6 +140,18 @@
 int dff_authority_save(
     dff_ctx_t *ctx, const dff_authority_t *auth, uint8_t **data);
 
+/** dff_authority_holds() - this process holds a shard's lease */
+bool dff_authority_holds(const dff_authority_t *auth, const char *shard);
+
+/**
+ * dff_authority_rebase() - begin after an offset, with nothing before it
+ *
+ * For a stream whose beginning has expired without a usable snapshot.
+ *
+ * Return: 0, or -EALREADY if records have been applied.
+ */
+int dff_authority_rebase(dff_authority_t *auth, uint64_t applied);
+
 /** dff_authority_applied() - last offset applied; 0 none */
 uint64_t dff_authority_applied(const dff_authority_t *auth);
 
--- a/include/dragonflyfall/catalogue.h
+++ b/include/dragonflyfall/catalogue.h
@@ -272,6 +272,15 @@
 int dff_history_save(dff_ctx_t *ctx, const dff_history_t *history,
     const char *writer, uint64_t incarnation, uint8_t **data);
 
+/**
+ * dff_history_rebase() - begin after an offset, with nothing before it
+ *
+ * For a stream whose beginning has expired without a usable snapshot.
+ *
+ * Return: 0, or -EALREADY if records have been applied.
+ */
+int dff_history_rebase(dff_history_t *history, uint64_t applied);
+
 /** dff_history_applied() - last offset applied; 0 none */
 uint64_t dff_history_applied(const dff_history_t *history);
 
--- a/include/dragonflyfall/claim.h
+++ b/include/dragonflyfall/claim.h
@@ -162,6 +162,15 @@
 /** dff_claims_save() - as dff_history_save() */
 int dff_claims_save(dff_ctx_t *ctx, const dff_claims_t *claims, uint8_t **data);
 
+/**
+ * dff_claims_rebase() - begin after an offset, with nothing before it
+ *
+ * For a stream whose beginning has expired without a usable snapshot.
+ *
+ * Return: 0, or -EALREADY if records have been applied.
+ */
+int dff_claims_rebase(dff_claims_t *claims, uint64_t applied);
+
 /** dff_claims_applied() - last offset applied; 0 none */
 uint64_t dff_claims_applied(const dff_claims_t *claims);
 
--- a/include/dragonflyfall/event.h
+++ b/include/dragonflyfall/event.h
@@ -455,6 +455,7 @@
 	DFF_FX_TRY_CANCEL,
 	DFF_FX_ORDER_SEND,
 	DFF_FX_ENGINE_ASK,
+	DFF_FX_ENGINE_WATCH,
 	DFF_FX_HEALTH,
 	DFF_FX_STOPPED,
 } dff_effect_type_t;
@@ -609,6 +610,17 @@
 	const char *addr;
 } dff_fx_engine_ask_t;
 
+/**
+ * struct dff_fx_engine_watch - read an upstream's load reports, and an
+ *	engine's cache events, from now on, or no more
+ */
+typedef struct dff_fx_engine_watch {
+	const char *vm;
+	const char *addr;
+	dff_vm_kind_t kind;
+	bool on;
+} dff_fx_engine_watch_t;
+
 /** struct dff_fx_health - what the health check answers from now on */
 typedef struct dff_fx_health {
 	bool ready;
@@ -632,6 +644,7 @@
 		dff_fx_try_cancel_t try_cancel;
 		dff_fx_order_send_t order_send;
 		dff_fx_engine_ask_t engine_ask;
+		dff_fx_engine_watch_t engine_watch;
 		dff_fx_health_t health;
 	} u;
 } dff_effect_t;
--- a/source/authority/authority.c
+++ b/source/authority/authority.c
@@ -579,3 +579,20 @@
 {
 	return auth->state.applied;
 }
+
+int
+dff_authority_rebase(dff_authority_t *auth, uint64_t applied)
+{
+	if (auth->state.applied != 0)
+		return -EALREADY;
+	auth->state.applied = applied;
+	return 0;
+}
+
+bool
+dff_authority_holds(const dff_authority_t *auth, const char *name)
+{
+	const shard_t *shard = g_tree_lookup(auth->shards, name);
+
+	return shard != NULL && lease_valid(auth, shard, auth->now);
+}
--- a/source/catalogue/history.c
+++ b/source/catalogue/history.c
@@ -413,3 +413,12 @@
 {
 	return history->skipped;
 }
+
+int
+dff_history_rebase(dff_history_t *history, uint64_t applied)
+{
+	if (history->applied != 0)
+		return -EALREADY;
+	history->applied = applied;
+	return 0;
+}
--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -891,3 +891,12 @@
 {
 	return claims->store.applied;
 }
+
+int
+dff_claims_rebase(dff_claims_t *claims, uint64_t applied)
+{
+	if (claims->store.applied != 0)
+		return -EALREADY;
+	claims->store.applied = applied;
+	return 0;
+}
--- a/source/node/help.c
+++ b/source/node/help.c
@@ -13,14 +13,13 @@
 
 static void
 ask_records(dff_node_t *node, const dff_member_t *peer, dff_stream_t id,
-    dff_effects_t *fx)
+    uint64_t from, dff_effects_t *fx)
 {
 	Dff__RecordsWanted wanted = DFF__RECORDS_WANTED__INIT;
 	Dff__Frame frame = DFF__FRAME__INIT;
 
 	wanted.stream = id;
-	wanted.from =
-	    node->streams[id].based ? stream_applied(node, id) + 1 : 0;
+	wanted.from = from;
 	frame.body_case = DFF__FRAME__BODY_WANTED;
 	frame.wanted = &wanted;
 	send_frame(node, peer, &frame, false, fx);
@@ -36,10 +35,21 @@
 		if (!stream->wanted || !stream->down)
 			continue;
 		if (peer->offsets[i] > stream_applied(node, (dff_stream_t)i))
-			ask_records(node, peer, (dff_stream_t)i, fx);
+			ask_records(node, peer, (dff_stream_t)i,
+			    stream->based ?
+				stream_applied(node, (dff_stream_t)i) + 1 :
+				0,
+			    fx);
 	}
 }
 
+void
+help_ask_snapshot(dff_node_t *node, const dff_member_t *peer, dff_stream_t id,
+    dff_effects_t *fx)
+{
+	ask_records(node, peer, id, 0, fx);
+}
+
 static void
 give_snapshot(dff_ctx_t *ctx, dff_node_t *node, const dff_member_t *peer,
     dff_stream_t id, dff_effects_t *fx)
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -82,6 +82,7 @@
 	node->members = dff_members_new(ctx, &members);
 	node->poison = poison_new();
 	node->peers = peers_new();
+	node->watch = watch_new();
 	node->calls = dff_table_new(sizeof(call_t));
 	node->by_shell =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -122,6 +123,7 @@
 	dff_table_drop(node->calls);
 	poison_drop(node->poison);
 	peers_drop(node->peers);
+	watch_drop(node->watch);
 	dff_members_drop(node->members);
 	dff_roles_drop(node->roles);
 	dff_policy_drop(node->policy);
@@ -177,6 +179,9 @@
 static void
 note_gone_vms(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_vm_list_t *ev)
 {
+	const dff_member_t *peer;
+	uint64_t incarnation;
+
 	for (guint i = 0; i < node->vms->len; i++) {
 		const dff_vm_t *old = &g_array_index(node->vms, dff_vm_t, i);
 		bool there = false;
@@ -185,15 +190,18 @@
 			continue;
 		for (size_t k = 0; k < ev->count && !there; k++)
 			there = strcmp(ev->vms[k].id, old->id) == 0;
-		if (!there)
-			dff_claims_holder_gone(
-			    ctx, node->claims, old->id, UINT64_MAX);
+		if (there)
+			continue;
+		peer = dff_members_find(node->members, old->id);
+		incarnation = peer != NULL ? peer->incarnation : 0;
+		dff_claims_holder_gone(ctx, node->claims, old->id,
+		    incarnation != 0 ? incarnation : UINT64_MAX);
 	}
 }
 
 static void
 take_vm_list(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_vm_list_t *ev,
-    dff_time_t now)
+    dff_time_t now, dff_effects_t *fx)
 {
 	note_gone_vms(ctx, node, ev);
 	g_array_set_size(node->vms, 0);
@@ -205,11 +213,12 @@
 	dff_authority_load_vms(ctx, node->authority, ev->vms, ev->count, now);
 	dff_roles_load_vms(node->roles, ev->vms, ev->count, now);
 	node_drains_changed(ctx, node);
+	watch_update(node, now, fx);
 }
 
-static void
-take_report(dff_ctx_t *ctx, dff_node_t *node, const dff_ev_engine_report_t *ev,
-    dff_time_t now)
+void
+node_take_report(dff_ctx_t *ctx, dff_node_t *node,
+    const dff_ev_engine_report_t *ev, dff_time_t now)
 {
 	uint64_t *incarnation;
 
@@ -278,6 +287,8 @@
 	dff_timers_set(node->timers, DFF_TIMER_ROLE_TICK, 0, now + ROLE_TICK);
 	if (node->stopping)
 		return;
+	watch_update(node, now, fx);
+	stream_check_base(ctx, node, now, fx);
 	views = g_new0(dff_lease_view_t, LEASES_MAX);
 	count = dff_authority_leases(node->authority, views, LEASES_MAX);
 	for (size_t i = 0; i < MIN(count, LEASES_MAX); i++) {
@@ -412,7 +423,7 @@
 		stop(ctx, node, now, fx);
 		return 0;
 	case DFF_EV_VM_LIST:
-		take_vm_list(ctx, node, &event->u.vm_list, now);
+		take_vm_list(ctx, node, &event->u.vm_list, now, fx);
 		return 0;
 	case DFF_EV_LOG_RECORD:
 		stream_record(ctx, node, &event->u.log_record, now, fx);
@@ -457,7 +468,8 @@
 		attempt_failed(ctx, node, &event->u.try_failed, now, fx);
 		return 0;
 	case DFF_EV_ENGINE_REPORT:
-		take_report(ctx, node, &event->u.engine_report, now);
+		watch_note(node, &event->u.engine_report, now);
+		node_take_report(ctx, node, &event->u.engine_report, now);
 		return 0;
 	case DFF_EV_ENGINE_CACHE:
 		dff_policy_load_cache(
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -22,6 +22,10 @@
 #define BEAT_ROWS_MAX 256
 /* The most owners' rows told between domains. */
 #define SUMMARY_OWNERS_MAX 64
+/* Engines with room that a relay tells another domain of. */
+#define SUMMARY_REPORTS_MAX 16
+/* Engines with room in other domains that a relay tells its own of. */
+#define MERGED_REPORTS_MAX 32
 /* Engines lost to one request before it is refused everywhere. */
 #define POISON_LIMIT 2
 /* Append ids of the node's own snapshots begin with this byte. */
@@ -44,6 +48,8 @@
  * @caught_up: the end seen when the process started has been reached
  * @target: that end: the offset that the next append would have got
  * @first: first offset retained, as last told or seen
+ * @scanned: last offset read from the log while there was no base
+ * @hollow_since: moment at which the end was reached without a base; -1 not
  * @head_at: moment of the last answered read; -1 before the first
  * @down: the last read failed
  * @snapshot_at: moment at which a snapshot was last seen in the stream
@@ -57,6 +63,8 @@
 	bool caught_up;
 	uint64_t target;
 	uint64_t first;
+	uint64_t scanned;
+	dff_time_t hollow_since;
 	dff_time_t head_at;
 	bool down;
 	dff_time_t snapshot_at;
@@ -136,6 +144,9 @@
 /** typedef peers_t - what the peers told last */
 typedef struct peers peers_t;
 
+/** typedef watch_t - whose load reports this node reads, and the reports */
+typedef struct watch watch_t;
+
 /** typedef poison_t - requests that were on engines when those crashed */
 typedef struct poison poison_t;
 
@@ -150,6 +161,7 @@
 	dff_members_t *members;
 	poison_t *poison;
 	peers_t *peers;
+	watch_t *watch;
 	stream_t streams[DFF_STREAM_COUNT];
 	dff_table_t *calls;
 	GHashTable *by_shell; /* shell id -> call handle */
@@ -208,6 +220,10 @@
 void stream_load_snapshot(dff_ctx_t *ctx, dff_node_t *node, dff_stream_t id,
     const uint8_t *data, size_t len, dff_time_t now, dff_effects_t *fx);
 
+/** stream_check_base() - help a stream whose beginning has expired */
+void stream_check_base(
+    dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx);
+
 /** stream_save() - make a snapshot record; its length or negative */
 int stream_save(
     dff_ctx_t *ctx, const dff_node_t *node, dff_stream_t id, uint8_t **data);
@@ -331,8 +347,27 @@
 /** poison_clear() - a request's answer came whole: it is innocent */
 void poison_clear(poison_t *poison, uint64_t body_hash);
 
+/* ---- watch.c: load reports, read here or told by peers ---- */
+
+/** watch_new() - nothing watched */
+watch_t *watch_new(void);
+
+/** watch_drop() - free it; NULL is allowed */
+void watch_drop(watch_t *watch);
+
+/** watch_update() - choose anew whose reports this node reads */
+void watch_update(dff_node_t *node, dff_time_t now, dff_effects_t *fx);
+
+/** watch_note() - a report was read here */
+void watch_note(
+    dff_node_t *node, const dff_ev_engine_report_t *report, dff_time_t now);
+
 /* ---- node.c ---- */
 
+/** node_take_report() - use a load report, read here or told by a peer */
+void node_take_report(dff_ctx_t *ctx, dff_node_t *node,
+    const dff_ev_engine_report_t *ev, dff_time_t now);
+
 /** node_append_id() - id for an append of the node itself */
 uint64_t node_append_id(dff_node_t *node);
 
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -36,6 +36,9 @@
 	beat.work = rows->work_at;
 	beat.n_use = rows->use_count;
 	beat.use = rows->use_at;
+	beat.n_reports = watch_pack(node, WATCH_READ_HERE, rows->report,
+	    rows->report_at, BEAT_ROWS_MAX);
+	beat.reports = rows->report_at;
 	frame.body_case = DFF__FRAME__BODY_HEARTBEAT;
 	frame.heartbeat = &beat;
 	send_near(node, &frame, true, fx);
@@ -62,6 +65,10 @@
 	summary.work = rows->work_at;
 	summary.n_use = MIN(rows->use_count, SUMMARY_OWNERS_MAX);
 	summary.use = rows->use_at;
+	summary.n_reports = watch_pack(node,
+	    merged ? WATCH_OTHER_DOMAINS : WATCH_OWN_DOMAIN, rows->report,
+	    rows->report_at, merged ? MERGED_REPORTS_MAX : SUMMARY_REPORTS_MAX);
+	summary.reports = rows->report_at;
 	frame.body_case = DFF__FRAME__BODY_SUMMARY;
 	frame.summary = &summary;
 	if (merged)
@@ -115,6 +122,8 @@
 		dff_claims_holder_gone(
 		    ctx, node->claims, dead->id, dead->incarnation);
 	}
+	watch_update(node, now, fx);
+	stream_check_base(ctx, node, now, fx);
 	seen = dff_members_seen(node->members, now, &all);
 	dff_policy_set_alone(node->policy, seen, all);
 	self = told_self(node);
@@ -166,6 +175,7 @@
 	told_set_offsets(peer->offsets, beat->n_offsets, beat->offsets);
 	peer->log_down = beat->log_down;
 	told_load(ctx, node, peer->id, told, now);
+	watch_take(ctx, node, beat->n_reports, beat->reports, now);
 	help_ask(node, peer, fx);
 }
 
@@ -195,6 +205,7 @@
 		told_set_offsets(
 		    told->offsets, summary->n_offsets, summary->offsets);
 	}
+	watch_take(ctx, node, summary->n_reports, summary->reports, now);
 	help_ask(node, peer, fx);
 }
 
--- a/source/node/stream.c
+++ b/source/node/stream.c
@@ -3,7 +3,7 @@
  * 1 or at a snapshot, takes each record once and in order, and never goes
  * back, wherever a record came from.
  */
-#include "parts.h"
+#include "told.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -11,6 +11,9 @@
 
 #define PART "log"
 
+/* How long a peer's or another node's snapshot is waited for. */
+#define HOLLOW_WAIT (10 * DFF_SEC)
+
 void
 stream_init(dff_node_t *node)
 {
@@ -19,6 +22,7 @@
 
 		stream->id = (dff_stream_t)i;
 		stream->head_at = -1;
+		stream->hollow_since = -1;
 		stream->snapshot_at = -1;
 		g_queue_init(&stream->recent);
 	}
@@ -217,6 +221,7 @@
 
 	if (ev->from_peer)
 		return;
+	stream->scanned = ev->offset;
 	if (stream->based)
 		dff_log(ctx, DFF_LOG_ERR, PART,
 		    "records expired unread. stream=%s applied=%" PRIu64
@@ -289,6 +294,11 @@
 		stream->target = ev->next;
 	if (ev->next == 1)
 		stream->based = true;
+	if (stream->based)
+		stream->hollow_since = -1;
+	else if (MAX(stream->scanned + 1, ev->first) >= ev->next &&
+	    stream->hollow_since < 0)
+		stream->hollow_since = now;
 	check_caught_up(ctx, node, stream);
 	if (ev->stream == DFF_STREAM_AUTHORITY &&
 	    stream_applied(node, ev->stream) + 1 >= ev->next)
@@ -317,6 +327,70 @@
 	    stream->based;
 }
 
+static int
+rebase(dff_node_t *node, dff_stream_t id, uint64_t applied)
+{
+	switch (id) {
+	case DFF_STREAM_CATALOGUE:
+		/* Only who tells its peers what it has may begin anew. */
+		if (!node->config.serve)
+			return -EPERM;
+		return dff_history_rebase(node->history, applied);
+	case DFF_STREAM_AUTHORITY:
+		return dff_authority_rebase(node->authority, applied);
+	case DFF_STREAM_CLAIMS:
+		return dff_claims_rebase(node->claims, applied);
+	case DFF_STREAM_COUNT:
+		break;
+	}
+	return -EINVAL;
+}
+
+/* A peer that has the stream's state, or NULL. */
+static const dff_member_t *
+peer_with_state(const dff_node_t *node, dff_stream_t id)
+{
+	size_t count = dff_members_count(node->members);
+
+	for (size_t i = 0; i < count; i++) {
+		const dff_member_t *peer = dff_members_at(node->members, i);
+
+		if (peer->state == DFF_MEMBER_LIVE && peer->offsets[id] > 0)
+			return peer;
+	}
+	return NULL;
+}
+
+void
+stream_check_base(
+    dff_ctx_t *ctx, dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	for (int i = 0; i < DFF_STREAM_COUNT; i++) {
+		stream_t *stream = &node->streams[i];
+		const dff_member_t *peer;
+
+		if (!stream->wanted || stream->based ||
+		    stream->hollow_since < 0)
+			continue;
+		peer = peer_with_state(node, stream->id);
+		if (peer != NULL) {
+			help_ask_snapshot(node, peer, stream->id, fx);
+			continue;
+		}
+		if (now - stream->hollow_since < HOLLOW_WAIT ||
+		    rebase(node, stream->id, stream->first - 1) != 0)
+			continue;
+		stream->based = true;
+		stream->hollow_since = -1;
+		dff_log(ctx, DFF_LOG_ERR, PART,
+		    "stream begins anew: no snapshot is left. stream=%s"
+		    " first=%" PRIu64,
+		    dff_stream_name(stream->id), stream->first);
+		follow_from(stream, stream->first, fx);
+		check_caught_up(ctx, node, stream);
+	}
+}
+
 static bool
 writes_snapshots(const dff_node_t *node, dff_stream_t id)
 {
--- a/source/node/told.h
+++ b/source/node/told.h
@@ -36,6 +36,8 @@
 	Dff__EngineWork *work_at[BEAT_ROWS_MAX];
 	Dff__OwnerUse use[BEAT_ROWS_MAX];
 	Dff__OwnerUse *use_at[BEAT_ROWS_MAX];
+	Dff__EngineReport report[BEAT_ROWS_MAX];
+	Dff__EngineReport *report_at[BEAT_ROWS_MAX];
 	Dff__StreamOffset offset[DFF_STREAM_COUNT];
 	Dff__StreamOffset *offset_at[DFF_STREAM_COUNT];
 	size_t work_count;
@@ -71,6 +73,23 @@
 void told_load(dff_ctx_t *ctx, dff_node_t *node, const char *peer,
     const told_t *told, dff_time_t now);
 
+/* ---- watch.c: load reports told to others ---- */
+
+/** enum watch_scope - which reports are told */
+typedef enum watch_scope {
+	WATCH_READ_HERE, /* read by this node: to its own domain */
+	WATCH_OWN_DOMAIN, /* of its domain: to other domains */
+	WATCH_OTHER_DOMAINS, /* of other domains: to its own domain */
+} watch_scope_t;
+
+/** watch_pack() - reports to tell, those with the most room first */
+size_t watch_pack(const dff_node_t *node, watch_scope_t scope,
+    Dff__EngineReport *rows, Dff__EngineReport **at, size_t max);
+
+/** watch_take() - reports told by a peer */
+void watch_take(dff_ctx_t *ctx, dff_node_t *node, size_t count,
+    Dff__EngineReport **rows, dff_time_t now);
+
 /* ---- send.c: frames out ---- */
 
 /** send_frame() - send a frame to one peer; fills in who speaks */
@@ -94,6 +113,10 @@
 /** help_ask() - ask a peer that has records which the log does not give */
 void help_ask(dff_node_t *node, const dff_member_t *peer, dff_effects_t *fx);
 
+/** help_ask_snapshot() - ask a peer for its whole state of a stream */
+void help_ask_snapshot(dff_node_t *node, const dff_member_t *peer,
+    dff_stream_t id, dff_effects_t *fx);
+
 /** help_give() - a peer wants records */
 void help_give(dff_ctx_t *ctx, dff_node_t *node, const dff_member_t *peer,
     const Dff__RecordsWanted *wanted, dff_effects_t *fx);
--- /dev/null
+++ b/source/node/watch.c
@@ -0,0 +1,300 @@
+/*
+ * Whose load reports this node reads. A small fleet is read whole by every
+ * node. In a large one the upstreams of a failure domain are shared out
+ * among its nodes by hash; each tells its domain what it read, and the relay
+ * tells the other domains the engines with the most room.
+ */
+#include "told.h"
+
+#include <string.h>
+
+/* Upstreams that every node reads itself. */
+#define WATCH_ALL_MAX 64
+/* Reports older than this are not told. */
+#define REPORT_TIME (5 * DFF_SEC)
+
+/* One report, with room for the texts that it points to. */
+typedef struct kept {
+	dff_ev_engine_report_t report;
+	char vm[DFF_NAME_MAX];
+	char model[DFF_NAME_MAX];
+	bool read_here;
+} kept_t;
+
+struct watch {
+	GHashTable *watched; /* VM id -> address */
+	GHashTable *kept; /* VM id -> kept_t */
+	bool shared;
+};
+
+watch_t *
+watch_new(void)
+{
+	watch_t *watch;
+
+	watch = g_new0(watch_t, 1);
+	watch->watched =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	watch->kept =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return watch;
+}
+
+void
+watch_drop(watch_t *watch)
+{
+	if (watch == NULL)
+		return;
+	g_hash_table_unref(watch->watched);
+	g_hash_table_unref(watch->kept);
+	g_free(watch);
+}
+
+static uint64_t
+rank(const char *vm, const char *node)
+{
+	return dff_hash(node, strlen(node), dff_hash(vm, strlen(vm), 0));
+}
+
+/* Among the live nodes of this domain, the upstream falls to this one. */
+static bool
+is_own_share(const dff_node_t *node, const dff_vm_t *vm)
+{
+	size_t count = dff_members_count(node->members);
+	uint64_t own = rank(vm->id, node->config.id);
+
+	for (size_t i = 0; i < count; i++) {
+		const dff_member_t *peer = dff_members_at(node->members, i);
+
+		if (peer->near && peer->state == DFF_MEMBER_LIVE &&
+		    rank(vm->id, peer->id) > own)
+			return false;
+	}
+	return true;
+}
+
+static bool
+holds_shard(const dff_node_t *node, const dff_vm_t *vm)
+{
+	char shard[DFF_NAME_MAX * 2];
+
+	(void)g_snprintf(shard, sizeof(shard), "%s@%s", vm->pool, vm->domain);
+	return dff_authority_holds(node->authority, shard);
+}
+
+static bool
+is_wanted(const dff_node_t *node, const dff_vm_t *vm)
+{
+	if (vm->kind == DFF_VM_ENTRY)
+		return false;
+	if (!node->watch->shared)
+		return true;
+	if (node->config.place && holds_shard(node, vm))
+		return true;
+	return node->config.serve &&
+	    strcmp(vm->domain, node->config.domain) == 0 &&
+	    is_own_share(node, vm);
+}
+
+static void
+tell_shell(const char *id, const char *addr, dff_vm_kind_t kind, bool on,
+    dff_effects_t *fx)
+{
+	dff_fx_engine_watch_t *effect;
+
+	effect = &dff_effects_add(fx, DFF_FX_ENGINE_WATCH)->u.engine_watch;
+	effect->vm = dff_effects_text(fx, id);
+	effect->addr = dff_effects_text(fx, addr);
+	effect->kind = kind;
+	effect->on = on;
+}
+
+static const dff_vm_t *
+find_vm(const dff_node_t *node, const char *id)
+{
+	for (guint i = 0; i < node->vms->len; i++) {
+		const dff_vm_t *vm = &g_array_index(node->vms, dff_vm_t, i);
+
+		if (strcmp(vm->id, id) == 0)
+			return vm;
+	}
+	return NULL;
+}
+
+static void
+stop_unwanted(dff_node_t *node, dff_effects_t *fx)
+{
+	GHashTableIter iter;
+	void *id;
+	void *addr;
+
+	g_hash_table_iter_init(&iter, node->watch->watched);
+	while (g_hash_table_iter_next(&iter, &id, &addr)) {
+		const dff_vm_t *vm = find_vm(node, id);
+
+		if (vm != NULL && is_wanted(node, vm) &&
+		    strcmp(vm->addr, addr) == 0)
+			continue;
+		tell_shell(id, addr, DFF_VM_ENGINE, false, fx);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+watch_update(dff_node_t *node, dff_time_t now, dff_effects_t *fx)
+{
+	watch_t *watch = node->watch;
+	size_t upstreams = 0;
+
+	(void)now;
+	for (guint i = 0; i < node->vms->len; i++)
+		upstreams +=
+		    g_array_index(node->vms, dff_vm_t, i).kind != DFF_VM_ENTRY;
+	watch->shared = upstreams > WATCH_ALL_MAX;
+	stop_unwanted(node, fx);
+	for (guint i = 0; i < node->vms->len; i++) {
+		const dff_vm_t *vm = &g_array_index(node->vms, dff_vm_t, i);
+
+		if (!is_wanted(node, vm) ||
+		    g_hash_table_contains(watch->watched, vm->id))
+			continue;
+		g_hash_table_insert(
+		    watch->watched, g_strdup(vm->id), g_strdup(vm->addr));
+		tell_shell(vm->id, vm->addr, vm->kind, true, fx);
+	}
+}
+
+static kept_t *
+keep(watch_t *watch, const dff_ev_engine_report_t *report)
+{
+	kept_t *kept;
+
+	kept = g_hash_table_lookup(watch->kept, report->vm);
+	if (kept == NULL) {
+		kept = g_new0(kept_t, 1);
+		(void)dff_name_copy(kept->vm, report->vm);
+		g_hash_table_insert(watch->kept, kept->vm, kept);
+	}
+	(void)dff_name_copy(kept->model, report->model);
+	kept->report = *report;
+	kept->report.vm = kept->vm;
+	kept->report.model = kept->model;
+	return kept;
+}
+
+void
+watch_note(
+    dff_node_t *node, const dff_ev_engine_report_t *report, dff_time_t now)
+{
+	(void)now;
+	if (node->watch->shared)
+		keep(node->watch, report)->read_here = true;
+}
+
+static void
+pack_report(Dff__EngineReport *to, kept_t *kept, dff_time_t now)
+{
+	const dff_ev_engine_report_t *from = &kept->report;
+
+	dff__engine_report__init(to);
+	to->vm = kept->vm;
+	to->incarnation = from->incarnation;
+	to->age_ms = (uint32_t)(MAX(now - from->taken, 0) / DFF_MSEC);
+	to->role = from->role;
+	to->changing = from->changing;
+	to->model = kept->model;
+	to->version = from->version;
+	to->running = from->running;
+	to->waiting = from->waiting;
+	to->backlog_tokens = from->backlog_tokens;
+	to->free_pieces = from->free_pieces;
+	to->total_pieces = from->total_pieces;
+	to->token_us = (float)from->token_us;
+	to->prefill_us = (float)from->prefill_us;
+}
+
+static gint
+compare_room(gconstpointer a, gconstpointer b)
+{
+	const kept_t *const *x = a;
+	const kept_t *const *y = b;
+	uint32_t load_x = (*x)->report.running + (*x)->report.waiting;
+	uint32_t load_y = (*y)->report.running + (*y)->report.waiting;
+
+	if (load_x != load_y)
+		return load_x < load_y ? -1 : 1;
+	return strcmp((*x)->vm, (*y)->vm);
+}
+
+static bool
+is_told(const dff_node_t *node, const kept_t *kept, watch_scope_t scope)
+{
+	const dff_vm_t *vm;
+
+	if (node->now - kept->report.taken > REPORT_TIME)
+		return false;
+	if (scope == WATCH_READ_HERE)
+		return kept->read_here;
+	vm = find_vm(node, kept->vm);
+	if (vm == NULL)
+		return false;
+	return (strcmp(vm->domain, node->config.domain) == 0) ==
+	    (scope == WATCH_OWN_DOMAIN);
+}
+
+size_t
+watch_pack(const dff_node_t *node, watch_scope_t scope, Dff__EngineReport *rows,
+    Dff__EngineReport **at, size_t max)
+{
+	GHashTableIter iter;
+	GPtrArray *list;
+	size_t count;
+	void *value;
+
+	if (!node->watch->shared)
+		return 0;
+	list = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, node->watch->kept);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_told(node, value, scope))
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, compare_room);
+	count = MIN(list->len, max);
+	for (size_t i = 0; i < count; i++) {
+		pack_report(&rows[i], g_ptr_array_index(list, i), node->now);
+		at[i] = &rows[i];
+	}
+	g_ptr_array_unref(list);
+	return count;
+}
+
+void
+watch_take(dff_ctx_t *ctx, dff_node_t *node, size_t count,
+    Dff__EngineReport **rows, dff_time_t now)
+{
+	for (size_t i = 0; i < count; i++) {
+		const Dff__EngineReport *row = rows[i];
+		dff_ev_engine_report_t report = {.vm = row->vm,
+		    .incarnation = row->incarnation,
+		    .taken = now - (dff_time_t)row->age_ms * DFF_MSEC,
+		    .role = (dff_role_t)MIN(row->role, DFF_ROLE_DECODE),
+		    .changing = row->changing,
+		    .model = row->model,
+		    .version = row->version,
+		    .running = row->running,
+		    .waiting = row->waiting,
+		    .backlog_tokens = row->backlog_tokens,
+		    .free_pieces = row->free_pieces,
+		    .total_pieces = row->total_pieces,
+		    .token_us = row->token_us,
+		    .prefill_us = row->prefill_us};
+
+		if (strlen(row->vm) >= DFF_NAME_MAX ||
+		    g_hash_table_contains(node->watch->watched, row->vm))
+			continue;
+		if (node->watch->shared)
+			keep(node->watch, &report)->read_here = false;
+		node_take_report(ctx, node, &report, now);
+	}
+}
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &dff__owner_use__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__engine_report__init
+                     (Dff__EngineReport         *message)
+{
+  static const Dff__EngineReport init_value = DFF__ENGINE_REPORT__INIT;
+  *message = init_value;
+}
+size_t dff__engine_report__get_packed_size
+                     (const Dff__EngineReport *message)
+{
+  assert(message->base.descriptor == &dff__engine_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__engine_report__pack
+                     (const Dff__EngineReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__engine_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__engine_report__pack_to_buffer
+                     (const Dff__EngineReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__engine_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__EngineReport *
+       dff__engine_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__EngineReport *)
+     protobuf_c_message_unpack (&dff__engine_report__descriptor,
+                                allocator, len, data);
+}
+void   dff__engine_report__free_unpacked
+                     (Dff__EngineReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__engine_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__heartbeat__init
                      (Dff__Heartbeat         *message)
 {
@@ -2988,7 +3033,214 @@
   (ProtobufCMessageInit) dff__owner_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dff__engine_report__field_descriptors[14] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changing",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, changing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog_tokens",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, backlog_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_pieces",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, free_pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_pieces",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, total_pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, token_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Dff__EngineReport, prefill_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__engine_report__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  9,   /* field[9] = backlog_tokens */
+  4,   /* field[4] = changing */
+  10,   /* field[10] = free_pieces */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = model */
+  13,   /* field[13] = prefill_us */
+  3,   /* field[3] = role */
+  7,   /* field[7] = running */
+  12,   /* field[12] = token_us */
+  11,   /* field[11] = total_pieces */
+  6,   /* field[6] = version */
+  0,   /* field[0] = vm */
+  8,   /* field[8] = waiting */
+};
+static const ProtobufCIntRange dff__engine_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor dff__engine_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.EngineReport",
+  "EngineReport",
+  "Dff__EngineReport",
+  "dff",
+  sizeof(Dff__EngineReport),
+  14,
+  dff__engine_report__field_descriptors,
+  dff__engine_report__field_indices_by_name,
+  1,  dff__engine_report__number_ranges,
+  (ProtobufCMessageInit) dff__engine_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__heartbeat__field_descriptors[8] =
 {
   {
     "sequence",
@@ -3074,12 +3326,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Heartbeat, n_reports),
+    offsetof(Dff__Heartbeat, reports),
+    &dff__engine_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__heartbeat__field_indices_by_name[] = {
   1,   /* field[1] = domain */
   4,   /* field[4] = draining */
   3,   /* field[3] = log_down */
   2,   /* field[2] = offsets */
+  7,   /* field[7] = reports */
   0,   /* field[0] = sequence */
   6,   /* field[6] = use */
   5,   /* field[5] = work */
@@ -3087,7 +3352,7 @@
 static const ProtobufCIntRange dff__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dff__heartbeat__descriptor =
 {
@@ -3097,14 +3362,14 @@
   "Dff__Heartbeat",
   "dff",
   sizeof(Dff__Heartbeat),
-  7,
+  8,
   dff__heartbeat__field_descriptors,
   dff__heartbeat__field_indices_by_name,
   1,  dff__heartbeat__number_ranges,
   (ProtobufCMessageInit) dff__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__summary__field_descriptors[7] =
+static const ProtobufCFieldDescriptor dff__summary__field_descriptors[8] =
 {
   {
     "sequence",
@@ -3190,12 +3455,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__Summary, n_reports),
+    offsetof(Dff__Summary, reports),
+    &dff__engine_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__summary__field_indices_by_name[] = {
   1,   /* field[1] = domain */
   2,   /* field[2] = live */
   6,   /* field[6] = merged */
   3,   /* field[3] = offsets */
+  7,   /* field[7] = reports */
   0,   /* field[0] = sequence */
   5,   /* field[5] = use */
   4,   /* field[4] = work */
@@ -3203,7 +3481,7 @@
 static const ProtobufCIntRange dff__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor dff__summary__descriptor =
 {
@@ -3213,7 +3491,7 @@
   "Dff__Summary",
   "dff",
   sizeof(Dff__Summary),
-  7,
+  8,
   dff__summary__field_descriptors,
   dff__summary__field_indices_by_name,
   1,  dff__summary__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Dff__StreamOffset Dff__StreamOffset;
 typedef struct Dff__EngineWork Dff__EngineWork;
 typedef struct Dff__OwnerUse Dff__OwnerUse;
+typedef struct Dff__EngineReport Dff__EngineReport;
 typedef struct Dff__Heartbeat Dff__Heartbeat;
 typedef struct Dff__Summary Dff__Summary;
 typedef struct Dff__Leave Dff__Leave;
@@ -405,6 +406,32 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A load report that one node has read and tells to others.
+ */
+struct  Dff__EngineReport
+{
+  ProtobufCMessage base;
+  char *vm;
+  uint64_t incarnation;
+  uint32_t age_ms;
+  uint32_t role;
+  protobuf_c_boolean changing;
+  char *model;
+  uint32_t version;
+  uint32_t running;
+  uint32_t waiting;
+  uint64_t backlog_tokens;
+  uint32_t free_pieces;
+  uint32_t total_pieces;
+  float token_us;
+  float prefill_us;
+};
+#define DFF__ENGINE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__engine_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 /*
  * What one node tells the others of its failure domain.
  */
@@ -421,10 +448,12 @@
   Dff__EngineWork **work;
   size_t n_use;
   Dff__OwnerUse **use;
+  size_t n_reports;
+  Dff__EngineReport **reports;
 };
 #define DFF__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__heartbeat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -444,10 +473,12 @@
   size_t n_use;
   Dff__OwnerUse **use;
   protobuf_c_boolean merged;
+  size_t n_reports;
+  Dff__EngineReport **reports;
 };
 #define DFF__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__summary__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Dff__Leave
@@ -897,6 +928,25 @@
 void   dff__owner_use__free_unpacked
                      (Dff__OwnerUse *message,
                       ProtobufCAllocator *allocator);
+/* Dff__EngineReport methods */
+void   dff__engine_report__init
+                     (Dff__EngineReport         *message);
+size_t dff__engine_report__get_packed_size
+                     (const Dff__EngineReport   *message);
+size_t dff__engine_report__pack
+                     (const Dff__EngineReport   *message,
+                      uint8_t             *out);
+size_t dff__engine_report__pack_to_buffer
+                     (const Dff__EngineReport   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__EngineReport *
+       dff__engine_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__engine_report__free_unpacked
+                     (Dff__EngineReport *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__Heartbeat methods */
 void   dff__heartbeat__init
                      (Dff__Heartbeat         *message);
@@ -1124,6 +1174,9 @@
 typedef void (*Dff__OwnerUse_Closure)
                  (const Dff__OwnerUse *message,
                   void *closure_data);
+typedef void (*Dff__EngineReport_Closure)
+                 (const Dff__EngineReport *message,
+                  void *closure_data);
 typedef void (*Dff__Heartbeat_Closure)
                  (const Dff__Heartbeat *message,
                   void *closure_data);
@@ -1175,6 +1228,7 @@
 extern const ProtobufCMessageDescriptor dff__stream_offset__descriptor;
 extern const ProtobufCMessageDescriptor dff__engine_work__descriptor;
 extern const ProtobufCMessageDescriptor dff__owner_use__descriptor;
+extern const ProtobufCMessageDescriptor dff__engine_report__descriptor;
 extern const ProtobufCMessageDescriptor dff__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor dff__summary__descriptor;
 extern const ProtobufCMessageDescriptor dff__leave__descriptor;
