--- a/test/fake/fake_node.c
+++ b/test/fake/fake_node.c
@@ -163,6 +163,9 @@
 	case DFF_FX_ENGINE_ASK:
 		upstream_ask(world, node, effect->u.engine_ask.vm);
 		return;
+	case DFF_FX_ENGINE_WATCH:
+		/* Fleets here are small, so that every node reads them whole. */
+		return;
 	case DFF_FX_HEALTH:
 		node->ready = effect->u.health.ready;
 		return;
