Operators' tool: check, diff, apply, show, history, status, explain

apply prints the edit id and the revision that it edits before it sends anything. An append without answer is looked for by edit id for two seconds and then sent again under the same id, which cannot take effect twice. It says "in force" only from the log and the nodes' own status pages, names the nodes that lack it, and its exit status tells the cases apart.

--- /dev/null
+++ b/source/tool/dff-ctl.c
@@ -0,0 +1,174 @@
+/*
+ * The operators' tool: check, compare, apply and show catalogues, and ask
+ * what the system does and why.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* The most words a subcommand takes beside its name. */
+#define WORDS_ANY 1000
+
+typedef struct command {
+	const char *name;
+	int words_min;
+	int words_max;
+	const char *usage;
+	int (*run)(ctl_t *ctl, char **words, int count);
+} command_t;
+
+static int
+run_check(ctl_t *ctl, char **words, int count)
+{
+	(void)count;
+	return ctl_check(ctl, words[0]);
+}
+
+static int
+run_diff(ctl_t *ctl, char **words, int count)
+{
+	return ctl_diff(ctl, words[0], count > 1 ? words[1] : NULL);
+}
+
+static int
+run_apply(ctl_t *ctl, char **words, int count)
+{
+	(void)count;
+	return ctl_apply(ctl, words[0]);
+}
+
+static int
+run_show(ctl_t *ctl, char **words, int count)
+{
+	(void)words;
+	(void)count;
+	return ctl_show(ctl);
+}
+
+static int
+run_history(ctl_t *ctl, char **words, int count)
+{
+	(void)words;
+	(void)count;
+	return ctl_history(ctl);
+}
+
+static int
+run_status(ctl_t *ctl, char **words, int count)
+{
+	(void)words;
+	(void)count;
+	return ctl_status(ctl);
+}
+
+static int
+run_explain(ctl_t *ctl, char **words, int count)
+{
+	(void)ctl;
+	return ctl_explain(words[0], words + 1, count - 1);
+}
+
+static const command_t commands[] = {
+    {"check", 1, 1, "check FILE", run_check},
+    {"diff", 1, 2, "diff FILE [OLD-FILE]", run_diff},
+    {"apply", 1, 1, "apply FILE", run_apply},
+    {"show", 0, 0, "show [--revision N]", run_show},
+    {"history", 0, 0, "history", run_history},
+    {"status", 0, 0, "status", run_status},
+    {"explain", 1, WORDS_ANY, "explain CALL-ID [LOG-FILE...]", run_explain},
+};
+
+static void
+tell_usage(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		(void)fprintf(stderr, "%s dff-ctl [FLAGS] %s\n",
+		    i == 0 ? "usage:" : "      ", commands[i].usage);
+	(void)fprintf(stderr, "dff-ctl --help lists the flags\n");
+}
+
+static const command_t *
+find_command(int argc, char **argv)
+{
+	if (argc < 2)
+		return NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		int words = argc - 2;
+
+		if (strcmp(commands[i].name, argv[1]) == 0 &&
+		    words >= commands[i].words_min &&
+		    words <= commands[i].words_max)
+			return &commands[i];
+	}
+	return NULL;
+}
+
+static int
+run_command(ctl_t *ctl, int argc, char **argv)
+{
+	const command_t *command = find_command(argc, argv);
+	int rc;
+
+	if (command == NULL) {
+		tell_usage();
+		return CTL_USAGE;
+	}
+	(void)signal(SIGPIPE, SIG_IGN);
+	ctl->ctx = dff_program_ctx("dff-ctl", 1);
+	(void)uv_loop_init(&ctl->loop);
+	ctl->httpc = dff_httpc_new(ctl->ctx, &ctl->loop);
+	rc = command->run(ctl, argv + 2, argc - 2);
+	dff_httpc_drop(ctl->httpc);
+	/* The client's connections close in the loop. */
+	(void)uv_run(&ctl->loop, UV_RUN_NOWAIT);
+	(void)uv_loop_close(&ctl->loop);
+	dff_ctx_drop(ctl->ctx);
+	return rc;
+}
+
+int
+main(int argc, char **argv)
+{
+	ctl_t ctl = {0};
+	const dff_setting_t settings[] = {
+	    {"platform", DFF_SETTING_ADDR, &ctl.platform, "127.0.0.1:7100", 0,
+		0, NULL, NULL, "address of the platform"},
+	    {"nodes", DFF_SETTING_TEXT, &ctl.nodes, "", 0, 0, NULL, NULL,
+		"addresses of status pages, parted by commas; without, they "
+		"follow from the VM list and http-offset"},
+	    {"http-offset", DFF_SETTING_INT, &ctl.http_offset, "0", -65535,
+		65535, NULL, NULL,
+		"port of a node's status page less its port in the VM list; 0 "
+		"asks no node"},
+	    {"against", DFF_SETTING_INT, &ctl.against, "-1", -1, 9e15, NULL,
+		NULL, "apply: revision that was edited; -1 the one in force"},
+	    {"edit-id", DFF_SETTING_TEXT, &ctl.edit_id, "", 0, 0, NULL, NULL,
+		"apply: id of an edit whose run ended undecided"},
+	    {"author", DFF_SETTING_TEXT, &ctl.author, "", 0, 0, NULL, NULL,
+		"apply: who edits; without, the user's name"},
+	    {"note", DFF_SETTING_TEXT, &ctl.note, "", 0, 0, NULL, NULL,
+		"apply: why"},
+	    {"revision", DFF_SETTING_INT, &ctl.revision, "0", 0, 9e15, NULL,
+		NULL, "show: revision; 0 the one in force"},
+	    {"timeout", DFF_SETTING_MSEC, &ctl.timeout, "10000", 100, 600000,
+		NULL, NULL, "apply: time to get the edit decided"},
+	    {"confirm-time", DFF_SETTING_MSEC, &ctl.confirm_time, "10000", 0,
+		600000, NULL, NULL, "apply: time for all nodes to have it"},
+	    {"silence", DFF_SETTING_MSEC, &ctl.silence, "3000", 600, 60000,
+		NULL, NULL, "longest silence of a server"},
+	    {NULL, DFF_SETTING_TEXT, NULL, NULL, 0, 0, NULL, NULL, NULL},
+	};
+	int rc;
+
+	rc = dff_settings_load(
+	    "check FILE | diff FILE [OLD] | apply FILE | show | history | "
+	    "status | explain CALL-ID [LOG...]",
+	    settings, &argc, &argv);
+	if (rc == 0)
+		rc = run_command(&ctl, argc, argv);
+	else
+		rc = rc > 0 ? CTL_OK : CTL_USAGE;
+	dff_settings_drop(settings);
+	return rc;
+}
--- /dev/null
+++ b/test/test_process_ctl.c
@@ -0,0 +1,574 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "dragonflyfall/catalogue.h"
+#include "dragonflyfall/http.h"
+
+#define PLATFORM_PORT 23000
+#define PLATFORM      "127.0.0.1:23000"
+/* Peer ports in the VM list; the status pages are HTTP_OFFSET above. */
+#define NODE_PORT   23010
+#define HTTP_OFFSET "100"
+#define STATUS_PORT 23110
+#define NODES	    2
+#define VMS_FILE    "test_process_ctl.vms.json"
+
+/* Two nodes that have nothing but a status page, in a thread of their own. */
+typedef struct fake_nodes {
+	uv_thread_t thread;
+	uv_async_t stop;
+	bool up[NODES];
+	volatile uint64_t revision[NODES]; /* what each page tells */
+	uv_sem_t started;
+} fake_nodes_t;
+
+typedef struct page {
+	fake_nodes_t *nodes;
+	int index;
+} page_t;
+
+/* What a run of the tool gave. */
+typedef struct run {
+	int status;
+	char *out;
+	char *err;
+} run_t;
+
+static fake_nodes_t nodes;
+static GPid platform;
+
+/* ---- nodes ---- */
+
+static void
+on_request(void *arg, dff_httpd_req_t *req)
+{
+	const page_t *page = arg;
+	char *text;
+
+	text = g_strdup_printf("{\"id\":\"vm-%d\",\"domain\":\"north\","
+			       "\"ready\":true,\"why\":\"\",\"revision\":%llu,"
+			       "\"leases\":[{\"shard\":\"stock-models@north\","
+			       "\"holder\":\"vm-%d\",\"fence\":%d}],"
+			       "\"upstreams\":\"e1 pool=stock-models "
+			       "domain=north role=mixed running=3\\n\"}",
+	    page->index, (unsigned long long)page->nodes->revision[page->index],
+	    page->index, 5 + page->index);
+	dff_httpd_answer(req, 200, "application/json", text, strlen(text));
+	g_free(text);
+}
+
+static void
+on_stop(uv_async_t *async)
+{
+	uv_stop(async->loop);
+}
+
+static void
+close_handle(uv_handle_t *handle, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void
+run_nodes(void *arg)
+{
+	static const dff_httpd_handlers_t handlers = {on_request, NULL};
+	fake_nodes_t *fakes = arg;
+	dff_ctx_t *ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
+	dff_httpd_t *httpd[NODES] = {NULL};
+	page_t pages[NODES];
+	uv_loop_t loop;
+
+	(void)uv_loop_init(&loop);
+	(void)uv_async_init(&loop, &fakes->stop, on_stop);
+	for (int i = 0; i < NODES; i++) {
+		char *addr = g_strdup_printf("127.0.0.1:%d", STATUS_PORT + i);
+		dff_httpd_config_t config = {.addr = addr,
+		    .body_max = 1024,
+		    .unread_max = 65536,
+		    .header_time = DFF_SEC};
+
+		pages[i] = (page_t){fakes, i};
+		if (fakes->up[i])
+			ck_assert_int_eq(dff_httpd_new(ctx, &loop, &config,
+					     &handlers, &pages[i], &httpd[i]),
+			    0);
+		g_free(addr);
+	}
+	uv_sem_post(&fakes->started);
+	(void)uv_run(&loop, UV_RUN_DEFAULT);
+	for (int i = 0; i < NODES; i++)
+		dff_httpd_drop(httpd[i]);
+	for (int i = 0; i < 10; i++)
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+	uv_walk(&loop, close_handle, NULL);
+	for (int i = 0; i < 10; i++)
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+	(void)uv_loop_close(&loop);
+	dff_ctx_drop(ctx);
+}
+
+static void
+start_nodes(bool second)
+{
+	memset(&nodes, 0, sizeof(nodes));
+	nodes.up[0] = true;
+	nodes.up[1] = second;
+	(void)uv_sem_init(&nodes.started, 0);
+	ck_assert_int_eq(uv_thread_create(&nodes.thread, run_nodes, &nodes), 0);
+	uv_sem_wait(&nodes.started);
+}
+
+static void
+stop_nodes(void)
+{
+	(void)uv_async_send(&nodes.stop);
+	(void)uv_thread_join(&nodes.thread);
+	uv_sem_destroy(&nodes.started);
+}
+
+/* ---- platform ---- */
+
+static char *
+program(const char *name)
+{
+	const char *build = getenv("DFF_BUILD");
+
+	return g_strdup_printf(
+	    "%s/%s", build != NULL ? build : "build/plain", name);
+}
+
+static int
+open_socket(int port)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
+		return fd;
+	(void)close(fd);
+	return -1;
+}
+
+/* Send a request to the platform; returns the whole answer. */
+static char *
+ask_platform(const char *method, const char *path, const void *body, size_t len)
+{
+	GString *answer = g_string_new(NULL);
+	char *head;
+	char part[4096];
+	ssize_t got;
+	int fd = open_socket(PLATFORM_PORT);
+
+	ck_assert_int_ge(fd, 0);
+	head = g_strdup_printf("%s %s HTTP/1.1\r\nHost: p\r\nConnection: "
+			       "close\r\nContent-Length: %zu\r\n\r\n",
+	    method, path, len);
+	ck_assert_int_eq(write(fd, head, strlen(head)), (ssize_t)strlen(head));
+	if (len > 0)
+		ck_assert_int_eq(write(fd, body, len), (ssize_t)len);
+	while ((got = read(fd, part, sizeof(part))) > 0)
+		g_string_append_len(answer, part, got);
+	(void)close(fd);
+	g_free(head);
+	return g_string_free(answer, FALSE);
+}
+
+static void
+control(const char *what, const char *json)
+{
+	char *path = g_strdup_printf("/control/%s", what);
+	char *answer = ask_platform("POST", path, json, strlen(json));
+
+	ck_assert_msg(strstr(answer, " 200 ") != NULL, "%s: %s", what, answer);
+	g_free(answer);
+	g_free(path);
+}
+
+static uint64_t
+records_in_log(void)
+{
+	char *answer =
+	    ask_platform("GET", "/log/catalogue?from=1&max=1", NULL, 0);
+	const char *next = strstr(answer, "\"next\":");
+	uint64_t count;
+
+	ck_assert_ptr_nonnull(next);
+	count = g_ascii_strtoull(next + strlen("\"next\":"), NULL, 10) - 1;
+	g_free(answer);
+	return count;
+}
+
+static void
+start_platform(void)
+{
+	char *path = program("dff-platform");
+	char *argv[] = {path, "--addr=" PLATFORM, "--vms=" VMS_FILE,
+	    "--log-level=err", NULL};
+	GString *vms = g_string_new("{\"vms\":[");
+	int fd = -1;
+
+	for (int i = 0; i < NODES; i++)
+		g_string_append_printf(vms,
+		    "{\"id\":\"vm-%d\",\"addr\":\"127.0.0.1:%d\","
+		    "\"domain\":\"north\",\"pool\":\"\",\"kind\":\"entry\","
+		    "\"incarnation\":1,\"state\":\"live\"},",
+		    i, NODE_PORT + i);
+	g_string_append(vms,
+	    "{\"id\":\"e1\",\"addr\":\"127.0.0.1:23900\","
+	    "\"domain\":\"north\",\"pool\":\"stock-models\","
+	    "\"kind\":\"engine\",\"incarnation\":1,\"state\":\"live\"}]}");
+	ck_assert(g_file_set_contents(VMS_FILE, vms->str, -1, NULL));
+	g_string_free(vms, TRUE);
+	ck_assert(g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+	    NULL, NULL, &platform, NULL));
+	for (int i = 0; i < 200 && fd < 0; i++) {
+		g_usleep(20000);
+		fd = open_socket(PLATFORM_PORT);
+	}
+	ck_assert_int_ge(fd, 0);
+	(void)close(fd);
+	g_free(path);
+}
+
+static void
+stop_platform(void)
+{
+	int status;
+
+	ck_assert_int_eq(kill(platform, SIGTERM), 0);
+	ck_assert_int_eq(waitpid(platform, &status, 0), platform);
+	(void)unlink(VMS_FILE);
+}
+
+static void
+setup(void)
+{
+	(void)signal(SIGPIPE, SIG_IGN);
+	start_platform();
+	start_nodes(true);
+}
+
+static void
+teardown(void)
+{
+	stop_nodes();
+	stop_platform();
+}
+
+/* ---- the tool ---- */
+
+/* Words of a command line, parted by blanks, after flags common to all. */
+static char **
+tool_argv(const char *words)
+{
+	char *path = program("dff-ctl");
+	char *line = g_strdup_printf("%s --platform=" PLATFORM
+				     " --http-offset=" HTTP_OFFSET
+				     " --confirm-time=300 --log-level=err %s",
+	    path, words);
+	char **argv = g_strsplit(line, " ", -1);
+
+	g_free(line);
+	g_free(path);
+	return argv;
+}
+
+static void
+run_tool(run_t *run, const char *words)
+{
+	char **argv = tool_argv(words);
+	GError *error = NULL;
+	int status;
+
+	if (!g_spawn_sync(NULL, argv, NULL, 0, NULL, NULL, &run->out, &run->err,
+		&status, &error))
+		ck_abort_msg("%s", error->message);
+	ck_assert_msg(
+	    WIFEXITED(status), "%s: status %d: %s", words, status, run->err);
+	run->status = WEXITSTATUS(status);
+	g_strfreev(argv);
+}
+
+static void
+clear_run(run_t *run)
+{
+	g_free(run->out);
+	g_free(run->err);
+}
+
+/* The tool ends with this status, and says these words somewhere. */
+static void
+expect(const char *words, int status, const char *says)
+{
+	run_t run;
+
+	run_tool(&run, words);
+	ck_assert_msg(run.status == status, "%s: exit status %d, not %d\n%s%s",
+	    words, run.status, status, run.out, run.err);
+	ck_assert_msg(
+	    strstr(run.out, says) != NULL || strstr(run.err, says) != NULL,
+	    "%s: \"%s\" is not in\n%s%s", words, says, run.out, run.err);
+	clear_run(&run);
+}
+
+static void
+nodes_have(uint64_t first, uint64_t second)
+{
+	nodes.revision[0] = first;
+	nodes.revision[1] = second;
+}
+
+START_TEST(edit_is_applied_and_confirmed)
+{
+	nodes_have(1, 1);
+	expect("apply catalogues/keelwater.conf", 0,
+	    "in force at revision 1 on 2 of 2 nodes");
+	expect("show", 0, "[entry transfer-order]");
+	expect("show --revision 1", 0, "[pool stock-models]");
+	expect("show --revision 2", 6, "not in the log");
+	expect("history", 0, "in force");
+	expect("diff catalogues/keelwater.conf", 0, "0 differences");
+	expect("diff catalogues/katalyst.conf", 1, "- [entry transfer-order]");
+	expect("status", 0, "revision in force: 1");
+	expect("status", 0, "holder=vm-1 fence=6");
+	expect("status", 0, "role=mixed running=3");
+	ck_assert_uint_eq(records_in_log(), 1);
+}
+END_TEST
+
+START_TEST(node_that_lacks_it_is_named)
+{
+	nodes_have(1, 0);
+	expect("apply catalogues/keelwater.conf", 4,
+	    "in force at revision 1 on 1 of 2 nodes");
+	expect("status", 4, "vm-1");
+	nodes_have(1, 1);
+	/* Run again: looked up, not appended again. */
+	expect("apply catalogues/keelwater.conf --edit-id x --against 0", 3,
+	    "nothing was sent");
+	ck_assert_uint_eq(records_in_log(), 1);
+	stop_nodes();
+	start_nodes(false);
+	nodes_have(2, 0);
+	expect("apply catalogues/katalyst.conf", 4, "vm-1: does not answer");
+	ck_assert_uint_eq(records_in_log(), 2);
+}
+END_TEST
+
+START_TEST(bad_file_is_not_sent)
+{
+	static const char file[] = "test_process_ctl.conf";
+
+	ck_assert(g_file_set_contents(
+	    file, "[dragonflyfall]\nformat=1\n[owner x]\n", -1, NULL));
+	expect("check test_process_ctl.conf", 1,
+	    "test_process_ctl.conf:3: [owner x] secret_sha256:");
+	expect("apply test_process_ctl.conf", 1, "must be given");
+	ck_assert_uint_eq(records_in_log(), 0);
+	expect("check catalogues/katalyst.conf", 0, "no problems");
+	expect("apply no-such-file", 2, "no-such-file");
+	(void)unlink(file);
+}
+END_TEST
+
+START_TEST(wrong_words_are_told)
+{
+	expect("", 2, "usage:");
+	expect("apply", 2, "usage:");
+	expect("reboot", 2, "usage:");
+	expect("show --revision x", 2, "revision");
+	expect("apply catalogues/keelwater.conf --edit-id a", 2, "--against");
+	expect("apply catalogues/keelwater.conf --edit-id a\tb --against 0", 2,
+	    "printable");
+	expect("show", 6, "no revision");
+	ck_assert_uint_eq(records_in_log(), 0);
+}
+END_TEST
+
+/* Two operators edit revision 1 at once: one is in force, one is told. */
+START_TEST(one_of_two_operators_wins)
+{
+	char **argv[2];
+	GPid pids[2];
+	int won = 0;
+	int beaten = 0;
+
+	nodes_have(1, 1);
+	expect("apply catalogues/keelwater.conf", 0, "revision 1");
+	nodes_have(3, 3);
+	argv[0] = tool_argv("apply catalogues/katalyst.conf --against 1");
+	argv[1] = tool_argv("apply catalogues/keelwater.conf --against 1");
+	for (int i = 0; i < 2; i++)
+		ck_assert(g_spawn_async(NULL, argv[i], NULL,
+		    G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL |
+			G_SPAWN_STDERR_TO_DEV_NULL,
+		    NULL, NULL, &pids[i], NULL));
+	for (int i = 0; i < 2; i++) {
+		int status;
+
+		ck_assert_int_eq(waitpid(pids[i], &status, 0), pids[i]);
+		won += WEXITSTATUS(status) == 0;
+		beaten += WEXITSTATUS(status) == 3;
+		g_strfreev(argv[i]);
+	}
+	ck_assert_int_eq(won, 1);
+	ck_assert_int_eq(beaten, 1);
+	expect("apply catalogues/keelwater.conf --against 1", 3,
+	    "nothing was sent");
+}
+END_TEST
+
+START_TEST(lost_answer_is_looked_up)
+{
+	nodes_have(1, 1);
+	control("lose-answers", "{\"count\":1}");
+	expect("apply catalogues/keelwater.conf --edit-id one --against 0", 0,
+	    "accepted as revision 1");
+	ck_assert_uint_eq(records_in_log(), 1);
+	/* The whole run is repeated: its edit is found, not sent again. */
+	expect("apply catalogues/keelwater.conf --edit-id one --against 0", 0,
+	    "accepted as revision 1");
+	ck_assert_uint_eq(records_in_log(), 1);
+}
+END_TEST
+
+/* The append lands after the tool gave it up and sent the edit again. */
+START_TEST(late_append_has_one_effect)
+{
+	nodes_have(9, 9);
+	control("delay-appends", "{\"count\":1,\"ms\":3500}");
+	expect("apply catalogues/keelwater.conf", 0, "accepted as revision 1");
+	expect("apply catalogues/katalyst.conf", 0, "accepted as revision 2");
+	for (int i = 0; i < 100 && records_in_log() < 3; i++)
+		g_usleep(50000);
+	ck_assert_uint_eq(records_in_log(), 3);
+	expect("history", 0, "repeat of 1");
+	expect("show", 0, "Katalyst");
+	expect("history", 0, "revision in force: 2");
+}
+END_TEST
+
+START_TEST(outage_is_told_as_undecided)
+{
+	nodes_have(1, 1);
+	control("outage", "{\"appends\":true,\"reads\":true}");
+	expect("apply catalogues/keelwater.conf", 5, "nothing was sent");
+	expect("show", 5, "does not answer");
+	control("outage", "{\"appends\":true,\"reads\":false}");
+	expect("apply catalogues/keelwater.conf --timeout 600 --edit-id late "
+	       "--against 0",
+	    5, "--edit-id late --against 0");
+	ck_assert_uint_eq(records_in_log(), 0);
+	control("outage", "{\"appends\":false,\"reads\":false}");
+	expect("apply catalogues/keelwater.conf --edit-id late --against 0", 0,
+	    "accepted as revision 1");
+	ck_assert_uint_eq(records_in_log(), 1);
+}
+END_TEST
+
+/* The edit in force has expired; a snapshot and what follows it are left. */
+START_TEST(snapshot_stands_for_what_expired)
+{
+	dff_ctx_t *ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
+	dff_history_t *history = dff_history_new(ctx);
+	dff_edit_t edit = {.edit_id = "first",
+	    .text = "[dragonflyfall]\nformat=1\n# the first\n",
+	    .author = "kim"};
+	uint8_t *data;
+	int len;
+
+	control("retention", "{\"ms\":4000}");
+	len = dff_edit_pack(&edit, &data);
+	g_free(ask_platform("POST", "/log/catalogue", data, (size_t)len));
+	ck_assert_int_eq(
+	    dff_history_apply(ctx, history, 1, data, (size_t)len, 1), 1);
+	free(data);
+	g_usleep(3000000);
+	len = dff_history_save(ctx, history, "vm-0", 1, &data);
+	g_free(ask_platform("POST", "/log/catalogue", data, (size_t)len));
+	free(data);
+	g_usleep(1300000);
+	expect("show", 0, "# the first");
+	expect("show --revision 1", 0, "# the first");
+	nodes_have(3, 3);
+	expect("apply catalogues/keelwater.conf", 0, "accepted as revision 3");
+	g_usleep(4300000);
+	expect("show", 5, "expired");
+	dff_history_drop(history);
+	dff_ctx_drop(ctx);
+}
+END_TEST
+
+START_TEST(bad_records_are_listed)
+{
+	nodes_have(2, 2);
+	g_free(ask_platform("POST", "/log/catalogue", "\xff\xff", 2));
+	expect("apply catalogues/keelwater.conf", 0, "accepted as revision 2");
+	expect("history", 0, "cannot be decoded");
+	expect("status", 0, "bad records skipped: 1");
+}
+END_TEST
+
+START_TEST(decisions_are_explained)
+{
+	static const char file[] = "test_process_ctl.log";
+
+	ck_assert(g_file_set_contents(file,
+	    "<6>vm-1 route: call sent. call=vm-1-17 entry=tank-grade "
+	    "owner=keelwater vm=e3 try=1 resume_at=0 first_token_ms=230 "
+	    "whole_ms=900 cached=12 sampled=3\n"
+	    "<6>vm-1 call: call refused. call=vm-1-170 entry=tank-grade "
+	    "owner=keelwater code=late ran=not_run retry_after_ms=400 "
+	    "why=no engine meets the time\n",
+	    -1, NULL));
+	expect("explain vm-1-17 test_process_ctl.log", 0, "routed to e3");
+	expect("explain vm-1-170 test_process_ctl.log", 0,
+	    "because: no engine meets the time");
+	expect("explain vm-1-1 test_process_ctl.log", 6, "no line concerns");
+	expect("explain vm-1-1 no-such-file", 2, "no-such-file");
+	(void)unlink(file);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("process_ctl");
+	TCase *tcase = tcase_create("process_ctl");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, edit_is_applied_and_confirmed);
+	tcase_add_test(tcase, node_that_lacks_it_is_named);
+	tcase_add_test(tcase, bad_file_is_not_sent);
+	tcase_add_test(tcase, wrong_words_are_told);
+	tcase_add_test(tcase, one_of_two_operators_wins);
+	tcase_add_test(tcase, lost_answer_is_looked_up);
+	tcase_add_test(tcase, late_append_has_one_effect);
+	tcase_add_test(tcase, outage_is_told_as_undecided);
+	tcase_add_test(tcase, snapshot_stands_for_what_expired);
+	tcase_add_test(tcase, bad_records_are_listed);
+	tcase_add_test(tcase, decisions_are_explained);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
