--- a/source/tool/dff-ctl.c
+++ b/source/tool/dff-ctl.c
@@ -2,6 +2,7 @@
  * The operators' tool: check, compare, apply and show catalogues, and ask
  * what the system does and why.
  */
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -121,7 +122,7 @@
 	rc = command->run(ctl, argv + 2, argc - 2);
 	dff_httpc_drop(ctl->httpc);
 	/* The client's connections close in the loop. */
-	(void)uv_run(&ctl->loop, UV_RUN_NOWAIT);
+	(void)uv_run(&ctl->loop, UV_RUN_DEFAULT);
 	(void)uv_loop_close(&ctl->loop);
 	dff_ctx_drop(ctl->ctx);
 	return rc;
