--- a/test/test_process_ctl.c
+++ b/test/test_process_ctl.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,17 +23,13 @@
 #define NODES	    2
 #define VMS_FILE    "test_process_ctl.vms.json"
 
-/* Two nodes that have nothing but a status page, in a thread of their own. */
+/* Two nodes that have nothing but a status page, in a process of their own. */
 typedef struct fake_nodes {
-	uv_thread_t thread;
-	uv_async_t stop;
-	bool up[NODES];
-	volatile uint64_t revision[NODES]; /* what each page tells */
-	uv_sem_t started;
+	pid_t pid;
+	volatile uint64_t *revision; /* what each page tells; shared */
 } fake_nodes_t;
 
 typedef struct page {
-	fake_nodes_t *nodes;
 	int index;
 } page_t;
 
@@ -60,82 +57,87 @@
 			       "\"holder\":\"vm-%d\",\"fence\":%d}],"
 			       "\"upstreams\":\"e1 pool=stock-models "
 			       "domain=north role=mixed running=3\\n\"}",
-	    page->index, (unsigned long long)page->nodes->revision[page->index],
+	    page->index, (unsigned long long)nodes.revision[page->index],
 	    page->index, 5 + page->index);
 	dff_httpd_answer(req, 200, "application/json", text, strlen(text));
 	g_free(text);
 }
 
 static void
-on_stop(uv_async_t *async)
-{
-	uv_stop(async->loop);
-}
-
-static void
-close_handle(uv_handle_t *handle, void *arg)
-{
-	(void)arg;
-	if (!uv_is_closing(handle))
-		uv_close(handle, NULL);
-}
-
-static void
-run_nodes(void *arg)
+run_nodes(bool second)
 {
 	static const dff_httpd_handlers_t handlers = {on_request, NULL};
-	fake_nodes_t *fakes = arg;
 	dff_ctx_t *ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
-	dff_httpd_t *httpd[NODES] = {NULL};
 	page_t pages[NODES];
 	uv_loop_t loop;
 
 	(void)uv_loop_init(&loop);
-	(void)uv_async_init(&loop, &fakes->stop, on_stop);
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < (second ? NODES : 1); i++) {
 		char *addr = g_strdup_printf("127.0.0.1:%d", STATUS_PORT + i);
 		dff_httpd_config_t config = {.addr = addr,
 		    .body_max = 1024,
 		    .unread_max = 65536,
 		    .header_time = DFF_SEC};
+		dff_httpd_t *httpd;
 
-		pages[i] = (page_t){fakes, i};
-		if (fakes->up[i])
-			ck_assert_int_eq(dff_httpd_new(ctx, &loop, &config,
-					     &handlers, &pages[i], &httpd[i]),
-			    0);
+		pages[i].index = i;
+		if (dff_httpd_new(
+			ctx, &loop, &config, &handlers, &pages[i], &httpd) < 0)
+			_exit(1);
 		g_free(addr);
 	}
-	uv_sem_post(&fakes->started);
 	(void)uv_run(&loop, UV_RUN_DEFAULT);
-	for (int i = 0; i < NODES; i++)
-		dff_httpd_drop(httpd[i]);
-	for (int i = 0; i < 10; i++)
-		(void)uv_run(&loop, UV_RUN_NOWAIT);
-	uv_walk(&loop, close_handle, NULL);
-	for (int i = 0; i < 10; i++)
-		(void)uv_run(&loop, UV_RUN_NOWAIT);
-	(void)uv_loop_close(&loop);
-	dff_ctx_drop(ctx);
+	_exit(0);
+}
+
+static int
+open_socket(int port)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
+		return fd;
+	(void)close(fd);
+	return -1;
+}
+
+static void
+wait_for_port(int port)
+{
+	int fd = open_socket(port);
+
+	for (int i = 0; i < 500 && fd < 0; i++) {
+		g_usleep(20000);
+		fd = open_socket(port);
+	}
+	ck_assert_int_ge(fd, 0);
+	(void)close(fd);
 }
 
 static void
 start_nodes(bool second)
 {
-	memset(&nodes, 0, sizeof(nodes));
-	nodes.up[0] = true;
-	nodes.up[1] = second;
-	(void)uv_sem_init(&nodes.started, 0);
-	ck_assert_int_eq(uv_thread_create(&nodes.thread, run_nodes, &nodes), 0);
-	uv_sem_wait(&nodes.started);
+	nodes.revision = mmap(NULL, NODES * sizeof(*nodes.revision),
+	    PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+	ck_assert_ptr_ne((void *)(uintptr_t)nodes.revision, MAP_FAILED);
+	nodes.pid = fork();
+	ck_assert_int_ge(nodes.pid, 0);
+	if (nodes.pid == 0)
+		run_nodes(second);
+	for (int i = 0; i < (second ? NODES : 1); i++)
+		wait_for_port(STATUS_PORT + i);
 }
 
 static void
 stop_nodes(void)
 {
-	(void)uv_async_send(&nodes.stop);
-	(void)uv_thread_join(&nodes.thread);
-	uv_sem_destroy(&nodes.started);
+	ck_assert_int_eq(kill(nodes.pid, SIGKILL), 0);
+	ck_assert_int_eq(waitpid(nodes.pid, NULL, 0), nodes.pid);
+	(void)munmap(
+	    (void *)(uintptr_t)nodes.revision, NODES * sizeof(*nodes.revision));
 }
 
 /* ---- platform ---- */
@@ -149,20 +151,6 @@
 	    "%s/%s", build != NULL ? build : "build/plain", name);
 }
 
-static int
-open_socket(int port)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
-		return fd;
-	(void)close(fd);
-	return -1;
-}
-
 /* Send a request to the platform; returns the whole answer. */
 static char *
 ask_platform(const char *method, const char *path, const void *body, size_t len)
@@ -219,7 +207,6 @@
 	char *argv[] = {path, "--addr=" PLATFORM, "--vms=" VMS_FILE,
 	    "--log-level=err", NULL};
 	GString *vms = g_string_new("{\"vms\":[");
-	int fd = -1;
 
 	for (int i = 0; i < NODES; i++)
 		g_string_append_printf(vms,
@@ -235,12 +222,7 @@
 	g_string_free(vms, TRUE);
 	ck_assert(g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
 	    NULL, NULL, &platform, NULL));
-	for (int i = 0; i < 200 && fd < 0; i++) {
-		g_usleep(20000);
-		fd = open_socket(PLATFORM_PORT);
-	}
-	ck_assert_int_ge(fd, 0);
-	(void)close(fd);
+	wait_for_port(PLATFORM_PORT);
 	g_free(path);
 }
 
