--- a/source/net/engine.h
+++ b/source/net/engine.h
@@ -66,7 +66,7 @@
 
 /* ---- load reports and cache events: engine_report.c ---- */
 
-/** typedef dff_reports_t - the polling of all engines */
+/** typedef dff_reports_t - the polling of the engines watched */
 typedef struct dff_reports dff_reports_t;
 
 /** dff_reports_new() - the caller drops it before @httpc */
@@ -77,9 +77,9 @@
 /** dff_reports_drop() - stop polling; NULL is allowed */
 void dff_reports_drop(dff_reports_t *reports);
 
-/** dff_reports_load_vms() - follow the VM list */
-void dff_reports_load_vms(
-    dff_reports_t *reports, const dff_vm_t *vms, size_t count);
+/** dff_reports_watch() - begin or end to poll one engine */
+void dff_reports_watch(
+    dff_reports_t *reports, const dff_fx_engine_watch_t *watch);
 
 /** dff_reports_failed() - questions without a sound answer so far */
 uint64_t dff_reports_failed(const dff_reports_t *reports);
--- a/source/net/engine_report.c
+++ b/source/net/engine_report.c
@@ -180,11 +180,13 @@
 }
 
 void
-dff_reports_load_vms(dff_reports_t *reports, const dff_vm_t *vms, size_t count)
+dff_reports_watch(dff_reports_t *reports, const dff_fx_engine_watch_t *watch)
 {
-	dff_poll_load_vms(reports->load, vms, count);
+	dff_poll_watch(reports->load, watch);
 	if (reports->cache != NULL)
-		dff_poll_load_vms(reports->cache, vms, count);
+		dff_poll_watch(reports->cache, watch);
+	if (!watch->on)
+		(void)g_hash_table_remove(reports->incarnations, watch->vm);
 }
 
 uint64_t
--- a/source/net/poll.c
+++ b/source/net/poll.c
@@ -19,7 +19,6 @@
 	dff_fetch_t *fetch;
 	dff_time_t asked;
 	uint64_t number;
-	bool seen;
 } target_t;
 
 struct dff_poll {
@@ -91,15 +90,14 @@
 }
 
 static void
-add_target(dff_poll_t *poll, const dff_vm_t *vm)
+add_target(dff_poll_t *poll, const dff_fx_engine_watch_t *watch)
 {
 	uint64_t every = (uint64_t)(poll->config.every / DFF_MSEC);
 	target_t *target = g_new0(target_t, 1);
 
 	target->poll = poll;
-	target->seen = true;
-	(void)g_strlcpy(target->vm, vm->id, sizeof(target->vm));
-	(void)g_strlcpy(target->addr, vm->addr, sizeof(target->addr));
+	(void)g_strlcpy(target->vm, watch->vm, sizeof(target->vm));
+	(void)g_strlcpy(target->addr, watch->addr, sizeof(target->addr));
 	target->timer.data = target;
 	(void)uv_timer_init(poll->loop, &target->timer);
 	/* Nodes that start together must not ask together. */
@@ -108,36 +106,22 @@
 	g_hash_table_insert(poll->targets, target->vm, target);
 }
 
-static gboolean
-is_unseen(void *key, void *value, void *data)
-{
-	target_t *target = value;
-	bool seen = target->seen;
-
-	(void)key;
-	(void)data;
-	target->seen = false;
-	return !seen;
-}
-
 void
-dff_poll_load_vms(dff_poll_t *poll, const dff_vm_t *vms, size_t count)
+dff_poll_watch(dff_poll_t *poll, const dff_fx_engine_watch_t *watch)
 {
-	for (size_t i = 0; i < count; i++) {
-		target_t *target;
-
-		if (vms[i].kind != poll->config.kind)
-			continue;
-		target = g_hash_table_lookup(poll->targets, vms[i].id);
-		if (target != NULL && strcmp(target->addr, vms[i].addr) == 0) {
-			target->seen = true;
-			continue;
-		}
-		if (target != NULL)
-			(void)g_hash_table_remove(poll->targets, vms[i].id);
-		add_target(poll, &vms[i]);
-	}
-	(void)g_hash_table_foreach_remove(poll->targets, is_unseen, NULL);
+	const target_t *target;
+
+	/* The end of a watch is told by the VM's id alone. */
+	if (watch->on && watch->kind != poll->config.kind)
+		return;
+	target = g_hash_table_lookup(poll->targets, watch->vm);
+	if (target != NULL && watch->on &&
+	    strcmp(target->addr, watch->addr) == 0)
+		return;
+	if (target != NULL)
+		(void)g_hash_table_remove(poll->targets, watch->vm);
+	if (watch->on)
+		add_target(poll, watch);
 }
 
 uint64_t
--- a/source/net/poll.h
+++ b/source/net/poll.h
@@ -1,5 +1,5 @@
 /*
- * Asks each upstream of one kind the same question again and again, one
+ * Asks the watched upstreams of one kind the same question again and again, one
  * question at a time to each.
  */
 #ifndef DFF_NET_POLL_H
@@ -48,8 +48,8 @@
 /** dff_poll_drop() - stop asking; NULL is allowed */
 void dff_poll_drop(dff_poll_t *poll);
 
-/** dff_poll_load_vms() - follow the VM list */
-void dff_poll_load_vms(dff_poll_t *poll, const dff_vm_t *vms, size_t count);
+/** dff_poll_watch() - begin or end to ask one VM, if it is of this kind */
+void dff_poll_watch(dff_poll_t *poll, const dff_fx_engine_watch_t *watch);
 
 /** dff_poll_failed() - questions without a sound answer so far */
 uint64_t dff_poll_failed(const dff_poll_t *poll);
--- a/source/net/runner.c
+++ b/source/net/runner.c
@@ -177,6 +177,11 @@
 	case DFF_FX_ENGINE_ASK:
 		dff_control_ask(runner->control, &effect->u.engine_ask);
 		break;
+	case DFF_FX_ENGINE_WATCH:
+		/* Each polls the kind of VM that is its own. */
+		dff_reports_watch(runner->reports, &effect->u.engine_watch);
+		dff_service_watch(runner->service, &effect->u.engine_watch);
+		break;
 	case DFF_FX_HEALTH:
 		set_health(runner, &effect->u.health);
 		break;
@@ -188,18 +193,6 @@
 
 /* ---- events ---- */
 
-/* What the shell itself must know of an event. */
-static void
-note_event(runner_t *runner, const dff_event_t *event)
-{
-	const dff_ev_vm_list_t *list = &event->u.vm_list;
-
-	if (event->type != DFF_EV_VM_LIST)
-		return;
-	dff_reports_load_vms(runner->reports, list->vms, list->count);
-	dff_service_load_vms(runner->service, list->vms, list->count);
-}
-
 static void
 feed(void *arg, const dff_event_t *event)
 {
@@ -212,7 +205,6 @@
 	if (runner->stopped)
 		return;
 	runner->busy = true;
-	note_event(runner, event);
 	runner->now = MAX(runner->now, dff_program_now());
 	err = dff_node_step(
 	    runner->ctx, runner->node, event, runner->now, runner->fx);
--- a/source/net/service.c
+++ b/source/net/service.c
@@ -135,9 +135,9 @@
 }
 
 void
-dff_service_load_vms(dff_service_t *service, const dff_vm_t *vms, size_t count)
+dff_service_watch(dff_service_t *service, const dff_fx_engine_watch_t *watch)
 {
-	dff_poll_load_vms(service->load, vms, count);
+	dff_poll_watch(service->load, watch);
 }
 
 dff_service_t *
--- a/source/net/service.h
+++ b/source/net/service.h
@@ -38,8 +38,8 @@
 /** dff_service_cancel() - break a try off; false if it is none of these */
 bool dff_service_cancel(dff_service_t *service, uint64_t attempt);
 
-/** dff_service_load_vms() - follow the VM list */
-void dff_service_load_vms(
-    dff_service_t *service, const dff_vm_t *vms, size_t count);
+/** dff_service_watch() - begin or end to poll one service */
+void dff_service_watch(
+    dff_service_t *service, const dff_fx_engine_watch_t *watch);
 
 #endif
