--- a/source/model/engine.c
+++ b/source/model/engine.c
@@ -403,6 +403,8 @@
 	if (!dff_engine_model_up(model)) {
 		model->incarnation++;
 		engine_set_loaded(model);
+		/* A new process publishes nothing of the old one. */
+		g_queue_clear_full(&model->reports, g_free);
 		engine_emit(out, DFF_ENGINE_OUT_BACK, 0);
 		engine_touch(model, now);
 		return;
--- a/test/fake/checks.c
+++ b/test/fake/checks.c
@@ -165,6 +165,8 @@
 	if (record == NULL)
 		return;
 	if (record->body_case == DFF__RECORD__BODY_EDIT &&
+	    g_hash_table_add(
+		world->edit_ids, g_strdup(record->edit->edit_id)) &&
 	    record->edit->against == world->revision &&
 	    text_sound(world, record->edit->text)) {
 		world->revision = entry->offset;
--- a/test/fake/parts.h
+++ b/test/fake/parts.h
@@ -148,6 +148,7 @@
 	bool poison;
 	dff_time_t opened;
 	dff_time_t patience;
+	bool delivered; /* the node has got the request */
 	bool begun;
 	uint32_t next; /* index of the next token */
 	char model[DFF_NAME_MAX];
@@ -207,6 +208,7 @@
 	GArray *service_outs;
 	/* the catalogue by the log itself */
 	uint64_t edits_seen;
+	GHashTable *edit_ids; /* of a repeated id only the first counts */
 	uint64_t revision;
 	GArray *revisions; /* revision_t */
 	char *model;
--- a/test/fake/world.c
+++ b/test/fake/world.c
@@ -407,6 +407,8 @@
 	world->service_outs =
 	    g_array_new(FALSE, TRUE, sizeof(dff_service_out_t));
 	world->revisions = g_array_new(FALSE, TRUE, sizeof(revision_t));
+	world->edit_ids =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->log = dff_log_model_new(&config->log);
 	world->vms = dff_vms_model_new(config->vm_lag);
 	world->weights = dff_weights_model_new(2 * DFF_SEC);
@@ -442,6 +444,7 @@
 	g_ptr_array_unref(world->callers);
 	g_ptr_array_unref(world->readers);
 	g_hash_table_unref(world->attempts);
+	g_hash_table_unref(world->edit_ids);
 	g_array_unref(world->engine_outs);
 	g_array_unref(world->service_outs);
 	g_array_unref(world->revisions);
--- a/test/test_engine_model.c
+++ b/test/test_engine_model.c
@@ -442,6 +442,7 @@
 	dff_engine_request_t good = request_of(1, 64, 1000);
 	dff_engine_request_t bad = request_of(2, 64, 10);
 	dff_engine_state_t state;
+	dff_engine_report_t report;
 
 	dff_engine_config_defaults(&config);
 	bench = bench_new(&config);
@@ -458,6 +459,9 @@
 	dff_engine_model_state(bench.model, &state);
 	ck_assert_uint_eq(state.incarnation, 2);
 	ck_assert_uint_eq(state.running, 0);
+	/* Its first report is its own, though reports lag. */
+	dff_engine_model_report(bench.model, bench.now, &report);
+	ck_assert_uint_eq(report.incarnation, 2);
 	ck_assert_int_eq(submit(&bench, &good), DFF_ENGINE_TAKEN);
 	bench_drop(&bench);
 }
