Load tool: open loop, mix files, both sides in one run

Arrivals do not wait for answers, and what a caller feels is counted from the moment a request was due. Answers are checked against the model of the engine's text, so a crossed answer is seen.

--- /dev/null
+++ b/source/tool/load_request.c
@@ -0,0 +1,369 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "dragonflyfall/model_engine.h"
+#include "load.h"
+
+/* Time before a request is sent again where its refusal names none. */
+#define RETRY_TIME DFF_SEC
+
+/* One request until it is over, through all its tries. */
+typedef struct request {
+	load_t *load;
+	const load_kind_t *kind;
+	load_draw_t draw;
+	load_result_t result;
+	char *prompt;
+	load_parser_t parser;
+	GByteArray *body; /* of whole answers and of errors */
+	dff_time_t last; /* moment of the last event of tokens */
+	uv_timer_t retry;
+} request_t;
+
+const char *
+load_side_name(load_side_t side)
+{
+	return side == LOAD_ENTRY ? "entry" : "engine";
+}
+
+static void send_request(request_t *req);
+
+/* ---- the end ---- */
+
+static void
+on_retry_closed(uv_handle_t *handle)
+{
+	request_t *req = handle->data;
+
+	load_parser_clear(&req->parser);
+	g_byte_array_unref(req->body);
+	g_free(req->prompt);
+	g_free(req);
+}
+
+/* The answer's text is a function of model, prompt and index. */
+static bool
+text_fits(const request_t *req, const char *text, uint32_t tokens)
+{
+	GString *wanted = g_string_new(NULL);
+	char token[DFF_TOKEN_TEXT_MAX];
+	uint64_t hash;
+	bool fits;
+
+	if (req->kind->model[0] == '\0')
+		return true;
+	hash = dff_model_prompt_hash(
+	    req->kind->model, req->prompt, strlen(req->prompt));
+	for (uint32_t i = 0; i < tokens; i++) {
+		(void)dff_model_token(hash, i, token);
+		g_string_append(wanted, token);
+	}
+	fits = strcmp(wanted->str, text) == 0;
+	g_string_free(wanted, TRUE);
+	return fits;
+}
+
+static load_outcome_t
+judge_stream(request_t *req)
+{
+	const load_parser_t *parser = &req->parser;
+
+	req->result.tokens = parser->tokens;
+	if (!parser->finished || parser->broken) {
+		(void)g_strlcpy(
+		    req->result.code, parser->code, sizeof(req->result.code));
+		return LOAD_BROKEN;
+	}
+	return text_fits(req, parser->text->str, parser->tokens) ? LOAD_DONE :
+								   LOAD_WRONG;
+}
+
+static load_outcome_t
+judge_whole(request_t *req)
+{
+	json_t *answer;
+	const json_t *usage;
+	const char *text;
+	load_outcome_t outcome = LOAD_BROKEN;
+
+	if (req->kind->service)
+		return LOAD_DONE;
+	answer =
+	    json_loadb((const char *)req->body->data, req->body->len, 0, NULL);
+	text = json_string_value(json_object_get(answer, "text"));
+	usage = json_object_get(answer, "usage");
+	if (text != NULL && usage != NULL) {
+		req->result.tokens = (uint32_t)json_integer_value(
+		    json_object_get(usage, "output_tokens"));
+		outcome = text_fits(req, text, req->result.tokens) ? LOAD_DONE :
+								     LOAD_WRONG;
+	}
+	json_decref(answer);
+	return outcome;
+}
+
+/* An error: its code, whether the work ran, and when to come back. */
+static load_outcome_t
+judge_error(request_t *req, dff_time_t *retry_after)
+{
+	json_t *answer =
+	    json_loadb((const char *)req->body->data, req->body->len, 0, NULL);
+	const json_t *error = json_object_get(answer, "error");
+	const json_t *from = json_is_object(error) ? error : answer;
+	const char *code = json_is_object(error) ?
+	    json_string_value(json_object_get(error, "code")) :
+	    json_string_value(error);
+	const char *ran = json_string_value(json_object_get(from, "ran"));
+	bool not_run;
+
+	(void)g_strlcpy(req->result.code, code != NULL ? code : "?",
+	    sizeof(req->result.code));
+	*retry_after = (dff_time_t)json_integer_value(
+			   json_object_get(from, "retry_after_ms")) *
+	    DFF_MSEC;
+	/* What an engine or a stand-in refuses never ran. */
+	not_run = ran != NULL ? strcmp(ran, "not_run") == 0 :
+				req->result.side == LOAD_ENGINE;
+	json_decref(answer);
+	return not_run ? LOAD_REFUSED : LOAD_FAILED;
+}
+
+static bool
+is_streamed(const request_t *req)
+{
+	return !req->kind->service &&
+	    (req->kind->stream || req->result.side == LOAD_ENGINE);
+}
+
+static load_outcome_t
+judge(request_t *req, dff_httpc_end_t end, dff_time_t *retry_after)
+{
+	*retry_after = 0;
+	if (end == DFF_HTTPC_CONNECT) {
+		(void)g_strlcpy(
+		    req->result.code, "connect", sizeof(req->result.code));
+		return LOAD_REFUSED;
+	}
+	if (req->result.status >= 400 && !req->kind->service)
+		return judge_error(req, retry_after);
+	if (end != DFF_HTTPC_DONE) {
+		(void)judge_stream(req);
+		if (req->result.code[0] == '\0')
+			(void)g_strlcpy(req->result.code,
+			    end == DFF_HTTPC_TIMEOUT ? "silent" : "broken",
+			    sizeof(req->result.code));
+		return LOAD_BROKEN;
+	}
+	if (req->result.status >= 400)
+		return judge_error(req, retry_after);
+	return is_streamed(req) ? judge_stream(req) : judge_whole(req);
+}
+
+static void
+start_waiting(load_t *load, load_side_t side)
+{
+	request_t *next;
+
+	if (load->running[side] >= (uint64_t)load->connections)
+		return;
+	next = g_queue_pop_head(&load->waiting[side]);
+	if (next != NULL)
+		send_request(next);
+}
+
+static void
+on_retry(uv_timer_t *timer)
+{
+	request_t *req = timer->data;
+
+	if (req->load->running[req->result.side] <
+	    (uint64_t)req->load->connections)
+		send_request(req);
+	else
+		g_queue_push_tail(&req->load->waiting[req->result.side], req);
+}
+
+static void
+on_end(void *arg, dff_httpc_req_t *http, dff_httpc_end_t end)
+{
+	request_t *req = arg;
+	load_t *load = req->load;
+	load_side_t side = req->result.side;
+	dff_time_t retry_after;
+
+	(void)http;
+	req->result.ended = dff_program_now();
+	req->result.outcome = judge(req, end, &retry_after);
+	load->running[side]--;
+	if (req->result.outcome == LOAD_REFUSED &&
+	    req->result.tries <= load->retries) {
+		if (retry_after == 0)
+			retry_after = RETRY_TIME;
+		uv_update_time(&load->loop);
+		(void)uv_timer_start(&req->retry, on_retry,
+		    (uint64_t)(retry_after / DFF_MSEC), 0);
+	} else {
+		load_report_add(load->report, &req->result);
+		load->open--;
+		uv_close((uv_handle_t *)&req->retry, on_retry_closed);
+	}
+	start_waiting(load, side);
+}
+
+/* ---- the way there ---- */
+
+static void
+on_head(void *arg, dff_httpc_req_t *http, int status)
+{
+	request_t *req = arg;
+
+	(void)http;
+	req->result.status = status;
+}
+
+static void
+on_data(void *arg, dff_httpc_req_t *http, const char *data, size_t len)
+{
+	request_t *req = arg;
+	dff_time_t now = dff_program_now();
+
+	(void)http;
+	if (!is_streamed(req) || req->result.status >= 400) {
+		if (req->result.first == 0 && req->result.status < 400)
+			req->result.first = now;
+		g_byte_array_append(
+		    req->body, (const guint8 *)data, (guint)len);
+		return;
+	}
+	if (load_parser_feed(&req->parser, data, len) == 0)
+		return;
+	if (req->result.first == 0) {
+		req->result.first = now;
+	} else {
+		load_report_gap(
+		    req->load->report, req->result.side, now - req->last);
+		req->result.longest_gap =
+		    MAX(req->result.longest_gap, now - req->last);
+	}
+	req->last = now;
+}
+
+static char *
+body_of(const request_t *req)
+{
+	json_t *object;
+	char *text;
+
+	if (req->result.side == LOAD_ENGINE)
+		object = json_pack("{s:I,s:s,s:s,s:i,s:i,s:i,s:s}", "id",
+		    (json_int_t)(req->draw.serial >> 2 | req->result.tries),
+		    "model", req->kind->model, "prompt", req->prompt,
+		    "max_tokens", (int)req->draw.max_tokens, "resume_at", 0,
+		    "priority", 1, "phase", "whole");
+	else
+		object = json_pack("{s:s,s:s,s:i,s:b}", "model",
+		    req->kind->name, "prompt", req->prompt, "max_tokens",
+		    (int)req->draw.max_tokens, "stream", req->kind->stream);
+	text = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	return text;
+}
+
+static char *
+headers_of(const request_t *req)
+{
+	GString *headers = g_string_new(NULL);
+
+	if (req->kind->key[0] != '\0')
+		g_string_append_printf(
+		    headers, "authorization: Bearer %s\r\n", req->kind->key);
+	/* The same key at each try: the work may run once. */
+	if (req->kind->idempotent)
+		g_string_append_printf(headers,
+		    "idempotency-key: %s-%016" PRIx64 "\r\n", req->load->run_id,
+		    req->draw.serial);
+	return g_string_free(headers, FALSE);
+}
+
+static char *
+path_of(const request_t *req)
+{
+	if (req->kind->service)
+		return g_strdup_printf("/service/%s", req->kind->name);
+	return g_strdup(req->result.side == LOAD_ENGINE ? "/v1/generate" :
+							  "/v1/completions");
+}
+
+static const char *
+next_addr(load_t *load, load_side_t side)
+{
+	uint32_t count = g_strv_length(load->addrs[side]);
+
+	return load->addrs[side][load->next_addr[side]++ % count];
+}
+
+static void
+send_request(request_t *req)
+{
+	static const dff_httpc_handlers_t handlers = {on_head, on_data, on_end};
+	load_t *load = req->load;
+	load_side_t side = req->result.side;
+	char *headers = headers_of(req);
+	char *path = path_of(req);
+	char *body = body_of(req);
+	dff_httpc_call_t call = {
+	    .addr = next_addr(load, side),
+	    .method = "POST",
+	    .path = path,
+	    .content_type = "application/json",
+	    .headers = headers,
+	    .body = body,
+	    .len = strlen(body),
+	    .silence = load->silence,
+	};
+
+	load_parser_clear(&req->parser);
+	load_parser_init(&req->parser, side);
+	g_byte_array_set_size(req->body, 0);
+	req->result.code[0] = '\0';
+	req->result.status = 0;
+	req->result.first = 0;
+	req->result.tries++;
+	req->result.sent = dff_program_now();
+	load->running[side]++;
+	if (dff_httpc_start(load->httpc, &call, &handlers, req) == NULL)
+		on_end(req, NULL, DFF_HTTPC_CONNECT);
+	free(body);
+	g_free(path);
+	g_free(headers);
+}
+
+void
+load_request_start(
+    load_t *load, const load_draw_t *draw, load_side_t side, dff_time_t arrived)
+{
+	request_t *req = g_new0(request_t, 1);
+	uint32_t count;
+
+	req->load = load;
+	req->kind = &load_mix_kinds(load->mix, &count)[draw->kind];
+	req->draw = *draw;
+	req->prompt = load_mix_prompt(load->mix, draw, side);
+	req->body = g_byte_array_new();
+	load_parser_init(&req->parser, side);
+	req->result.side = side;
+	req->result.kind = draw->kind;
+	req->result.serial = draw->serial;
+	req->result.prompt_tokens =
+	    dff_model_prompt_tokens(strlen(req->prompt));
+	req->result.arrived = arrived;
+	(void)uv_timer_init(&load->loop, &req->retry);
+	req->retry.data = req;
+	load->open++;
+	if (load->running[side] < (uint64_t)load->connections)
+		send_request(req);
+	else
+		g_queue_push_tail(&load->waiting[side], req);
+}
