--- a/source/tool/ctl.h
+++ b/source/tool/ctl.h
@@ -26,7 +26,9 @@
  * struct ctl - the tool's settings and its client
  * @platform: address of the platform
  * @nodes: addresses of status pages, parted by commas, or ""
- * @http_offset: port of a node's status page, less its port in the VM list
+ * @http_offset: port of an entry's status page, less its port in the VM
+ *	list; 0 asks none
+ * @placer_offset: the same for the placer on its VM
  * @against: revision that was edited; -1 for the one in force
  * @revision: revision to show; 0 for the one in force
  * @edit_id: id of an edit that is sent again, or ""
@@ -43,6 +45,7 @@
 	char *platform;
 	char *nodes;
 	int64_t http_offset;
+	int64_t placer_offset;
 	int64_t against;
 	int64_t revision;
 	char *edit_id;
--- a/source/tool/ctl_nodes.c
+++ b/source/tool/ctl_nodes.c
@@ -44,44 +44,59 @@
 	    strcmp(ctl_json_text(vm, "state"), "leaving") != 0;
 }
 
-/* Address of a node's status page: its peer port plus the offset. */
+/* Address of a status page: the port in the VM list plus an offset. */
 static char *
-status_addr(const ctl_t *ctl, const char *addr)
+status_addr(const char *addr, int64_t offset)
 {
 	const char *colon = strrchr(addr, ':');
 	long port;
 
-	if (colon == NULL)
+	if (colon == NULL || offset == 0)
 		return NULL;
-	port = strtol(colon + 1, NULL, 10) + (long)ctl->http_offset;
+	port = strtol(colon + 1, NULL, 10) + (long)offset;
 	return g_strdup_printf("%.*s:%ld", (int)(colon - addr), addr, port);
 }
 
-/* Addresses of the status pages to ask; the caller frees them. */
-static GPtrArray *
-status_addrs(const ctl_t *ctl, const json_t *list)
+static void
+add_given(const ctl_t *ctl, GPtrArray *addrs)
 {
-	GPtrArray *addrs = g_ptr_array_new_with_free_func(g_free);
 	char **given = g_strsplit(ctl->nodes, ",", -1);
-	const json_t *vm;
-	size_t i;
 
-	for (size_t at = 0; given[at] != NULL; at++) {
-		if (*g_strstrip(given[at]) != '\0')
-			g_ptr_array_add(addrs, g_strdup(given[at]));
+	for (size_t i = 0; given[i] != NULL; i++) {
+		if (*g_strstrip(given[i]) != '\0')
+			g_ptr_array_add(addrs, g_strdup(given[i]));
 	}
 	g_strfreev(given);
-	if (addrs->len > 0 || ctl->http_offset == 0)
-		return addrs;
+}
+
+static void
+add_listed(const json_t *list, int64_t offset, GPtrArray *addrs)
+{
+	const json_t *vm;
+	size_t i;
+
 	json_array_foreach(list, i, vm)
 	{
 		char *addr = is_live_entry(vm) ?
-		    status_addr(ctl, ctl_json_text(vm, "addr")) :
+		    status_addr(ctl_json_text(vm, "addr"), offset) :
 		    NULL;
 
 		if (addr != NULL)
 			g_ptr_array_add(addrs, addr);
 	}
+}
+
+/* Addresses of the status pages to ask; the caller frees them. */
+static GPtrArray *
+status_addrs(const ctl_t *ctl, const json_t *list)
+{
+	GPtrArray *addrs = g_ptr_array_new_with_free_func(g_free);
+
+	add_given(ctl, addrs);
+	if (addrs->len > 0)
+		return addrs;
+	add_listed(list, ctl->http_offset, addrs);
+	add_listed(list, ctl->placer_offset, addrs);
 	return addrs;
 }
 
@@ -138,7 +153,7 @@
 
 		if (!is_live_entry(vm))
 			continue;
-		addr = status_addr(ctl, ctl_json_text(vm, "addr"));
+		addr = status_addr(ctl_json_text(vm, "addr"), ctl->http_offset);
 		node = addr != NULL && asked(addrs, addr) ?
 		    find_node(nodes, addr) :
 		    NULL;
--- a/source/tool/dff-ctl.c
+++ b/source/tool/dff-ctl.c
@@ -137,11 +137,15 @@
 		0, NULL, NULL, "address of the platform"},
 	    {"nodes", DFF_SETTING_TEXT, &ctl.nodes, "", 0, 0, NULL, NULL,
 		"addresses of status pages, parted by commas; without, they "
-		"follow from the VM list and http-offset"},
+		"follow from the VM list and the offsets"},
 	    {"http-offset", DFF_SETTING_INT, &ctl.http_offset, "0", -65535,
 		65535, NULL, NULL,
-		"port of a node's status page less its port in the VM list; 0 "
-		"asks no node"},
+		"port of an entry's status page less its port in the VM list; "
+		"0 asks none"},
+	    {"placer-offset", DFF_SETTING_INT, &ctl.placer_offset, "0", -65535,
+		65535, NULL, NULL,
+		"port of a placer's status page less its VM's port in the VM "
+		"list; 0 asks none"},
 	    {"against", DFF_SETTING_INT, &ctl.against, "-1", -1, 9e15, NULL,
 		NULL, "apply: revision that was edited; -1 the one in force"},
 	    {"edit-id", DFF_SETTING_TEXT, &ctl.edit_id, "", 0, 0, NULL, NULL,
--- a/test/test_process_load.c
+++ b/test/test_process_load.c
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
 #include <check.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -142,6 +144,19 @@
 }
 END_TEST
 
+/* Fixed ports: another run on this machine waits until this one has ended. */
+static void
+take_ports(void)
+{
+	char *path =
+	    g_build_filename(g_get_tmp_dir(), "dragonflyfall-23300.lock", NULL);
+	int fd = open(path, O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(flock(fd, LOCK_EX), 0);
+	g_free(path);
+}
+
 int
 main(void)
 {
@@ -150,6 +165,7 @@
 	SRunner *runner;
 	int failed;
 
+	take_ports();
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, answers_are_counted_and_checked);
