--- a/include/dragonflyfall/http.h
+++ b/include/dragonflyfall/http.h
@@ -161,6 +161,11 @@
 /** dff_httpc_new() - a client; the caller drops it */
 dff_httpc_t *dff_httpc_new(dff_ctx_t *ctx, uv_loop_t *loop);
 
+/** dff_httpc_set_tcp_timeout() - longest time for which sent bytes may stay
+ *	unacknowledged before their connection is broken; 0, as at first, for
+ *	the system's own */
+void dff_httpc_set_tcp_timeout(dff_httpc_t *httpc, dff_time_t timeout);
+
 /** dff_httpc_drop() - end all requests without a call back; NULL is allowed */
 void dff_httpc_drop(dff_httpc_t *httpc);
 
--- a/source/net/engine.c
+++ b/source/net/engine.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include <glib.h>
-#include <jansson.h>
+#include "net/json_read.h"
 
 /* Longest line of an answer. */
 #define LINE_MAX_BYTES (64 * 1024)
@@ -107,38 +107,23 @@
 	g_string_truncate(try->text, 0);
 }
 
-static bool
-read_u32(const json_t *body, const char *name, uint32_t *value)
-{
-	const json_t *item = json_object_get(body, name);
-	json_int_t number;
-
-	if (!json_is_integer(item))
-		return false;
-	number = json_integer_value(item);
-	if (number < 0 || number > UINT32_MAX)
-		return false;
-	*value = (uint32_t)number;
-	return true;
-}
-
 static bool
 take_end(try_t *try, const json_t *body)
 {
-	const char *why = json_string_value(json_object_get(body, "end"));
+	const char *why = json_get_text(body, "end");
 	dff_event_t event = {.type = DFF_EV_TRY_END};
 	dff_ev_try_end_t *end = &event.u.try_end;
 
 	end->attempt = try->attempt;
-	if (g_strcmp0(why, "stop") == 0)
+	if (strcmp(why, "stop") == 0)
 		end->finish = DFF_FINISH_STOP;
-	else if (g_strcmp0(why, "length") == 0)
+	else if (strcmp(why, "length") == 0)
 		end->finish = DFF_FINISH_LENGTH;
 	else
 		return false;
-	if (!read_u32(body, "prompt", &end->prompt_tokens) ||
-	    !read_u32(body, "cached", &end->cached_tokens) ||
-	    !read_u32(body, "output", &end->output_tokens))
+	if (!json_read_u32(body, "prompt", &end->prompt_tokens) ||
+	    !json_read_u32(body, "cached", &end->cached_tokens) ||
+	    !json_read_u32(body, "output", &end->output_tokens))
 		return false;
 	tell_tokens(try);
 	if (try->closed)
@@ -154,7 +139,7 @@
 	const json_t *text = json_object_get(body, "t");
 	uint32_t index;
 
-	if (!read_u32(body, "i", &index) || !json_is_string(text))
+	if (!json_read_u32(body, "i", &index) || !json_is_string(text))
 		return false;
 	if (index != try->next)
 		return false;
@@ -252,7 +237,7 @@
 static bool
 is_refusal(const char *word)
 {
-	for (size_t i = 0; word != NULL && refusals[i] != NULL; i++) {
+	for (size_t i = 0; refusals[i] != NULL; i++) {
 		if (strcmp(word, refusals[i]) == 0)
 			return true;
 	}
@@ -264,10 +249,9 @@
 take_refusal(try_t *try)
 {
 	json_t *body = json_loadb(try->line->str, try->line->len, 0, NULL);
-	const char *word = json_string_value(json_object_get(body, "error"));
-	uint32_t wait_ms = 0;
+	const char *word = json_get_text(body, "error");
+	uint32_t wait_ms = json_get_u32(body, "retry_after_ms");
 
-	(void)read_u32(body, "retry_after_ms", &wait_ms);
 	if ((try->status == 409 || try->status == 503) && is_refusal(word))
 		fail_try(try, DFF_FAIL_REJECTED, true, wait_ms * DFF_MSEC);
 	else
--- a/source/net/engine_control.c
+++ b/source/net/engine_control.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include <glib.h>
-#include <jansson.h>
 
 #include "dragonflyfall/program.h"
+#include "net/json_read.h"
 
 /* Largest answer taken. */
 #define ANSWER_MAX 4096
@@ -23,33 +23,18 @@
 	dff_time_t at;
 } asked_t;
 
-static uint64_t
-number_of(const json_t *body, const char *name)
-{
-	return (uint64_t)json_integer_value(json_object_get(body, name));
-}
-
-static const char *
-text_of(const json_t *body, const char *name)
-{
-	const char *text = json_string_value(json_object_get(body, name));
-
-	return text != NULL ? text : "";
-}
-
 /* ---- orders ---- */
 
 static dff_order_answer_t
 read_order_answer(const dff_fetched_t *fetched, const json_t *body)
 {
-	const char *error = text_of(body, "error");
+	const char *error = json_get_text(body, "error");
 
 	if (fetched->end == DFF_HTTPC_CONNECT)
 		return DFF_ORDER_NOT_SENT;
 	if (fetched->end != DFF_HTTPC_DONE)
 		return DFF_ORDER_UNKNOWN;
-	if (fetched->status == 202 &&
-	    json_is_true(json_object_get(body, "accepted")))
+	if (fetched->status == 202 && json_get_flag(body, "accepted"))
 		return DFF_ORDER_ACCEPTED;
 	if (fetched->status == 409 && strcmp(error, "fenced") == 0)
 		return DFF_ORDER_FENCED;
@@ -68,7 +53,7 @@
 	const dff_event_t event = {.type = DFF_EV_ORDER_ANSWER,
 	    .u.order_answer = {.order = *(uint64_t *)data,
 		.answer = read_order_answer(fetched, body),
-		.fence = number_of(body, "fence")}};
+		.fence = json_get_u64(body, "fence")}};
 
 	json_decref(body);
 	control->sink.feed(control->sink.arg, &event);
@@ -114,22 +99,22 @@
 static bool
 read_state(const json_t *body, dff_ev_engine_state_t *state)
 {
-	int role = dff_role_parse(text_of(body, "role"));
+	int role = dff_role_parse(json_get_text(body, "role"));
 
 	if (role < 0 ||
 	    !json_is_integer(json_object_get(body, "incarnation")) ||
 	    !json_is_integer(json_object_get(body, "running")) ||
 	    !json_is_boolean(json_object_get(body, "changing")))
 		return false;
-	state->incarnation = number_of(body, "incarnation");
+	state->incarnation = json_get_u64(body, "incarnation");
 	state->role = (dff_role_t)role;
-	state->model = text_of(body, "model");
-	state->version = (uint32_t)number_of(body, "version");
-	state->adapter = text_of(body, "adapter");
-	state->changing = json_is_true(json_object_get(body, "changing"));
-	state->running = (uint32_t)number_of(body, "running");
-	state->last_order = number_of(body, "last_order");
-	state->fence = number_of(body, "fence");
+	state->model = json_get_text(body, "model");
+	state->version = json_get_u32(body, "version");
+	state->adapter = json_get_text(body, "adapter");
+	state->changing = json_get_flag(body, "changing");
+	state->running = json_get_u32(body, "running");
+	state->last_order = json_get_u64(body, "last_order");
+	state->fence = json_get_u64(body, "fence");
 	return true;
 }
 
--- a/source/net/engine_report.c
+++ b/source/net/engine_report.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "net/json_read.h"
 #include "net/poll.h"
 
 /* Digits of a prefix hash. */
@@ -16,43 +17,13 @@
 	GHashTable *incarnations; /* VM id to the one of its cache events */
 };
 
-static uint64_t
-number_of(const json_t *body, const char *name)
-{
-	return (uint64_t)json_integer_value(json_object_get(body, name));
-}
-
-static uint32_t
-count_of(const json_t *body, const char *name)
-{
-	json_int_t number = json_integer_value(json_object_get(body, name));
-
-	return (uint32_t)CLAMP(number, 0, UINT32_MAX);
-}
-
-static double
-real_of(const json_t *body, const char *name)
-{
-	double number = json_number_value(json_object_get(body, name));
-
-	return MAX(number, 0);
-}
-
-static const char *
-text_of(const json_t *body, const char *name)
-{
-	const char *text = json_string_value(json_object_get(body, name));
-
-	return text != NULL ? text : "";
-}
-
 static void
 on_load(void *arg, const char *vm, dff_time_t asked, const json_t *body,
     uint64_t *number)
 {
 	dff_reports_t *reports = arg;
-	int role = dff_role_parse(text_of(body, "role"));
-	dff_time_t age = count_of(body, "age_ms") * DFF_MSEC;
+	int role = dff_role_parse(json_get_text(body, "role"));
+	dff_time_t age = json_get_u32(body, "age_ms") * DFF_MSEC;
 	dff_event_t event = {.type = DFF_EV_ENGINE_REPORT};
 	dff_ev_engine_report_t *report = &event.u.engine_report;
 
@@ -60,20 +31,20 @@
 	if (role < 0)
 		return;
 	report->vm = vm;
-	report->incarnation = number_of(body, "incarnation");
+	report->incarnation = json_get_u64(body, "incarnation");
 	report->taken = asked - age;
 	report->role = (dff_role_t)role;
-	report->changing = json_is_true(json_object_get(body, "changing"));
-	report->model = text_of(body, "model");
-	report->version = count_of(body, "version");
-	report->running = count_of(body, "running");
-	report->waiting = count_of(body, "waiting");
-	report->backlog_tokens = number_of(body, "backlog_tokens");
-	report->free_pieces = count_of(body, "free_pieces");
-	report->total_pieces = count_of(body, "total_pieces");
-	report->token_us = real_of(body, "token_us");
-	report->prefill_us = real_of(body, "prefill_us");
-	report->fence = number_of(body, "fence");
+	report->changing = json_get_flag(body, "changing");
+	report->model = json_get_text(body, "model");
+	report->version = json_get_u32(body, "version");
+	report->running = json_get_u32(body, "running");
+	report->waiting = json_get_u32(body, "waiting");
+	report->backlog_tokens = json_get_u64(body, "backlog_tokens");
+	report->free_pieces = json_get_u32(body, "free_pieces");
+	report->total_pieces = json_get_u32(body, "total_pieces");
+	report->token_us = json_get_real(body, "token_us");
+	report->prefill_us = json_get_real(body, "prefill_us");
+	report->fence = json_get_u64(body, "fence");
 	reports->sink.feed(reports->sink.arg, &event);
 }
 
@@ -124,9 +95,9 @@
 
 	(void)asked;
 	cache->vm = vm;
-	cache->gap = json_is_true(json_object_get(body, "gap"));
-	*number = number_of(body, "next");
-	if (is_new_process(reports, vm, number_of(body, "incarnation"))) {
+	cache->gap = json_get_flag(body, "gap");
+	*number = json_get_u64(body, "next");
+	if (is_new_process(reports, vm, json_get_u64(body, "incarnation"))) {
 		/* The numbers are another process's: begin again. */
 		cache->gap = true;
 		*number = 0;
--- a/source/net/front.c
+++ b/source/net/front.c
@@ -425,6 +425,25 @@
 	drop_call(front, call);
 }
 
+void
+dff_front_break_calls(dff_front_t *front)
+{
+	dff_fx_call_refuse_t refuse = {.status = 503,
+	    .code = "stopped",
+	    .ran = DFF_RAN_UNKNOWN,
+	    .text = "This node had to stop before the answer was whole."};
+	GHashTableIter iter;
+	void *value;
+
+	for (;;) {
+		g_hash_table_iter_init(&iter, front->calls);
+		if (!g_hash_table_iter_next(&iter, NULL, &value))
+			return;
+		refuse.call = ((const call_t *)value)->id;
+		dff_front_refuse(front, &refuse);
+	}
+}
+
 void
 dff_front_set_health(dff_front_t *front, const dff_fx_health_t *health)
 {
--- a/source/net/front.h
+++ b/source/net/front.h
@@ -81,6 +81,10 @@
 /** dff_front_refuse() - an error */
 void dff_front_refuse(dff_front_t *front, const dff_fx_call_refuse_t *refuse);
 
+/** dff_front_break_calls() - end all calls with an error that says that
+ *	their outcome is unknown; the node has stopped */
+void dff_front_break_calls(dff_front_t *front);
+
 /** dff_front_set_health() - what the health check answers from now on */
 void dff_front_set_health(dff_front_t *front, const dff_fx_health_t *health);
 
--- a/source/net/httpc.c
+++ b/source/net/httpc.c
@@ -1,7 +1,10 @@
 #include "dragonflyfall/http.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 #include <h2o.h>
@@ -30,6 +33,7 @@
 	uv_loop_t *loop;
 	h2o_http1client_ctx_t h2o;
 	h2o_timeout_t io_timeout;
+	dff_time_t tcp_timeout;
 	GHashTable *pools; /* address to pool_t */
 	GQueue reqs;
 	size_t live; /* requests and pools not yet freed */
@@ -295,6 +299,22 @@
 	return on_body;
 }
 
+/*
+ * The kernel goes on to send what a paused or killed process has left in a
+ * socket. This bounds for how long.
+ */
+static void
+set_tcp_timeout(const dff_httpc_t *httpc, h2o_socket_t *sock)
+{
+	unsigned timeout = (unsigned)(httpc->tcp_timeout / DFF_MSEC);
+	int fd = h2o_socket_get_fd(sock);
+
+	if (timeout == 0 || fd < 0)
+		return;
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
 static h2o_http1client_head_cb
 on_connect(h2o_http1client_t *client, const char *errstr, h2o_iovec_t **bufs,
     size_t *count, int *is_head)
@@ -307,6 +327,7 @@
 	}
 	req->sent = true;
 	note_progress(req);
+	set_tcp_timeout(req->httpc, client->sock);
 	req->bufs[0] = h2o_iovec_init(req->head->str, req->head->len);
 	req->bufs[1] = h2o_iovec_init(req->body->data, req->body->len);
 	*bufs = req->bufs;
@@ -426,6 +447,12 @@
 	return httpc;
 }
 
+void
+dff_httpc_set_tcp_timeout(dff_httpc_t *httpc, dff_time_t timeout)
+{
+	httpc->tcp_timeout = timeout;
+}
+
 static void
 on_httpc_closed(uv_handle_t *handle)
 {
--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 #include <glib.h>
-#include <jansson.h>
 
 #include "dragonflyfall/program.h"
 #include "net/address.h"
 #include "net/fetch.h"
+#include "net/json_read.h"
 
 /* Records asked for in one read, fewer if they are large. */
 #define RECORDS_MAX 256
@@ -61,17 +61,6 @@
 
 /* ---- reading a stream ---- */
 
-static bool
-read_u64(const json_t *body, const char *name, uint64_t *value)
-{
-	const json_t *item = json_object_get(body, name);
-
-	if (!json_is_integer(item) || json_integer_value(item) < 0)
-		return false;
-	*value = (uint64_t)json_integer_value(item);
-	return true;
-}
-
 static void
 tell_head(follower_t *follower, const json_t *body)
 {
@@ -79,8 +68,8 @@
 	    .u.log_head = {
 		.stream = follower->stream, .asked = follower->asked}};
 
-	(void)read_u64(body, "first", &event.u.log_head.first);
-	(void)read_u64(body, "next", &event.u.log_head.next);
+	event.u.log_head.first = json_get_u64(body, "first");
+	event.u.log_head.next = json_get_u64(body, "next");
 	feed(follower->platform, &event);
 }
 
@@ -94,8 +83,8 @@
 	dff_ev_log_record_t *record = &event.u.log_record;
 	uint8_t *data;
 
-	if (text == NULL || !read_u64(item, "offset", &record->offset) ||
-	    !read_u64(item, "time_ms", &record->time_ms) ||
+	if (text == NULL || !json_read_u64(item, "offset", &record->offset) ||
+	    !json_read_u64(item, "time_ms", &record->time_ms) ||
 	    record->offset < follower->from)
 		return false;
 	data = g_base64_decode(text, &record->len);
@@ -117,8 +106,8 @@
 	uint64_t turn = follower->turn;
 	uint64_t number;
 
-	if (!read_u64(body, "first", &number) ||
-	    !read_u64(body, "next", &number) || !json_is_array(records))
+	if (!json_read_u64(body, "first", &number) ||
+	    !json_read_u64(body, "next", &number) || !json_is_array(records))
 		return false;
 	tell_head(follower, body);
 	for (size_t i = 0; i < json_array_size(records); i++) {
@@ -243,7 +232,7 @@
 	else if (fetched->status == 429 || fetched->status == 503)
 		appended->outcome = DFF_APPEND_REFUSED;
 	else if (fetched->status == 200 &&
-	    read_u64(body, "offset", &appended->offset))
+	    json_read_u64(body, "offset", &appended->offset))
 		appended->outcome = DFF_APPEND_DONE;
 	json_decref(body);
 	feed(platform, &event);
@@ -310,7 +299,7 @@
 		return false;
 	vm->kind = (dff_vm_kind_t)kind;
 	vm->leaving = strcmp(state, "leaving") == 0;
-	return read_u64(item, "incarnation", &vm->incarnation);
+	return json_read_u64(item, "incarnation", &vm->incarnation);
 }
 
 static void
--- a/source/net/runner.c
+++ b/source/net/runner.c
@@ -129,6 +129,8 @@
 		return;
 	runner->stopped = true;
 	runner->flush_until = dff_program_now() + FLUSH_TIME;
+	/* What is left has outlasted the time for draining. */
+	dff_front_break_calls(runner->front);
 	dff_front_shut(runner->front);
 	(void)uv_timer_start(
 	    &runner->stop, on_flush_look, FLUSH_LOOK_MSEC, FLUSH_LOOK_MSEC);
@@ -339,6 +341,8 @@
 	uv_loop_t *loop = &runner->loop;
 
 	runner->httpc = dff_httpc_new(ctx, loop);
+	dff_httpc_set_tcp_timeout(
+	    runner->httpc, config->node.authority.tcp_timeout);
 	runner->engine = dff_engine_new(ctx, runner->httpc, sink);
 	runner->control = dff_control_new(runner->httpc, &config->engine, sink);
 	runner->reports =
--- a/source/net/service.c
+++ b/source/net/service.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "net/json_read.h"
 #include "net/poll.h"
 
 struct dff_service {
@@ -109,28 +110,21 @@
     uint64_t *number)
 {
 	dff_service_t *service = arg;
-	json_int_t running;
-	json_int_t waiting;
-	json_int_t slots;
-	json_int_t incarnation;
-	json_int_t age_ms = 0;
 	dff_event_t event = {.type = DFF_EV_ENGINE_REPORT};
 	dff_ev_engine_report_t *report = &event.u.engine_report;
 
 	(void)number;
-	if (json_unpack((json_t *)body, "{s:I,s?I,s:I,s:I,s:I}", "incarnation",
-		&incarnation, "age_ms", &age_ms, "running", &running, "waiting",
-		&waiting, "slots", &slots) != 0)
+	if (!json_read_u64(body, "incarnation", &report->incarnation) ||
+	    !json_read_u32(body, "running", &report->running) ||
+	    !json_read_u32(body, "waiting", &report->waiting) ||
+	    !json_read_u32(body, "slots", &report->total_pieces))
 		return;
 	report->vm = vm;
-	report->incarnation = (uint64_t)incarnation;
-	report->taken = asked - MAX(age_ms, 0) * DFF_MSEC;
+	report->taken = asked - json_get_u32(body, "age_ms") * DFF_MSEC;
 	report->role = DFF_ROLE_MIXED;
 	report->model = "";
-	report->running = (uint32_t)MAX(running, 0);
-	report->waiting = (uint32_t)MAX(waiting, 0);
-	report->total_pieces = (uint32_t)MAX(slots, 0);
-	report->free_pieces = (uint32_t)MAX(slots - running, 0);
+	report->free_pieces =
+	    report->total_pieces - MIN(report->running, report->total_pieces);
 	service->sink.feed(service->sink.arg, &event);
 }
 
--- a/test/fake/netloop.c
+++ b/test/fake/netloop.c
@@ -270,3 +270,18 @@
 	text[len] = '\0';
 	return text;
 }
+
+char *
+netloop_read_all(netloop_t *net, int fd)
+{
+	GString *said = g_string_new(NULL);
+	const char *more;
+
+	while ((more = netloop_read(fd)) == NULL || *more != '\0') {
+		if (more != NULL)
+			g_string_append(said, more);
+		else
+			netloop_run(net, 5 * DFF_MSEC);
+	}
+	return g_string_free(said, FALSE);
+}
--- a/test/fake/netloop.h
+++ b/test/fake/netloop.h
@@ -47,4 +47,8 @@
  *	the end of the connection; good until the next call */
 const char *netloop_read(int fd);
 
+/** netloop_read_all() - what comes on a socket until its end; freed with
+ *	g_free() */
+char *netloop_read_all(netloop_t *net, int fd);
+
 #endif
--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -102,6 +102,26 @@
 	return exit_code(status);
 }
 
+static void
+on_kill_timer(uv_timer_t *timer)
+{
+	const process_t *process = timer->data;
+
+	(void)kill(process->pid, SIGKILL);
+	uv_close((uv_handle_t *)timer, (uv_close_cb)g_free);
+}
+
+void
+process_kill_later(netloop_t *net, process_t *process, dff_time_t time)
+{
+	uv_timer_t *timer = g_new0(uv_timer_t, 1);
+
+	timer->data = process;
+	(void)uv_timer_init(&net->loop, timer);
+	(void)uv_timer_start(
+	    timer, on_kill_timer, (uint64_t)(time / DFF_MSEC), 0);
+}
+
 bool
 process_ended(process_t *process)
 {
--- a/test/fake/process.h
+++ b/test/fake/process.h
@@ -26,6 +26,9 @@
  *	128 and the signal that ended it */
 int process_stop(process_t *process, int signum);
 
+/** process_kill_later() - SIGKILL it after a time, while the loop runs */
+void process_kill_later(netloop_t *net, process_t *process, dff_time_t time);
+
 /** process_ended() - whether it has ended by itself */
 bool process_ended(process_t *process);
 
--- a/test/test_process_http.c
+++ b/test/test_process_http.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <check.h>
 #include <errno.h>
 #include <stdio.h>
@@ -11,6 +10,8 @@
 
 #include "dragonflyfall/http.h"
 #include "dragonflyfall/program.h"
+#include "fake/h2.h"
+#include "fake/netloop.h"
 
 #define ADDR	    "127.0.0.1:21101"
 #define PORT	    21101
@@ -209,31 +210,10 @@
 	return dff_httpc_start(bench->httpc, &call, &handlers, bench);
 }
 
-/* A plain socket to the server, which sends @text. */
 static int
 raw_open(const char *text)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-	    .sin_port = htons(PORT),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	ck_assert_int_ge(fd, 0);
-	ck_assert_int_eq(
-	    connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
-	ck_assert_int_eq(send(fd, text, strlen(text), 0), (int)strlen(text));
-	return fd;
-}
-
-/* What the server has sent so far; "" at its end of the connection. */
-static char *
-raw_read(int fd)
-{
-	static char text[8192];
-	ssize_t len = recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT);
-
-	text[len > 0 ? len : 0] = '\0';
-	return len < 0 ? NULL : text;
+	return netloop_connect(PORT, text, strlen(text));
 }
 
 START_TEST(http_answers_whole)
@@ -379,7 +359,7 @@
 	    BODY_MAX + 1, body);
 	fd = raw_open(text);
 	run_for(&bench, 100 * DFF_MSEC);
-	ck_assert_ptr_nonnull(strstr(raw_read(fd), " 413 "));
+	ck_assert_ptr_nonnull(strstr(netloop_read(fd), " 413 "));
 	ck_assert_int_eq(bench.requests, 0);
 	close(fd);
 	g_free(body);
@@ -400,7 +380,7 @@
 		bench_open(&bench);
 		fd = raw_open(halves[i]);
 		run_for(&bench, HEADER_TIME + 400 * DFF_MSEC);
-		text = raw_read(fd);
+		text = netloop_read(fd);
 		ck_assert_msg(text != NULL, "case %zu is still open", i);
 		ck_assert_int_eq(bench.requests, 0);
 		close(fd);
@@ -456,50 +436,18 @@
 }
 END_TEST
 
-/* ---- h2c, by frames written out ---- */
-
-#define H2_PREFACE "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-
-static void
-h2_frame(GByteArray *out, uint8_t type, uint8_t flags, uint32_t stream,
-    const void *data, size_t len)
-{
-	const uint8_t head[] = {(uint8_t)(len >> 16), (uint8_t)(len >> 8),
-	    (uint8_t)len, type, flags, 0, 0, 0, (uint8_t)stream};
-
-	g_byte_array_append(out, head, sizeof(head));
-	if (len > 0)
-		g_byte_array_append(out, data, (guint)len);
-}
-
-/* A GET of a path of less than 127 bytes, in HPACK without a table. */
-static void
-h2_get(GByteArray *out, uint32_t stream, const char *path)
-{
-	/* :method GET, :scheme http; :path and :authority as literals. */
-	uint8_t block[200] = {0x82, 0x86, 0x04, (uint8_t)strlen(path)};
-	size_t len = 4;
-
-	memcpy(block + len, path, strlen(path));
-	len += strlen(path);
-	memcpy(block + len,
-	    "\x01\x01"
-	    "a",
-	    3);
-	len += 3;
-	h2_frame(out, 0x1, 0x5, stream, block, len);
-}
+/* ---- h2c ---- */
 
 static int
 h2_open(uint32_t streams, const char *path)
 {
 	GByteArray *out = g_byte_array_new();
-	int fd = raw_open(H2_PREFACE);
+	int fd;
 
-	h2_frame(out, 0x4, 0, 0, NULL, 0);
+	h2_begin(out);
 	for (uint32_t i = 0; i < streams; i++)
 		h2_get(out, 1 + 2 * i, path);
-	ck_assert_int_eq(send(fd, out->data, out->len, 0), (int)out->len);
+	fd = netloop_connect(PORT, out->data, out->len);
 	g_byte_array_unref(out);
 	return fd;
 }
@@ -531,7 +479,7 @@
 	bench_open(&bench);
 	fd = h2_open(2, "/held");
 	run_until(&bench, &bench.requests, 2);
-	h2_frame(out, 0x3, 0, 1, cancel, sizeof(cancel));
+	h2_frame(out, H2_RST_STREAM, 0, 1, cancel, sizeof(cancel));
 	ck_assert_int_eq(send(fd, out->data, out->len, 0), (int)out->len);
 	run_until(&bench, &bench.gone, 1);
 	run_for(&bench, 200 * DFF_MSEC);
