Peers: hashed names, most loaded rows, row by row into the policy

Cause: at 340 nodes a heartbeat carried up to 256 rows with whole names and each one walked the fleet in the policy.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -83,6 +83,7 @@
 	node->poison = poison_new();
 	node->peers = peers_new();
 	node->watch = watch_new();
+	node->names = names_new();
 	node->calls = dff_table_new(sizeof(call_t));
 	node->by_shell =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -124,6 +125,7 @@
 	poison_drop(node->poison);
 	peers_drop(node->peers);
 	watch_drop(node->watch);
+	names_drop(node->names);
 	dff_members_drop(node->members);
 	dff_roles_drop(node->roles);
 	dff_policy_drop(node->policy);
@@ -170,6 +172,7 @@
 	dff_log(ctx, DFF_LOG_NOTICE, PART,
 	    "catalogue in force. revision=%" PRIu64,
 	    dff_history_revision(node->history));
+	names_set_catalogue(node->names, cat);
 	dff_policy_set_catalogue(ctx, node->policy, cat);
 	dff_authority_set_catalogue(node->authority, cat);
 	dff_roles_set_catalogue(node->roles, cat);
@@ -207,6 +210,7 @@
 	g_array_set_size(node->vms, 0);
 	if (ev->count > 0)
 		g_array_append_vals(node->vms, ev->vms, (guint)ev->count);
+	names_load_vms(node->names, node->vms);
 	node->vms_known = true;
 	dff_members_load_vms(ctx, node->members, ev->vms, ev->count, now);
 	dff_policy_load_vms(ctx, node->policy, ev->vms, ev->count, now);
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -18,14 +18,16 @@
 #define RECENT_MAX 256
 /* Bytes of one stream's records kept to help peers. */
 #define RECENT_BYTES_MAX (2 * 1024 * 1024)
-/* The most upstreams or owners' rows told in one heartbeat. */
+/* The most rows of a kind that are taken from one frame. */
 #define BEAT_ROWS_MAX 256
-/* The most owners' rows told between domains. */
-#define SUMMARY_OWNERS_MAX 64
+/* Upstreams with the most work that are told in one frame. */
+#define WORK_ROWS_MAX 32
+/* Entries with the most use that are told in one frame. */
+#define USE_ROWS_MAX 24
 /* Engines with room that a relay tells another domain of. */
-#define SUMMARY_REPORTS_MAX 16
+#define SUMMARY_REPORTS_MAX 12
 /* Engines with room in other domains that a relay tells its own of. */
-#define MERGED_REPORTS_MAX 32
+#define MERGED_REPORTS_MAX 12
 /* Engines lost to one request before it is refused everywhere. */
 #define POISON_LIMIT 2
 /* Append ids of the node's own snapshots begin with this byte. */
@@ -147,6 +149,9 @@
 /** typedef watch_t - whose load reports this node reads, and the reports */
 typedef struct watch watch_t;
 
+/** typedef names_t - VMs and entries by the hash of their names */
+typedef struct names names_t;
+
 /** typedef poison_t - requests that were on engines when those crashed */
 typedef struct poison poison_t;
 
@@ -162,6 +167,7 @@
 	poison_t *poison;
 	peers_t *peers;
 	watch_t *watch;
+	names_t *names;
 	stream_t streams[DFF_STREAM_COUNT];
 	dff_table_t *calls;
 	GHashTable *by_shell; /* shell id -> call handle */
@@ -347,6 +353,32 @@
 /** poison_clear() - a request's answer came whole: it is innocent */
 void poison_clear(poison_t *poison, uint64_t body_hash);
 
+/* ---- names.c: names as hashes ---- */
+
+/** names_new() - no names yet */
+names_t *names_new(void);
+
+/** names_drop() - free it; NULL is allowed */
+void names_drop(names_t *names);
+
+/** names_hash() - the hash that stands for a name in frames */
+uint32_t names_hash(const char *name);
+
+/** names_load_vms() - follow the VM list, an array of dff_vm_t */
+void names_load_vms(names_t *names, const GArray *vms);
+
+/** names_set_catalogue() - follow the catalogue */
+void names_set_catalogue(names_t *names, const dff_catalogue_t *cat);
+
+/** names_vm() - the VM that a hash means, borrowed, or NULL */
+const dff_vm_t *names_vm(const dff_node_t *node, uint32_t hash);
+
+/** names_find_vm() - the VM of a name, borrowed, or NULL */
+const dff_vm_t *names_find_vm(const dff_node_t *node, const char *id);
+
+/** names_entry() - the entry that a hash means, borrowed, or NULL */
+const dff_entry_t *names_entry(const dff_node_t *node, uint32_t hash);
+
 /* ---- watch.c: load reports, read here or told by peers ---- */
 
 /** watch_new() - nothing watched */
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -32,9 +32,9 @@
 	beat.draining = node->stopping;
 	beat.n_offsets = DFF_STREAM_COUNT;
 	beat.offsets = rows->offset_at;
-	beat.n_work = rows->work_count;
+	beat.n_work = MIN(rows->work_count, WORK_ROWS_MAX);
 	beat.work = rows->work_at;
-	beat.n_use = rows->use_count;
+	beat.n_use = MIN(rows->use_count, USE_ROWS_MAX);
 	beat.use = rows->use_at;
 	beat.n_reports = watch_pack(node, WATCH_READ_HERE, rows->report,
 	    rows->report_at, BEAT_ROWS_MAX);
@@ -61,9 +61,9 @@
 	summary.merged = merged;
 	summary.n_offsets = DFF_STREAM_COUNT;
 	summary.offsets = rows->offset_at;
-	summary.n_work = rows->work_count;
+	summary.n_work = MIN(rows->work_count, WORK_ROWS_MAX);
 	summary.work = rows->work_at;
-	summary.n_use = MIN(rows->use_count, SUMMARY_OWNERS_MAX);
+	summary.n_use = MIN(rows->use_count, USE_ROWS_MAX);
 	summary.use = rows->use_at;
 	summary.n_reports = watch_pack(node,
 	    merged ? WATCH_OTHER_DOMAINS : WATCH_OWN_DOMAIN, rows->report,
@@ -117,8 +117,7 @@
 	told_t *self;
 
 	while ((dead = dff_members_sweep(ctx, node->members, now)) != NULL) {
-		g_hash_table_remove(node->peers->near, dead->id);
-		dff_policy_drop_peer(ctx, node->policy, dead->id);
+		told_drop(ctx, node, dead->id);
 		dff_claims_holder_gone(
 		    ctx, node->claims, dead->id, dead->incarnation);
 	}
@@ -170,7 +169,8 @@
 		return;
 	told = told_of(node->peers->near, peer->id, now);
 	told->live = 1;
-	told_set_rows(told, beat->n_work, beat->work, beat->n_use, beat->use);
+	told_set_rows(
+	    node, told, beat->n_work, beat->work, beat->n_use, beat->use);
 	told_set_offsets(told->offsets, beat->n_offsets, beat->offsets);
 	told_set_offsets(peer->offsets, beat->n_offsets, beat->offsets);
 	peer->log_down = beat->log_down;
@@ -193,14 +193,14 @@
 		    peer->offsets, summary->n_offsets, summary->offsets);
 	if (summary->merged) {
 		told = told_new();
-		told_set_rows(told, summary->n_work, summary->work,
+		told_set_rows(node, told, summary->n_work, summary->work,
 		    summary->n_use, summary->use);
 		told_load(ctx, node, FAR_PEER, told, now);
 		told_free(told);
 	} else {
 		told = told_of(node->peers->far, peer->domain, now);
 		told->live = summary->live;
-		told_set_rows(told, summary->n_work, summary->work,
+		told_set_rows(node, told, summary->n_work, summary->work,
 		    summary->n_use, summary->use);
 		told_set_offsets(
 		    told->offsets, summary->n_offsets, summary->offsets);
@@ -232,8 +232,7 @@
 take_leave(dff_ctx_t *ctx, dff_node_t *node, const dff_member_t *peer)
 {
 	dff_members_left(ctx, node->members, peer->id);
-	g_hash_table_remove(node->peers->near, peer->id);
-	dff_policy_drop_peer(ctx, node->policy, peer->id);
+	told_drop(ctx, node, peer->id);
 }
 
 static void
--- a/source/node/told.c
+++ b/source/node/told.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Calls a second below which an owner counts as idle. */
+#define RATE_IDLE 0.05
+
 void
 told_free(void *arg)
 {
@@ -36,6 +39,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, told_free);
 	peers->far =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, told_free);
+	peers->loaded =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, told_free);
 	return peers;
 }
 
@@ -46,6 +51,7 @@
 		return;
 	g_hash_table_unref(peers->near);
 	g_hash_table_unref(peers->far);
+	g_hash_table_unref(peers->loaded);
 	g_free(peers);
 }
 
@@ -64,6 +70,54 @@
 }
 
 /* What this node itself has to tell. */
+/* Most load first, so that a cut loses little. */
+static gint
+compare_use(gconstpointer a, gconstpointer b)
+{
+	const dff_owner_use_t *x = a;
+	const dff_owner_use_t *y = b;
+	int order;
+
+	if (x->running + x->waiting != y->running + y->waiting)
+		return x->running + x->waiting > y->running + y->waiting ? -1 :
+									   1;
+	order = strcmp(x->owner, y->owner);
+	return order != 0 ? order : strcmp(x->entry, y->entry);
+}
+
+static gint
+compare_work(gconstpointer a, gconstpointer b)
+{
+	const dff_policy_use_t *x = a;
+	const dff_policy_use_t *y = b;
+	uint64_t load_x = x->prefill_tokens + x->decode_tokens;
+	uint64_t load_y = y->prefill_tokens + y->decode_tokens;
+
+	if (load_x != load_y)
+		return load_x > load_y ? -1 : 1;
+	return strcmp(x->vm, y->vm);
+}
+
+static void
+order_rows(told_t *told)
+{
+	g_array_sort(told->use, compare_use);
+	g_array_sort(told->work, compare_work);
+}
+
+/* Owners without use now need no row. */
+static void
+drop_idle(GArray *use)
+{
+	for (guint i = use->len; i > 0; i--) {
+		const dff_owner_use_t *row =
+		    &g_array_index(use, dff_owner_use_t, i - 1);
+
+		if (row->running + row->waiting == 0 && row->rate < RATE_IDLE)
+			g_array_remove_index_fast(use, i - 1);
+	}
+}
+
 told_t *
 told_self(const dff_node_t *node)
 {
@@ -72,14 +126,16 @@
 
 	told = told_new();
 	told->live = 1;
-	g_array_set_size(told->work, BEAT_ROWS_MAX);
-	count = dff_policy_work(node->policy,
-	    (dff_policy_use_t *)(void *)told->work->data, BEAT_ROWS_MAX);
-	g_array_set_size(told->work, (guint)MIN(count, BEAT_ROWS_MAX));
-	g_array_set_size(told->use, BEAT_ROWS_MAX);
-	count = dff_policy_owners(node->policy,
-	    (dff_owner_use_t *)(void *)told->use->data, BEAT_ROWS_MAX);
-	g_array_set_size(told->use, (guint)MIN(count, BEAT_ROWS_MAX));
+	count = dff_policy_work(node->policy, NULL, 0);
+	g_array_set_size(told->work, (guint)count);
+	(void)dff_policy_work(
+	    node->policy, (dff_policy_use_t *)(void *)told->work->data, count);
+	count = dff_policy_owners(node->policy, NULL, 0);
+	g_array_set_size(told->use, (guint)count);
+	(void)dff_policy_owners(
+	    node->policy, (dff_owner_use_t *)(void *)told->use->data, count);
+	drop_idle(told->use);
+	order_rows(told);
 	for (int i = 0; i < DFF_STREAM_COUNT; i++)
 		told->offsets[i] = stream_applied(node, (dff_stream_t)i);
 	return told;
@@ -135,21 +191,6 @@
 	have->rate += row->rate;
 }
 
-/* The owners with the most load come first, so that a cut loses little. */
-static gint
-compare_use(gconstpointer a, gconstpointer b)
-{
-	const dff_owner_use_t *x = a;
-	const dff_owner_use_t *y = b;
-	int order;
-
-	if (x->running + x->waiting != y->running + y->waiting)
-		return x->running + x->waiting > y->running + y->waiting ? -1 :
-									   1;
-	order = strcmp(x->owner, y->owner);
-	return order != 0 ? order : strcmp(x->entry, y->entry);
-}
-
 static void
 add_told(adder_t *adder, const told_t *part)
 {
@@ -188,32 +229,47 @@
 	}
 	g_hash_table_unref(adder.work_at);
 	g_hash_table_unref(adder.use_at);
-	g_array_sort(adder.sum->use, compare_use);
+	order_rows(adder.sum);
 	return adder.sum;
 }
 
+static const char *
+owner_name(const dff_node_t *node, const dff_entry_t *entry)
+{
+	uint32_t count;
+
+	return dff_catalogue_owners(node_catalogue(node), &count)[entry->owner]
+	    .name;
+}
+
 void
-told_set_rows(told_t *told, size_t n_work, Dff__EngineWork **work, size_t n_use,
-    Dff__OwnerUse **use)
+told_set_rows(const dff_node_t *node, told_t *told, size_t n_work,
+    Dff__EngineWork **work, size_t n_use, Dff__OwnerUse **use)
 {
 	g_array_set_size(told->work, 0);
 	g_array_set_size(told->use, 0);
 	for (size_t i = 0; i < MIN(n_work, BEAT_ROWS_MAX); i++) {
+		const dff_vm_t *vm = names_vm(node, work[i]->vm);
 		dff_policy_use_t row = {.running = work[i]->running,
 		    .prefill_tokens = work[i]->prefill_tokens,
 		    .decode_tokens = work[i]->decode_tokens};
 
-		if (dff_name_copy(row.vm, work[i]->vm) == 0)
-			g_array_append_val(told->work, row);
+		if (vm == NULL)
+			continue;
+		(void)dff_name_copy(row.vm, vm->id);
+		g_array_append_val(told->work, row);
 	}
 	for (size_t i = 0; i < MIN(n_use, BEAT_ROWS_MAX); i++) {
+		const dff_entry_t *entry = names_entry(node, use[i]->entry);
 		dff_owner_use_t row = {.running = use[i]->running,
 		    .waiting = use[i]->waiting,
 		    .rate = use[i]->rate};
 
-		if (dff_name_copy(row.owner, use[i]->owner) == 0 &&
-		    dff_name_copy(row.entry, use[i]->entry) == 0)
-			g_array_append_val(told->use, row);
+		if (entry == NULL)
+			continue;
+		(void)dff_name_copy(row.entry, entry->name);
+		(void)dff_name_copy(row.owner, owner_name(node, entry));
+		g_array_append_val(told->use, row);
 	}
 }
 
@@ -239,7 +295,7 @@
 		Dff__EngineWork *to = &rows->work[i];
 
 		dff__engine_work__init(to);
-		to->vm = from->vm;
+		to->vm = names_hash(from->vm);
 		to->running = from->running;
 		to->prefill_tokens = from->prefill_tokens;
 		to->decode_tokens = from->decode_tokens;
@@ -251,11 +307,10 @@
 		Dff__OwnerUse *to = &rows->use[i];
 
 		dff__owner_use__init(to);
-		to->owner = from->owner;
-		to->entry = from->entry;
+		to->entry = names_hash(from->entry);
 		to->running = from->running;
 		to->waiting = from->waiting;
-		to->rate = from->rate;
+		to->rate = (float)from->rate;
 		rows->use_at[i] = to;
 	}
 	for (int i = 0; i < DFF_STREAM_COUNT; i++) {
@@ -266,11 +321,28 @@
 	}
 }
 
-void
-told_load(dff_ctx_t *ctx, dff_node_t *node, const char *peer,
-    const told_t *told, dff_time_t now)
+/* What a peer told before no longer counts. */
+static void
+unload(dff_ctx_t *ctx, dff_node_t *node, const char *peer, const told_t *old,
+    dff_time_t now)
+{
+	for (guint i = 0; i < old->work->len; i++)
+		dff_policy_set_peer_work(ctx, node->policy, peer,
+		    g_array_index(old->work, dff_policy_use_t, i).vm, 0, 0, 0,
+		    now);
+	for (guint i = 0; i < old->use->len; i++) {
+		const dff_owner_use_t *row =
+		    &g_array_index(old->use, dff_owner_use_t, i);
+
+		dff_policy_set_peer_use(ctx, node->policy, peer, row->owner,
+		    row->entry, 0, 0, 0, now);
+	}
+}
+
+static void
+load(dff_ctx_t *ctx, dff_node_t *node, const char *peer, const told_t *told,
+    dff_time_t now)
 {
-	dff_policy_drop_peer(ctx, node->policy, peer);
 	for (guint i = 0; i < told->work->len; i++) {
 		const dff_policy_use_t *row =
 		    &g_array_index(told->work, dff_policy_use_t, i);
@@ -286,3 +358,28 @@
 		    row->entry, row->running, row->waiting, row->rate, now);
 	}
 }
+
+void
+told_load(dff_ctx_t *ctx, dff_node_t *node, const char *peer,
+    const told_t *told, dff_time_t now)
+{
+	told_t *old;
+
+	/* Row by row: to drop the peer would walk the whole fleet. */
+	old = g_hash_table_lookup(node->peers->loaded, peer);
+	if (old != NULL)
+		unload(ctx, node, peer, old, now);
+	load(ctx, node, peer, told, now);
+	old = told_new();
+	g_array_append_vals(old->work, told->work->data, told->work->len);
+	g_array_append_vals(old->use, told->use->data, told->use->len);
+	g_hash_table_insert(node->peers->loaded, g_strdup(peer), old);
+}
+
+void
+told_drop(dff_ctx_t *ctx, dff_node_t *node, const char *peer)
+{
+	g_hash_table_remove(node->peers->near, peer);
+	g_hash_table_remove(node->peers->loaded, peer);
+	dff_policy_drop_peer(ctx, node->policy, peer);
+}
--- a/source/node/told.h
+++ b/source/node/told.h
@@ -26,6 +26,7 @@
 struct peers {
 	GHashTable *near; /* VM id -> told_t */
 	GHashTable *far; /* domain -> told_t */
+	GHashTable *loaded; /* peer -> told_t that the policy has */
 };
 
 /**
@@ -60,8 +61,8 @@
 told_t *told_sum(GHashTable *table, dff_time_t since, const told_t *more);
 
 /** told_set_rows() - take rows over from a frame */
-void told_set_rows(told_t *told, size_t n_work, Dff__EngineWork **work,
-    size_t n_use, Dff__OwnerUse **use);
+void told_set_rows(const dff_node_t *node, told_t *told, size_t n_work,
+    Dff__EngineWork **work, size_t n_use, Dff__OwnerUse **use);
 
 /** told_set_offsets() - take offsets over from a frame */
 void told_set_offsets(uint64_t *to, size_t count, Dff__StreamOffset **offsets);
@@ -73,6 +74,9 @@
 void told_load(dff_ctx_t *ctx, dff_node_t *node, const char *peer,
     const told_t *told, dff_time_t now);
 
+/** told_drop() - forget a peer, here and in the policy */
+void told_drop(dff_ctx_t *ctx, dff_node_t *node, const char *peer);
+
 /* ---- watch.c: load reports told to others ---- */
 
 /** enum watch_scope - which reports are told */
--- a/source/node/watch.c
+++ b/source/node/watch.c
@@ -109,18 +109,6 @@
 	effect->on = on;
 }
 
-static const dff_vm_t *
-find_vm(const dff_node_t *node, const char *id)
-{
-	for (guint i = 0; i < node->vms->len; i++) {
-		const dff_vm_t *vm = &g_array_index(node->vms, dff_vm_t, i);
-
-		if (strcmp(vm->id, id) == 0)
-			return vm;
-	}
-	return NULL;
-}
-
 static void
 stop_unwanted(dff_node_t *node, dff_effects_t *fx)
 {
@@ -130,7 +118,7 @@
 
 	g_hash_table_iter_init(&iter, node->watch->watched);
 	while (g_hash_table_iter_next(&iter, &id, &addr)) {
-		const dff_vm_t *vm = find_vm(node, id);
+		const dff_vm_t *vm = names_find_vm(node, id);
 
 		if (vm != NULL && is_wanted(node, vm) &&
 		    strcmp(vm->addr, addr) == 0)
@@ -191,18 +179,35 @@
 		keep(node->watch, report)->read_here = true;
 }
 
+/* The model that the engines of an upstream's pool should have loaded. */
+static const char *
+pool_model(const dff_node_t *node, const char *id)
+{
+	const dff_catalogue_t *cat = node_catalogue(node);
+	const dff_vm_t *vm = names_find_vm(node, id);
+	uint32_t count;
+	int pool;
+
+	if (cat == NULL || vm == NULL)
+		return "";
+	pool = dff_catalogue_find_pool(cat, vm->pool);
+	return pool < 0 ? "" : dff_catalogue_pools(cat, &count)[pool].model;
+}
+
 static void
-pack_report(Dff__EngineReport *to, kept_t *kept, dff_time_t now)
+pack_report(
+    const dff_node_t *node, Dff__EngineReport *to, kept_t *kept, dff_time_t now)
 {
 	const dff_ev_engine_report_t *from = &kept->report;
 
 	dff__engine_report__init(to);
-	to->vm = kept->vm;
+	to->vm = names_hash(kept->vm);
 	to->incarnation = from->incarnation;
 	to->age_ms = (uint32_t)(MAX(now - from->taken, 0) / DFF_MSEC);
 	to->role = from->role;
 	to->changing = from->changing;
-	to->model = kept->model;
+	if (strcmp(kept->model, pool_model(node, kept->vm)) != 0)
+		to->model = kept->model;
 	to->version = from->version;
 	to->running = from->running;
 	to->waiting = from->waiting;
@@ -235,7 +240,7 @@
 		return false;
 	if (scope == WATCH_READ_HERE)
 		return kept->read_here;
-	vm = find_vm(node, kept->vm);
+	vm = names_find_vm(node, kept->vm);
 	if (vm == NULL)
 		return false;
 	return (strcmp(vm->domain, node->config.domain) == 0) ==
@@ -262,39 +267,48 @@
 	g_ptr_array_sort(list, compare_room);
 	count = MIN(list->len, max);
 	for (size_t i = 0; i < count; i++) {
-		pack_report(&rows[i], g_ptr_array_index(list, i), node->now);
+		pack_report(
+		    node, &rows[i], g_ptr_array_index(list, i), node->now);
 		at[i] = &rows[i];
 	}
 	g_ptr_array_unref(list);
 	return count;
 }
 
+static void
+take_row(dff_ctx_t *ctx, dff_node_t *node, const Dff__EngineReport *row,
+    dff_time_t now)
+{
+	const dff_vm_t *vm = names_vm(node, row->vm);
+	dff_ev_engine_report_t report = {.incarnation = row->incarnation,
+	    .taken = now - (dff_time_t)row->age_ms * DFF_MSEC,
+	    .role = (dff_role_t)MIN(row->role, DFF_ROLE_DECODE),
+	    .changing = row->changing,
+	    .model = row->model,
+	    .version = row->version,
+	    .running = row->running,
+	    .waiting = row->waiting,
+	    .backlog_tokens = row->backlog_tokens,
+	    .free_pieces = row->free_pieces,
+	    .total_pieces = row->total_pieces,
+	    .token_us = row->token_us,
+	    .prefill_us = row->prefill_us};
+
+	/* What is read here is newer than what is told. */
+	if (vm == NULL || g_hash_table_contains(node->watch->watched, vm->id))
+		return;
+	report.vm = vm->id;
+	if (row->model[0] == '\0')
+		report.model = pool_model(node, vm->id);
+	if (node->watch->shared)
+		keep(node->watch, &report)->read_here = false;
+	node_take_report(ctx, node, &report, now);
+}
+
 void
 watch_take(dff_ctx_t *ctx, dff_node_t *node, size_t count,
     Dff__EngineReport **rows, dff_time_t now)
 {
-	for (size_t i = 0; i < count; i++) {
-		const Dff__EngineReport *row = rows[i];
-		dff_ev_engine_report_t report = {.vm = row->vm,
-		    .incarnation = row->incarnation,
-		    .taken = now - (dff_time_t)row->age_ms * DFF_MSEC,
-		    .role = (dff_role_t)MIN(row->role, DFF_ROLE_DECODE),
-		    .changing = row->changing,
-		    .model = row->model,
-		    .version = row->version,
-		    .running = row->running,
-		    .waiting = row->waiting,
-		    .backlog_tokens = row->backlog_tokens,
-		    .free_pieces = row->free_pieces,
-		    .total_pieces = row->total_pieces,
-		    .token_us = row->token_us,
-		    .prefill_us = row->prefill_us};
-
-		if (strlen(row->vm) >= DFF_NAME_MAX ||
-		    g_hash_table_contains(node->watch->watched, row->vm))
-			continue;
-		if (node->watch->shared)
-			keep(node->watch, &report)->read_here = false;
-		node_take_report(ctx, node, &report, now);
-	}
+	for (size_t i = 0; i < count; i++)
+		take_row(ctx, node, rows[i], now);
 }
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -2872,11 +2872,11 @@
     "vm",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
     offsetof(Dff__EngineWork, vm),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2943,35 +2943,23 @@
   (ProtobufCMessageInit) dff__engine_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__owner_use__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dff__owner_use__field_descriptors[4] =
 {
-  {
-    "owner",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dff__OwnerUse, owner),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "entry",
-    2,
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
     offsetof(Dff__OwnerUse, entry),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "running",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2983,7 +2971,7 @@
   },
   {
     "waiting",
-    4,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2995,9 +2983,9 @@
   },
   {
     "rate",
-    5,
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_FLOAT,
     0,   /* quantifier_offset */
     offsetof(Dff__OwnerUse, rate),
     NULL,
@@ -3007,16 +2995,15 @@
   },
 };
 static const unsigned dff__owner_use__field_indices_by_name[] = {
-  1,   /* field[1] = entry */
-  0,   /* field[0] = owner */
-  4,   /* field[4] = rate */
-  2,   /* field[2] = running */
-  3,   /* field[3] = waiting */
+  0,   /* field[0] = entry */
+  3,   /* field[3] = rate */
+  1,   /* field[1] = running */
+  2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange dff__owner_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dff__owner_use__descriptor =
 {
@@ -3026,7 +3013,7 @@
   "Dff__OwnerUse",
   "dff",
   sizeof(Dff__OwnerUse),
-  5,
+  4,
   dff__owner_use__field_descriptors,
   dff__owner_use__field_indices_by_name,
   1,  dff__owner_use__number_ranges,
@@ -3039,11 +3026,11 @@
     "vm",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
     offsetof(Dff__EngineReport, vm),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -379,31 +379,34 @@
     , 0, 0 }
 
 
+/*
+ * Names of VMs and entries go as 32-bit hashes: the VM list and the catalogue
+ * tell whom they mean, and what is told here is advice, never authority.
+ */
 struct  Dff__EngineWork
 {
   ProtobufCMessage base;
-  char *vm;
+  uint32_t vm;
   uint32_t running;
   uint64_t prefill_tokens;
   uint64_t decode_tokens;
 };
 #define DFF__ENGINE_WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__engine_work__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Dff__OwnerUse
 {
   ProtobufCMessage base;
-  char *owner;
-  char *entry;
+  uint32_t entry;
   uint32_t running;
   uint32_t waiting;
-  double rate;
+  float rate;
 };
 #define DFF__OWNER_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__owner_use__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -412,11 +415,14 @@
 struct  Dff__EngineReport
 {
   ProtobufCMessage base;
-  char *vm;
+  uint32_t vm;
   uint64_t incarnation;
   uint32_t age_ms;
   uint32_t role;
   protobuf_c_boolean changing;
+  /*
+   * left out if it is the pool's
+   */
   char *model;
   uint32_t version;
   uint32_t running;
@@ -429,7 +435,7 @@
 };
 #define DFF__ENGINE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__engine_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
