--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 PACKAGES = gcc make pkg-config clang-format clang-tidy cppcheck valgrind \
 	libuv1-dev libh2o-dev libssl-dev zlib1g-dev libprotobuf-c-dev \
-	libglib2.0-dev check libjansson-dev libxxhash-dev
+	libglib2.0-dev check libjansson-dev libxxhash-dev curl
 
 MODE ?= plain
 OUT = build/$(MODE)
