--- a/source/authority/authority.c
+++ b/source/authority/authority.c
@@ -9,13 +9,6 @@
 /* Appends not read back after this many terms are forgotten. */
 #define APPEND_TERMS 4
 
-static gint
-compare_names(gconstpointer a, gconstpointer b, gpointer arg)
-{
-	(void)arg;
-	return strcmp(a, b);
-}
-
 dff_authority_t *
 dff_authority_new(
     dff_ctx_t *ctx, const dff_authority_config_t *config, dff_timers_t *timers)
@@ -29,11 +22,13 @@
 	auth->tick_at = DFF_TIME_NEVER;
 	authority_state_init(&auth->state);
 	auth->vms = g_array_new(FALSE, FALSE, sizeof(dff_vm_t));
-	auth->shards = g_tree_new_full(compare_names, NULL, NULL, g_free);
+	auth->shards = g_tree_new_full(name_compare, NULL, NULL, g_free);
 	auth->appends =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	auth->flights =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	auth->seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	auth->presence =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	auth->retry_at =
@@ -52,6 +47,7 @@
 	g_tree_unref(auth->shards);
 	g_hash_table_unref(auth->appends);
 	g_hash_table_unref(auth->flights);
+	g_hash_table_unref(auth->seen);
 	g_hash_table_unref(auth->presence);
 	g_hash_table_unref(auth->retry_at);
 	g_free(auth);
@@ -371,6 +367,19 @@
 	g_hash_table_remove(auth->appends, &sequence);
 }
 
+static void
+note_seen(dff_authority_t *auth, const dff_ev_engine_state_t *ev)
+{
+	seen_t *seen = g_hash_table_lookup(auth->seen, ev->vm);
+
+	if (seen == NULL) {
+		seen = g_new0(seen_t, 1);
+		g_hash_table_insert(auth->seen, g_strdup(ev->vm), seen);
+	}
+	seen->fence = ev->fence;
+	seen->last_order = ev->last_order;
+}
+
 void
 dff_authority_state(dff_ctx_t *ctx, dff_authority_t *auth,
     const dff_ev_engine_state_t *ev, dff_time_t now, dff_effects_t *fx)
@@ -380,6 +389,8 @@
 	shard_t *shard = NULL;
 
 	auth->now = now;
+	if (ev->ok)
+		note_seen(auth, ev);
 	/* The engine of a change may have left the VM list by now. */
 	if (mark != NULL)
 		shard = g_tree_lookup(auth->shards, mark->shard);
--- a/source/authority/order.c
+++ b/source/authority/order.c
@@ -45,12 +45,49 @@
 	return false;
 }
 
+/*
+ * Whether a copy of an order that a former holder may still send would do
+ * nothing at the engine: it had that order and knows it, or it knows a
+ * newer number.
+ */
+static bool
+bounces(const dff_authority_t *auth, const shard_t *shard,
+    const intent_t *intent, const sender_t *sender)
+{
+	const seen_t *seen;
+
+	if (pool_fencing(auth, shard->pool) == DFF_FENCING_IGNORED)
+		return false;
+	seen = g_hash_table_lookup(auth->seen, intent->vm);
+	return seen != NULL &&
+	    (seen->fence > sender->fence || seen->last_order == intent->order);
+}
+
+/* An order of a former holder may still come to this engine. */
+static bool
+held_back(const dff_authority_t *auth, const shard_t *shard, const char *vm)
+{
+	if (DFF_FAULT(NO_HOLD_BACK))
+		return false;
+	for (guint i = 0; i < auth->state.intents->len; i++) {
+		const intent_t *intent =
+		    g_ptr_array_index(auth->state.intents, i);
+
+		if (intent->open || strcmp(intent->vm, vm) != 0)
+			continue;
+		for (guint k = 0; k < intent->senders->len; k++) {
+			if (!bounces(auth, shard, intent,
+				&g_array_index(intent->senders, sender_t, k)))
+				return true;
+		}
+	}
+	return false;
+}
+
 int
 change_may_start(const dff_authority_t *auth, const shard_t *shard,
     const dff_vm_t *vm, dff_order_kind_t kind, dff_time_t now)
 {
-	const intent_t *late;
-
 	if (!lease_valid(auth, shard, now) || auth->stopping)
 		return -EPERM;
 	if (shard->change.phase != CHANGE_NONE ||
@@ -59,9 +96,7 @@
 		return -EBUSY;
 	if (loads_weights(kind) && pool_loads(auth, shard->pool, UINT64_MAX))
 		return -EBUSY;
-	late = authority_state_held_back(&auth->state, vm->id);
-	if (late != NULL && !DFF_FAULT(NO_HOLD_BACK) &&
-	    pool_fencing(auth, shard->pool) == DFF_FENCING_IGNORED)
+	if (held_back(auth, shard, vm->id))
 		return -EBUSY;
 	return 0;
 }
@@ -256,6 +291,26 @@
 	effect->u.engine_ask.addr = dff_effects_text(fx, change->addr);
 }
 
+/*
+ * A copy that a former holder may still send would have effect. An engine
+ * that checks numbers gets the order once more from this holder, unchanged,
+ * so that it knows the new number and all late copies bounce.
+ */
+static bool
+must_raise(const dff_authority_t *auth, const shard_t *shard)
+{
+	const intent_t *intent =
+	    authority_state_order(&auth->state, shard->change.order);
+	const seen_t *seen = g_hash_table_lookup(auth->seen, shard->change.vm);
+
+	if (intent == NULL || intent->senders->len < 2 ||
+	    DFF_FAULT(NUMBER_NOT_RAISED) ||
+	    pool_fencing(auth, shard->pool) == DFF_FENCING_IGNORED ||
+	    find_vm(auth, shard->change.vm) == NULL)
+		return false;
+	return seen == NULL || seen->fence < own_lease(auth, shard)->fence;
+}
+
 /* Give up waiting for an engine to run dry. */
 static void
 give_up_drain(
@@ -267,6 +322,10 @@
 		enter(ctx, auth, shard, CHANGE_UNMARK, now);
 		return;
 	}
+	if (must_raise(auth, shard)) {
+		change->dry_deadline = now + auth->config.drain_time;
+		return;
+	}
 	if (flight_under_way(auth, change->order, now))
 		return;
 	close_change(ctx, auth, shard,
@@ -502,11 +561,13 @@
 	if (flight_under_way(auth, change->order, st->asked) &&
 	    !DFF_FAULT(RESEND_EARLY))
 		return true;
-	if (st->incarnation != change->vm_incarnation) {
-		close_change(ctx, auth, shard, OUTCOME_CRASHED, now);
-		return true;
-	}
-	return false;
+	if (st->incarnation == change->vm_incarnation)
+		return false;
+	change->vm_incarnation = st->incarnation;
+	if (must_raise(auth, shard))
+		return false;
+	close_change(ctx, auth, shard, OUTCOME_CRASHED, now);
+	return true;
 }
 
 static void
@@ -526,13 +587,17 @@
 		return;
 	if (st->changing)
 		return;
-	if (shows_target(change, st)) {
+	if (shows_target(change, st) && !must_raise(auth, shard)) {
 		if (change->order == 0)
 			enter(ctx, auth, shard, CHANGE_UNMARK, now);
 		else
 			close_change(ctx, auth, shard, OUTCOME_DONE, now);
 		return;
 	}
+	if (change->order == 0 && held_back(auth, shard, change->vm)) {
+		enter(ctx, auth, shard, CHANGE_UNMARK, now);
+		return;
+	}
 	if (st->running > 0 && !DFF_FAULT(NO_DRAIN))
 		return;
 	change->dry_at = now;
@@ -554,7 +619,11 @@
 		return;
 	change->deadline = now + auth->config.drain_time;
 	if (st->incarnation != change->vm_incarnation) {
-		close_change(ctx, auth, shard, OUTCOME_CRASHED, now);
+		change->vm_incarnation = st->incarnation;
+		if (must_raise(auth, shard))
+			enter(ctx, auth, shard, CHANGE_DRAIN, now);
+		else
+			close_change(ctx, auth, shard, OUTCOME_CRASHED, now);
 		return;
 	}
 	if (st->changing) {
--- a/source/authority/parts.h
+++ b/source/authority/parts.h
@@ -149,6 +149,12 @@
 	dff_time_t absent_since;
 } presence_t;
 
+/** struct seen - what an engine last said of the orders that it knows */
+typedef struct seen {
+	uint64_t fence;
+	uint64_t last_order;
+} seen_t;
+
 struct dff_authority {
 	dff_authority_config_t config;
 	dff_timers_t *timers;
@@ -159,6 +165,7 @@
 	GTree *shards; /* name -> shard_t, owned */
 	GHashTable *appends; /* sequence -> append_t, owned */
 	GHashTable *flights; /* order -> flight_t, owned */
+	GHashTable *seen; /* vm -> seen_t, owned */
 	GHashTable *presence; /* node -> presence_t, owned */
 	GHashTable *retry_at; /* vm -> dff_time_t: no change before, owned */
 	uint64_t sequence;
--- a/source/authority/state.c
+++ b/source/authority/state.c
@@ -16,8 +16,8 @@
 						       "?";
 }
 
-static gint
-compare_names(gconstpointer a, gconstpointer b, gpointer arg)
+gint
+name_compare(gconstpointer a, gconstpointer b, gpointer arg)
 {
 	(void)arg;
 	return strcmp(a, b);
@@ -36,8 +36,8 @@
 authority_state_init(authority_state_t *state)
 {
 	memset(state, 0, sizeof(*state));
-	state->leases = g_tree_new_full(compare_names, NULL, NULL, g_free);
-	state->marks = g_tree_new_full(compare_names, NULL, NULL, g_free);
+	state->leases = g_tree_new_full(name_compare, NULL, NULL, g_free);
+	state->marks = g_tree_new_full(name_compare, NULL, NULL, g_free);
 	state->intents = g_ptr_array_new_with_free_func(free_intent);
 }
 
@@ -110,18 +110,6 @@
 	return NULL;
 }
 
-const intent_t *
-authority_state_held_back(const authority_state_t *state, const char *vm)
-{
-	for (guint i = 0; i < state->intents->len; i++) {
-		const intent_t *intent = intent_at(state, i);
-
-		if (!intent->open && strcmp(intent->vm, vm) == 0)
-			return intent;
-	}
-	return NULL;
-}
-
 bool
 lease_is_held_by(const lease_t *lease, const char *node, uint64_t incarnation)
 {
--- a/source/authority/state.h
+++ b/source/authority/state.h
@@ -107,6 +107,9 @@
 	uint64_t applied;
 } authority_state_t;
 
+/** name_compare() - order of names, for trees */
+gint name_compare(gconstpointer a, gconstpointer b, gpointer arg);
+
 /** authority_state_init() - state before the first record */
 void authority_state_init(authority_state_t *state);
 
@@ -133,11 +136,6 @@
 const intent_t *authority_state_order(
     const authority_state_t *state, uint64_t order);
 
-/** authority_state_held_back() - a closed order to @vm that may still come
- *	late from a former holder, or NULL */
-const intent_t *authority_state_held_back(
-    const authority_state_t *state, const char *vm);
-
 /** lease_is_held_by() - the log says that this process holds it */
 bool lease_is_held_by(
     const lease_t *lease, const char *node, uint64_t incarnation);
