Authority: a successor waits for its own copy too before the outcome

Now an order with copies from more than one term of holding is closed only when this process's own copy was answered or has timed out.

--- a/source/authority/order.c
+++ b/source/authority/order.c
@@ -449,6 +449,21 @@
 	change->ask_at = now + CHANGE_TICK;
 }
 
+/*
+ * Whether this process's own copy may still arrive. If all copies came from
+ * this term of holding, an engine that shows the order has got that copy;
+ * else it may have been a former holder's.
+ */
+static bool
+copy_under_way(const dff_authority_t *auth, const shard_t *shard,
+    const intent_t *intent, dff_time_t now)
+{
+	if (intent->writer.fence == own_lease(auth, shard)->fence ||
+	    DFF_FAULT(CLOSE_EARLY))
+		return false;
+	return flight_under_way(auth, intent->order, now);
+}
+
 static void
 step_close(dff_ctx_t *ctx, dff_authority_t *auth, shard_t *shard,
     dff_time_t now, dff_effects_t *fx)
@@ -463,7 +478,7 @@
 		    ctx, auth, shard, outcome_name(change->outcome), now);
 		return;
 	}
-	if (now < change->append_at)
+	if (now < change->append_at || copy_under_way(auth, shard, intent, now))
 		return;
 	body.shard = shard->name;
 	body.fence = own_lease(auth, shard)->fence;
--- a/test/test_authority_faults.c
+++ b/test/test_authority_faults.c
@@ -20,6 +20,7 @@
 	FAULT_UNKNOWN_IS_FAILED,
 	FAULT_RESEND_EARLY,
 	FAULT_ACK_EARLY,
+	FAULT_CLOSE_EARLY,
 	FAULT_NUMBER_NOT_RAISED,
 	FAULT_NO_DRAIN,
 	FAULT_COUNT,
@@ -147,6 +148,7 @@
 	find_fault(
 	    FAULT_UNKNOWN_IS_FAILED, "unknown_is_failed", authority_sim_chaos);
 	find_fault(FAULT_RESEND_EARLY, "resend_early", authority_sim_hurry);
+	find_fault(FAULT_CLOSE_EARLY, "close_early", authority_sim_hurry);
 	find_fault(FAULT_ACK_EARLY, "ack_early", authority_sim_hurry);
 	find_fault(
 	    FAULT_NUMBER_NOT_RAISED, "number_not_raised", authority_sim_chaos);
