--- a/include/dragonflyfall/claim.h
+++ b/include/dragonflyfall/claim.h
@@ -143,7 +143,15 @@
 void dff_claims_due(dff_ctx_t *ctx, dff_claims_t *claims,
     const dff_timer_t *timer, dff_time_t now, dff_effects_t *fx);
 
-/** dff_claims_holder_gone() - a node's process is known to have ended */
+/**
+ * dff_claims_holder_gone() - a node's process is known to have ended
+ * @node: VM id
+ * @incarnation: the process, and all earlier ones; UINT64_MAX for those that
+ *	wrote claims so far, where the VM itself is gone
+ *
+ * Its claims without outcome are unknown from now on. Should it have been
+ * alive after all, that was too careful, and never wrong.
+ */
 void dff_claims_holder_gone(dff_ctx_t *ctx, dff_claims_t *claims,
     const char *node, uint64_t incarnation);
 
--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -12,10 +12,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "claim/store.h"
 
 /* Outcomes wait this many batch times for claims to travel with. */
 #define OUTCOME_PATIENCE 4
+/* Age, by the platform's clock, at which a call without outcome is unknown. */
+#define OPEN_MAX_MS (10 * 60 * 1000)
 /* Sweeps in the time that an append may stay undecided. */
 #define SWEEPS_PER_GIVE_UP 4
 
@@ -81,6 +84,7 @@
 	GHashTable *mine; /* dff_key_t -> mine_t, owned */
 	GQueue batch; /* mine_t to be appended, borrowed */
 	GHashTable *in_flight; /* ids of appends not answered yet */
+	GHashTable *heard; /* node -> highest incarnation that wrote */
 	GHashTable *gone; /* node -> highest incarnation that has ended */
 	GQueue verdicts; /* pending_t */
 	uint64_t next_append;
@@ -130,7 +134,6 @@
 {
 	dff_claims_t *claims;
 
-	(void)ctx;
 	claims = g_new0(dff_claims_t, 1);
 	claims->config = *config;
 	claims->timers = timers;
@@ -139,6 +142,8 @@
 	    claim_key_hash, claim_key_equal, NULL, free_mine);
 	claims->in_flight =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	claims->heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	claims->gone =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&claims->batch);
@@ -146,6 +151,10 @@
 	claims->next_append = DFF_CLAIM_APPEND_TAG;
 	claims->flush_at = DFF_TIME_NEVER;
 	claims->sweep_at = DFF_TIME_NEVER;
+	/* This process is here, so its predecessors have ended. */
+	if (config->incarnation > 0)
+		dff_claims_holder_gone(
+		    ctx, claims, config->node, config->incarnation - 1);
 	return claims;
 }
 
@@ -158,6 +167,7 @@
 	g_queue_clear(&claims->batch);
 	g_hash_table_unref(claims->mine);
 	g_hash_table_unref(claims->in_flight);
+	g_hash_table_unref(claims->heard);
 	g_hash_table_unref(claims->gone);
 	claim_store_clear(&claims->store);
 	g_free(claims);
@@ -197,12 +207,22 @@
 	answer->len = held->len;
 }
 
+/*
+ * No call is under way for so long. It helps a node that has never heard of
+ * the holder's process, and so cannot learn that it has ended.
+ */
+static bool
+is_stale(const dff_claims_t *claims, const held_t *held)
+{
+	return claims->store.clock_ms - held->time_ms > OPEN_MAX_MS;
+}
+
 /* What a call gets that finds its key held by another call. */
 static dff_claim_state_t
 state_of_held(
     const dff_claims_t *claims, const held_t *held, uint64_t body_hash)
 {
-	if (held->body_hash != body_hash)
+	if (held->body_hash != body_hash && !DFF_FAULT(BODY_UNCHECKED))
 		return DFF_CLAIM_MISMATCH;
 	switch (held->state) {
 	case HELD_DONE:
@@ -214,8 +234,10 @@
 		break;
 	}
 	if (!is_own(claims, held) &&
-	    is_gone(claims, held->holder, held->incarnation))
-		return DFF_CLAIM_UNKNOWN;
+	    (is_gone(claims, held->holder, held->incarnation) ||
+		is_stale(claims, held)))
+		return DFF_FAULT(GONE_IS_NOT_RUN) ? DFF_CLAIM_DOWN :
+						    DFF_CLAIM_UNKNOWN;
 	return DFF_CLAIM_RUNNING;
 }
 
@@ -480,7 +502,7 @@
 
 	forget_verdict(claims, call);
 	mine = find_call(claims, call);
-	if (mine == NULL)
+	if (mine == NULL || DFF_FAULT(ABANDONED_WINS))
 		return;
 	if (mine->state != MINE_RUNNING) {
 		/* Should it still win, apply_claim() finds nobody waiting. */
@@ -634,7 +656,8 @@
 			continue;
 		}
 		if (mine->state == MINE_ENDED_SENT &&
-		    now - mine->since >= claims->config.give_up) {
+		    now - mine->since >= claims->config.give_up &&
+		    !DFF_FAULT(OUTCOME_ONCE)) {
 			mine->state = MINE_ENDED;
 			g_queue_push_tail(&claims->batch, mine);
 		}
@@ -660,6 +683,16 @@
 dff_claims_holder_gone(dff_ctx_t *ctx, dff_claims_t *claims, const char *node,
     uint64_t incarnation)
 {
+	/* Of a VM that is gone, the processes that were heard of so far: the
+	 * name may come again with another VM. */
+	if (incarnation == UINT64_MAX) {
+		const uint64_t *heard =
+		    g_hash_table_lookup(claims->heard, node);
+
+		if (heard == NULL)
+			return;
+		incarnation = *heard;
+	}
 	if (is_gone(claims, node, incarnation))
 		return;
 	g_hash_table_insert(claims->gone, g_strdup(node),
@@ -706,7 +739,7 @@
 	mine_t *mine;
 
 	mine = g_hash_table_lookup(claims->mine, &held->key);
-	if (!is_own(claims, held)) {
+	if (!is_own(claims, held) && !DFF_FAULT(LOSER_RUNS)) {
 		if (mine == NULL || mine->state > MINE_SENT)
 			return;
 		add_verdict(ctx, claims, mine,
@@ -717,6 +750,8 @@
 	if (held->state != HELD_OPEN)
 		return;
 	if (mine == NULL) {
+		if (DFF_FAULT(LATE_CLAIM_KEPT))
+			return;
 		release_orphan(ctx, claims, held, now, fx);
 		return;
 	}
@@ -784,11 +819,17 @@
 
 /* A newer process of a node proves that the older one has ended. */
 static void
-note_writer(dff_ctx_t *ctx, dff_claims_t *claims, const Dff__Record *record)
+note_holder(dff_ctx_t *ctx, dff_claims_t *claims, const char *node,
+    uint64_t incarnation)
 {
-	if (record->incarnation > 0)
-		dff_claims_holder_gone(
-		    ctx, claims, record->writer, record->incarnation - 1);
+	const uint64_t *heard = g_hash_table_lookup(claims->heard, node);
+
+	if (heard != NULL && incarnation <= *heard)
+		return;
+	g_hash_table_insert(claims->heard, g_strdup(node),
+	    g_memdup2(&incarnation, sizeof(incarnation)));
+	if (incarnation > 0)
+		dff_claims_holder_gone(ctx, claims, node, incarnation - 1);
 }
 
 int
@@ -817,7 +858,7 @@
 	if (record->body_case != DFF__RECORD__BODY_CLAIMS ||
 	    !claim_store_check(record->claims))
 		goto out;
-	note_writer(ctx, claims, record);
+	note_holder(ctx, claims, record->writer, record->incarnation);
 	apply_batch(ctx, claims, record, offset, now, fx);
 	changed = 1;
 out:
@@ -849,13 +890,15 @@
 	g_list_free(keys);
 }
 
+/* Holders that the snapshot names, and own claims that nobody waits for. */
 static void
-release_orphans(dff_ctx_t *ctx, dff_claims_t *claims)
+take_held(dff_ctx_t *ctx, dff_claims_t *claims)
 {
 	for (GList *link = claims->store.by_age.head; link != NULL;
 	     link = link->next) {
 		const held_t *held = link->data;
 
+		note_holder(ctx, claims, held->holder, held->incarnation);
 		if (held->state == HELD_OPEN && is_own(claims, held) &&
 		    g_hash_table_lookup(claims->mine, &held->key) == NULL)
 			release_orphan(ctx, claims, held, claims->now, NULL);
@@ -872,7 +915,7 @@
 	if (err != 0)
 		return err;
 	settle_all(ctx, claims);
-	release_orphans(ctx, claims);
+	take_held(ctx, claims);
 	return 0;
 }
 
--- a/source/claim/store.c
+++ b/source/claim/store.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/fault.h"
+
 guint
 claim_key_hash(gconstpointer key)
 {
@@ -103,7 +105,8 @@
 
 	store->clock_ms = MAX(store->clock_ms, time_ms);
 	while ((oldest = g_queue_peek_head(&store->by_age)) != NULL) {
-		if (store->clock_ms - oldest->time_ms <= window_ms)
+		if (store->clock_ms - oldest->time_ms <= window_ms &&
+		    !(DFF_FAULT(PRUNED_EARLY) && oldest->state == HELD_DONE))
 			return;
 		remove_held(store, oldest);
 	}
--- a/test/fake/authority_sim.c
+++ b/test/fake/authority_sim.c
@@ -805,6 +805,24 @@
 		    sim->now + some_time(sim, DFF_SEC / 10, 20 * DFF_SEC);
 }
 
+/* A node takes over another one's snapshot, if that has read further. */
+static void
+load_snapshot(sim_t *sim, node_t *node)
+{
+	const node_t *other =
+	    &sim->nodes[dff_rand_below(sim->ctx, sim->config->nodes)];
+	uint8_t *data = NULL;
+	int len;
+
+	if (other->auth == NULL)
+		return;
+	len = dff_authority_save(other->ctx, other->auth, &data);
+	if (len > 0)
+		(void)dff_authority_load(
+		    node->ctx, node->auth, data, (size_t)len, 1, sim->now);
+	free(data);
+}
+
 static void
 break_something(sim_t *sim)
 {
@@ -814,6 +832,9 @@
 
 	plan(
 	    sim, some_time(sim, DFF_SEC, 4 * DFF_SEC), AT_FAULT, NULL, 0, NULL);
+	if (sim->nodes[node].auth != NULL &&
+	    chance(sim, sim->config->kills, 20))
+		load_snapshot(sim, &sim->nodes[node]);
 	break_node(sim, &sim->nodes[node]);
 	dff_log_model_set_outage(sim->log, down, down);
 	if (chance(sim, sim->config->crashes, 15))
