--- a/source/catalogue/lines.c
+++ b/source/catalogue/lines.c
@@ -112,7 +112,7 @@
 	if (scan->broken)
 		return;
 	(void)note(
-	    scan, g_strdup_printf("%s\n%s", scan->group, text), text, "key");
+	    scan, g_strconcat(scan->group, "\n", text, NULL), text, "key");
 }
 
 static void
@@ -169,7 +169,7 @@
 	gpointer line = NULL;
 
 	if (key != NULL) {
-		char *name = g_strdup_printf("%s\n%s", group, key);
+		char *name = g_strconcat(group, "\n", key, NULL);
 
 		line = g_hash_table_lookup(lines->at, name);
 		g_free(name);
--- a/source/catalogue/parse.c
+++ b/source/catalogue/parse.c
@@ -344,28 +344,41 @@
 	store_value(&value);
 }
 
+static bool
+is_known(const section_rule_t *rule, const char *key)
+{
+	for (const field_t *field = rule->fields; field->key != NULL; field++) {
+		if (strcmp(field->key, key) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void
-tell_unknown_keys(
-    dff_draft_t *draft, const char *group, const section_rule_t *rule)
+tell_unknown_key(dff_draft_t *draft, const char *group,
+    const section_rule_t *rule, const char *key)
 {
-	char **keys = g_key_file_get_keys(draft->file, group, NULL, NULL);
 	GString *known = g_string_new(NULL);
 
 	for (const field_t *field = rule->fields; field->key != NULL; field++)
 		g_string_append_printf(
 		    known, "%s%s", known->len > 0 ? ", " : "", field->key);
-	for (size_t i = 0; keys != NULL && keys[i] != NULL; i++) {
-		const field_t *field = rule->fields;
+	dff_problems_add(draft->problems,
+	    dff_lines_find(draft->lines, group, key), group, key,
+	    "unknown key; known here: %s", known->str);
+	g_string_free(known, TRUE);
+}
 
-		while (field->key != NULL && strcmp(field->key, keys[i]) != 0)
-			field++;
-		if (field->key != NULL)
-			continue;
-		dff_problems_add(draft->problems,
-		    dff_lines_find(draft->lines, group, keys[i]), group,
-		    keys[i], "unknown key; known here: %s", known->str);
+static void
+tell_unknown_keys(
+    dff_draft_t *draft, const char *group, const section_rule_t *rule)
+{
+	char **keys = g_key_file_get_keys(draft->file, group, NULL, NULL);
+
+	for (size_t i = 0; keys != NULL && keys[i] != NULL; i++) {
+		if (!is_known(rule, keys[i]))
+			tell_unknown_key(draft, group, rule, keys[i]);
 	}
-	g_string_free(known, TRUE);
 	g_strfreev(keys);
 }
 
@@ -502,7 +515,7 @@
 {
 	if (section == DFF_SECTION_FILE)
 		return g_strdup(sections[section].word);
-	return g_strdup_printf("%s %s", sections[section].word, name);
+	return g_strconcat(sections[section].word, " ", name, NULL);
 }
 
 bool
--- a/test/test_process_ctl.c
+++ b/test/test_process_ctl.c
@@ -119,9 +119,24 @@
 	(void)close(fd);
 }
 
+/* Another run on this machine may be about to end. */
+static void
+wait_until_free(int port)
+{
+	int fd = open_socket(port);
+
+	for (int i = 0; i < 250 && fd >= 0; i++) {
+		(void)close(fd);
+		g_usleep(100000);
+		fd = open_socket(port);
+	}
+	ck_assert_int_lt(fd, 0);
+}
+
 static void
 start_nodes(bool second)
 {
+	wait_until_free(STATUS_PORT);
 	nodes.revision = mmap(NULL, NODES * sizeof(*nodes.revision),
 	    PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0);
 	ck_assert_ptr_ne((void *)(uintptr_t)nodes.revision, MAP_FAILED);
@@ -222,9 +237,12 @@
 	    "\"kind\":\"engine\",\"incarnation\":1,\"state\":\"live\"}]}");
 	ck_assert(g_file_set_contents(VMS_FILE, vms->str, -1, NULL));
 	g_string_free(vms, TRUE);
+	wait_until_free(PLATFORM_PORT);
 	ck_assert(g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
 	    NULL, NULL, &platform, NULL));
 	wait_for_port(PLATFORM_PORT);
+	/* It runs: what answers is not another process on its port. */
+	ck_assert_int_eq(waitpid(platform, NULL, WNOHANG), 0);
 	g_free(path);
 }
 
