--- a/test/test_process_ctl.c
+++ b/test/test_process_ctl.c
@@ -23,7 +23,10 @@
 #define HTTP_OFFSET "100"
 #define STATUS_PORT 23110
 #define NODES	    2
-#define VMS_FILE    "test_process_ctl.vms.json"
+/* A real entry. */
+#define ENTRY_PORT	23012
+#define ENTRY_HTTP_PORT 23112
+#define VMS_FILE	"test_process_ctl.vms.json"
 
 /* Two nodes that have nothing but a status page, in a process of their own. */
 typedef struct fake_nodes {
@@ -168,15 +171,16 @@
 	    "%s/%s", build != NULL ? build : "build/plain", name);
 }
 
-/* Send a request to the platform; returns the whole answer. */
+/* Send a request; returns the whole answer. */
 static char *
-ask_platform(const char *method, const char *path, const void *body, size_t len)
+ask(int port, const char *method, const char *path, const void *body,
+    size_t len)
 {
 	GString *answer = g_string_new(NULL);
 	char *head;
 	char part[4096];
 	ssize_t got;
-	int fd = open_socket(PLATFORM_PORT);
+	int fd = open_socket(port);
 
 	ck_assert_int_ge(fd, 0);
 	head = g_strdup_printf("%s %s HTTP/1.1\r\nHost: p\r\nConnection: "
@@ -192,6 +196,12 @@
 	return g_string_free(answer, FALSE);
 }
 
+static char *
+ask_platform(const char *method, const char *path, const void *body, size_t len)
+{
+	return ask(PLATFORM_PORT, method, path, body, len);
+}
+
 static void
 control(const char *what, const char *json)
 {
@@ -546,6 +556,62 @@
 }
 END_TEST
 
+/* An entry as it is, beside the two fake nodes. */
+static GPid
+start_entry(const char *log)
+{
+	char *path = program("dff-entry");
+	char *line = g_strdup_printf("exec %s --id=vm-2 --domain=north "
+				     "--listen=127.0.0.1:%d "
+				     "--peer-listen=127.0.0.1:%d "
+				     "--platform=" PLATFORM " 2>%s",
+	    path, ENTRY_HTTP_PORT, ENTRY_PORT, log);
+	char *argv[] = {"/bin/sh", "-c", line, NULL};
+	GPid pid;
+
+	wait_until_free(ENTRY_HTTP_PORT);
+	ck_assert(g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+	    NULL, NULL, &pid, NULL));
+	wait_for_port(ENTRY_HTTP_PORT);
+	g_free(line);
+	g_free(path);
+	return pid;
+}
+
+START_TEST(entry_takes_an_edit_over)
+{
+	static const char body[] =
+	    "{\"model\":\"tank-grade\",\"prompt\":\"x\"}";
+	static const char log[] = "test_process_ctl.log";
+	char *answer;
+	GPid entry;
+	int status;
+
+	nodes_have(1, 1);
+	control("vm-lag", "{\"ms\":0}");
+	control("vm",
+	    "{\"id\":\"vm-2\",\"addr\":\"127.0.0.1:23012\","
+	    "\"domain\":\"north\",\"kind\":\"entry\"}");
+	expect("status", 4, "vm-2             does not answer");
+	entry = start_entry(log);
+	expect("apply catalogues/keelwater.conf --confirm-time 5000", 0,
+	    "vm-2: has it");
+	expect("status", 0, "vm-2             domain=north revision=1");
+	answer =
+	    ask(ENTRY_HTTP_PORT, "POST", "/v1/completions", body, strlen(body));
+	ck_assert_msg(strstr(answer, "unknown_key") != NULL, "%s", answer);
+	g_free(answer);
+	expect("explain vm-2-1 test_process_ctl.log", 0,
+	    "refused with unknown_key; the work: not_run");
+	ck_assert_int_eq(kill(entry, SIGTERM), 0);
+	ck_assert_int_eq(waitpid(entry, &status, 0), entry);
+	ck_assert(WIFEXITED(status));
+	ck_assert_int_eq(WEXITSTATUS(status), 0);
+	expect("status", 4, "vm-2             does not answer");
+	(void)unlink(log);
+}
+END_TEST
+
 /* Fixed ports: another run on this machine waits until this one has ended. */
 static void
 take_ports(void)
@@ -581,6 +647,7 @@
 	tcase_add_test(tcase, snapshot_stands_for_what_expired);
 	tcase_add_test(tcase, bad_records_are_listed);
 	tcase_add_test(tcase, decisions_are_explained);
+	tcase_add_test(tcase, entry_takes_an_edit_over);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
