--- a/test/test_process_http.c
+++ b/test/test_process_http.c
@@ -496,6 +496,74 @@
 }
 END_TEST
 
+/* A caller whose window is shut: only its stream is given up. */
+START_TEST(http_h2c_slow_reader_is_gone)
+{
+	static const uint8_t no_window[] = {0, 4, 0, 0, 0, 0};
+	GByteArray *out = g_byte_array_new();
+	char *block = g_strnfill(16 * 1024, 'x');
+	dff_httpd_req_t *other;
+	bench_t bench;
+	int fd;
+
+	bench_open(&bench);
+	h2_begin(out);
+	h2_frame(out, H2_SETTINGS, 0, 0, no_window, sizeof(no_window));
+	h2_get(out, 1, "/held");
+	fd = netloop_connect(PORT, out->data, out->len);
+	run_until(&bench, &bench.requests, 1);
+	other = bench.held;
+	g_byte_array_set_size(out, 0);
+	h2_get(out, 3, "/begin");
+	ck_assert_int_eq(send(fd, out->data, out->len, 0), (int)out->len);
+	run_until(&bench, &bench.requests, 2);
+	for (int i = 0; i < 100 && bench.gone == 0; i++) {
+		dff_httpd_write(bench.held, block, 16 * 1024);
+		run_for(&bench, 2 * DFF_MSEC);
+	}
+	ck_assert_int_eq(bench.gone, 1);
+	ck_assert_ptr_null(bench.held);
+	answer_text(other, "");
+	run_for(&bench, 50 * DFF_MSEC);
+	ck_assert_int_eq(bench.gone, 1);
+	ck_assert_uint_eq(dff_httpd_open(bench.httpd), 0);
+	close(fd);
+	g_free(block);
+	g_byte_array_unref(out);
+	bench_close(&bench);
+}
+END_TEST
+
+/* Callers that leave at any moment, with or without a reset. */
+START_TEST(http_random_hang_ups)
+{
+	static const char text[] =
+	    "POST /begin HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc";
+	const struct linger reset = {.l_onoff = 1};
+	GRand *rand = g_rand_new_with_seed(7);
+	bench_t bench;
+
+	bench_open(&bench);
+	for (int i = 0; i < 300; i++) {
+		size_t len =
+		    (size_t)g_rand_int_range(rand, 1, (int)sizeof(text));
+		int fd = netloop_connect(PORT, text, len);
+
+		run_for(&bench, g_rand_int_range(rand, 0, 2000));
+		if (g_rand_boolean(rand))
+			(void)setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+	}
+	run_for(&bench, 300 * DFF_MSEC);
+	ck_assert_int_gt(bench.requests, 0);
+	ck_assert_int_eq(bench.gone, bench.requests);
+	ck_assert_uint_eq(dff_httpd_open(bench.httpd), 0);
+	g_rand_free(rand);
+	bench_close(&bench);
+}
+END_TEST
+
 START_TEST(http_shut_lets_open_requests_end)
 {
 	bench_t bench;
@@ -574,6 +642,8 @@
 	tcase_add_test(tcase, http_hang_up_is_seen_without_a_write);
 	tcase_add_test(tcase, http_h2c_hang_up_is_seen_without_a_write);
 	tcase_add_test(tcase, http_h2c_reset_ends_one_stream);
+	tcase_add_test(tcase, http_h2c_slow_reader_is_gone);
+	tcase_add_test(tcase, http_random_hang_ups);
 	tcase_add_test(tcase, http_shut_lets_open_requests_end);
 	tcase_add_test(tcase, http_drop_with_open_requests);
 	tcase_add_test(tcase, http_port_in_use_is_told);
