Stand-ins as processes: test; planted faults: one switch for all parts

make faults builds with MODE=fault, plants each fault that the sources name and prints which proof finds it. In other builds the switch is a constant 0.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make         build the programs into build/plain
 #   make check   all tests, then once more under ASan and UBSan
 #   make lint    formatter and linters
+#   make faults  planted faults, and which proofs find them
 #   make demo    the whole path in separate processes
 #   make bench   measurements
 #   make capacity  slopes behind docs/CAPACITY.md
@@ -25,6 +26,10 @@
 	-fno-omit-frame-pointer
 LDFLAGS_asan = -fsanitize=address,undefined
 
+# Planted faults can be turned on, by name; for test/faults only.
+CFLAGS_fault = -O2 -include test/fake/fault.h
+LDFLAGS_fault = -Wl,-u,fault_is_on
+
 CPPFLAGS += -Iinclude -Isource -D_GNU_SOURCE -DH2O_USE_LIBUV=1
 CFLAGS += -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes $(CFLAGS_$(MODE)) $(PKG_CFLAGS)
@@ -54,7 +59,7 @@
 	include/dragonflyfall/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
 	bench/*.h))
 
-.PHONY: all deps check lint format demo bench capacity tests clean generate
+.PHONY: all deps check faults lint format demo bench capacity tests clean generate
 
 all: $(PROGRAMS)
 
@@ -102,6 +107,11 @@
 	$(MAKE) MODE=asan tests
 	test/run build/plain build/asan
 
+# Each mechanism off, one by one: which proof fails?
+faults:
+	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios
+	test/faults build/fault
+
 lint:
 	@command -v clang-format cppcheck >/dev/null || $(MAKE) deps
 	clang-format --dry-run --Werror $(SOURCES)
--- a/source/catalogue/history.c
+++ b/source/catalogue/history.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "base/fault.h"
 #include "catalogue/edit.h"
 
 static const char *const verdict_names[] = {
@@ -113,7 +114,7 @@
 	dff_problem_t problem;
 	size_t count;
 
-	if (edit->against < history->revision)
+	if (edit->against < history->revision && !DFF_FAULT(EDIT_NOT_CHECKED))
 		return DFF_EDIT_BEATEN;
 	/* Revisions are offsets of accepted edits: none can lie ahead. */
 	if (edit->against > history->revision) {
@@ -273,7 +274,8 @@
 	dff_problem_t problem;
 	size_t count;
 
-	if (snapshot->through <= history->applied)
+	if (snapshot->through <= history->applied &&
+	    !DFF_FAULT(OLDER_SNAPSHOT_WINS))
 		return -EALREADY;
 	if (!snapshot_sound(history, snapshot))
 		return -EINVAL;
--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "claim/store.h"
 
 /* Outcomes wait this many batch times for claims to travel with. */
@@ -432,6 +433,8 @@
 		    ctx, key, call, state, held != NULL ? held->offset : 0);
 		return state;
 	}
+	if (DFF_FAULT(CLAIM_NOT_AWAITED))
+		return DFF_CLAIM_WON;
 	mine = g_new0(mine_t, 1);
 	mine->key = key;
 	mine->body_hash = body_hash;
@@ -706,7 +709,8 @@
 	mine_t *mine;
 
 	mine = g_hash_table_lookup(claims->mine, &held->key);
-	if (!is_own(claims, held)) {
+	if (!is_own(claims, held) &&
+	    !(mine != NULL && DFF_FAULT(SECOND_CLAIM_RUNS))) {
 		if (mine == NULL || mine->state > MINE_SENT)
 			return;
 		add_verdict(ctx, claims, mine,
--- a/source/node/attempt.c
+++ b/source/node/attempt.c
@@ -51,7 +51,8 @@
 	start->addr = dff_effects_text(fx, addr);
 	start->kind = call->kind;
 	start->phase = call->phase;
-	start->resume_at = call->work.delivered;
+	start->resume_at =
+	    DFF_FAULT(RESUME_FROM_START) ? 0 : call->work.delivered;
 	start->max_tokens = call->work.max_tokens;
 	start->priority = call->cls.priority;
 	start->model = dff_effects_text(fx, call->model);
@@ -142,7 +143,9 @@
 {
 	if (call->begun)
 		return DFF_RAN_YES;
-	return call->ever_sent ? DFF_RAN_UNKNOWN : DFF_RAN_NOT;
+	return call->ever_sent && !DFF_FAULT(SENT_IS_NOT_RUN) ?
+	    DFF_RAN_UNKNOWN :
+	    DFF_RAN_NOT;
 }
 
 /* The try is over without a whole answer: resume elsewhere or give up. */
@@ -159,7 +162,8 @@
 		call_close(node, call);
 		return;
 	}
-	if (call->ever_sent && !call->may_repeat) {
+	if (call->ever_sent && !call->may_repeat &&
+	    !DFF_FAULT(RETRY_AFTER_SEND)) {
 		call_refuse(ctx, node, call, 504, "outcome_unknown",
 		    DFF_RAN_UNKNOWN, 0,
 		    "the upstream did not answer; the call may have run", fx);
@@ -215,7 +219,8 @@
 		drop_late(node);
 		return;
 	}
-	if (ev->first != call->work.delivered ||
+	if ((ev->first != call->work.delivered &&
+		!DFF_FAULT(TOKENS_UNCHECKED)) ||
 	    ev->count > call->work.max_tokens - call->work.delivered) {
 		bad_answer(ctx, node, call, "token out of turn", now, fx);
 		return;
@@ -265,7 +270,8 @@
 		prefill_done(ctx, node, call, ev, now, fx);
 		return;
 	}
-	if (ev->output_tokens != call->work.delivered) {
+	if (ev->output_tokens != call->work.delivered &&
+	    !DFF_FAULT(TOKENS_UNCHECKED)) {
 		bad_answer(ctx, node, call, "end out of turn", now, fx);
 		return;
 	}
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -463,8 +463,9 @@
 		return;
 	}
 	call->work.entry = (uint32_t)index;
-	if (poison_crashes(node->poison, call->work.body_hash, now) >=
-	    POISON_LIMIT) {
+	if (!DFF_FAULT(POISON_RUNS_ON) &&
+	    poison_crashes(node->poison, call->work.body_hash, now) >=
+		POISON_LIMIT) {
 		node->counters[DFF_COUNT_POISON]++;
 		call_refuse(ctx, node, call, 422, "poison", ran_so_far(call), 0,
 		    "engines crashed under this request", fx);
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -156,7 +156,8 @@
 		if (vm->kind != DFF_VM_ENGINE)
 			continue;
 		dff_policy_set_drain(ctx, node->policy, vm->id,
-		    dff_authority_drained(node->authority, vm->id));
+		    dff_authority_drained(node->authority, vm->id) &&
+			!DFF_FAULT(DRAINS_IGNORED));
 	}
 }
 
@@ -371,7 +372,9 @@
 
 	if (node->stopping)
 		return "draining";
-	if (!node->started || !stream->caught_up || !stream->based)
+	if (!node->started ||
+	    ((!stream->caught_up || !stream->based) &&
+		!DFF_FAULT(SERVE_BEFORE_CAUGHT_UP)))
 		return "catalogue not read up to its end";
 	if (node_catalogue(node) == NULL)
 		return "no catalogue in force";
@@ -498,7 +501,8 @@
 static void
 check_stopped(dff_ctx_t *ctx, dff_node_t *node, dff_effects_t *fx)
 {
-	if (!node->stopping || node->stopped || !is_idle(node))
+	if (!node->stopping || node->stopped ||
+	    (!is_idle(node) && !DFF_FAULT(STOP_AT_ONCE)))
 		return;
 	node->stopped = true;
 	dff_log(ctx, DFF_LOG_NOTICE, PART, "node has drained.");
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "base/fault.h"
 #include "dragonflyfall/member.h"
 #include "dragonflyfall/node.h"
 #include "dragonflyfall/table.h"
--- a/source/policy/fleet.c
+++ b/source/policy/fleet.c
@@ -9,6 +9,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "policy/state.h"
 
 /* Failures in a row after which an upstream is ejected. */
@@ -416,7 +417,8 @@
 dff_fleet_usable(
     const dff_policy_t *policy, const upstream_t *up, dff_time_t now)
 {
-	if (up->gone || up->drained || up->vm.leaving || up->changing ||
+	if (up->gone || up->drained ||
+	    (up->vm.leaving && !DFF_FAULT(LEAVING_GETS_WORK)) || up->changing ||
 	    up->wrong_model)
 		return false;
 	if (!part_on(policy, DFF_PART_EJECTION))
--- a/test/test_explore.c
+++ b/test/test_explore.c
@@ -1,6 +1,6 @@
 /*
  * Random scenarios. DFF_EXPLORE_RUNS sets how many, DFF_EXPLORE_SEED the
- * first seed.
+ * first seed, DFF_EXPLORE_FAILURES after how many failures to end.
  */
 #include <check.h>
 #include <stdio.h>
@@ -31,10 +31,11 @@
 {
 	uint32_t first = from_environment("DFF_EXPLORE_SEED", 1);
 	uint32_t runs = from_environment("DFF_EXPLORE_RUNS", RUNS);
+	uint32_t most = from_environment("DFF_EXPLORE_FAILURES", FAILURES_MAX);
 	uint32_t failures = 0;
 	uint32_t done = 0;
 
-	for (; done < runs && failures < FAILURES_MAX; done++) {
+	for (; done < runs && failures < most; done++) {
 		char *why = dff_explore_run(first + done);
 
 		if (why != NULL) {
--- /dev/null
+++ b/test/test_process_standins.c
@@ -0,0 +1,403 @@
+/*
+ * The stand-in programs as processes, asked by the project's own client.
+ */
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "dragonflyfall/http.h"
+#include "dragonflyfall/program.h"
+
+#define PLATFORM "127.0.0.1:22101"
+#define ENGINE	 "127.0.0.1:22102"
+#define ENGINE2	 "127.0.0.1:22103"
+#define SERVICE	 "127.0.0.1:22104"
+
+/* The longest wait for a program to listen. */
+#define START_TIME (10 * DFF_SEC)
+
+/* One answer, as far as it came. */
+typedef struct answer {
+	dff_httpc_end_t end;
+	int status;
+	GString *body;
+	bool over;
+} answer_t;
+
+static uv_loop_t *loop;
+static dff_ctx_t *ctx;
+static dff_httpc_t *client;
+static GArray *children; /* pid_t */
+
+static void
+on_head(void *arg, dff_httpc_req_t *req, int status)
+{
+	answer_t *answer = arg;
+
+	(void)req;
+	answer->status = status;
+}
+
+static void
+on_data(void *arg, dff_httpc_req_t *req, const char *data, size_t len)
+{
+	answer_t *answer = arg;
+
+	(void)req;
+	g_string_append_len(answer->body, data, (gssize)len);
+}
+
+static void
+on_end(void *arg, dff_httpc_req_t *req, dff_httpc_end_t end)
+{
+	answer_t *answer = arg;
+
+	(void)req;
+	answer->end = end;
+	answer->over = true;
+}
+
+static const dff_httpc_handlers_t handlers = {on_head, on_data, on_end};
+
+static answer_t *
+begin(const char *addr, const char *path, const char *body, const char *headers)
+{
+	answer_t *answer = g_new0(answer_t, 1);
+	dff_httpc_call_t call = {.addr = addr,
+	    .method = body != NULL ? "POST" : "GET",
+	    .path = path,
+	    .headers = headers,
+	    .body = body,
+	    .len = body != NULL ? strlen(body) : 0,
+	    .silence = 5 * DFF_SEC};
+
+	answer->body = g_string_new(NULL);
+	ck_assert_ptr_nonnull(
+	    dff_httpc_start(client, &call, &handlers, answer));
+	return answer;
+}
+
+static void
+finish(answer_t *answer)
+{
+	while (!answer->over)
+		(void)uv_run(loop, UV_RUN_ONCE);
+}
+
+static void
+drop(answer_t *answer)
+{
+	g_string_free(answer->body, TRUE);
+	g_free(answer);
+}
+
+static answer_t *
+ask(const char *addr, const char *path, const char *body)
+{
+	answer_t *answer = begin(addr, path, body, NULL);
+
+	finish(answer);
+	return answer;
+}
+
+/* Ask, and expect a status and a part of the body. */
+static void
+expect(const char *addr, const char *path, const char *body, int status,
+    const char *part)
+{
+	answer_t *answer = ask(addr, path, body);
+
+	ck_assert_int_eq(answer->end, DFF_HTTPC_DONE);
+	ck_assert_msg(answer->status == status, "%s: status %d, %s", path,
+	    answer->status, answer->body->str);
+	ck_assert_msg(strstr(answer->body->str, part) != NULL,
+	    "%s: no %s in %s", path, part, answer->body->str);
+	drop(answer);
+}
+
+static void
+wait_for(const char *addr)
+{
+	dff_time_t until = dff_program_now() + START_TIME;
+
+	for (;;) {
+		/* A plain service would run any other path. */
+		answer_t *answer = ask(addr, "/load", NULL);
+		dff_httpc_end_t end = answer->end;
+
+		drop(answer);
+		if (end == DFF_HTTPC_DONE)
+			return;
+		ck_assert_msg(
+		    dff_program_now() < until, "%s does not listen", addr);
+		g_usleep(20 * 1000);
+	}
+}
+
+/* Start a program of the build folder under test. */
+static pid_t
+start(const char *addr, const char *command)
+{
+	const char *folder = g_getenv("DFF_BUILD");
+	char *line = g_strdup_printf("%s/%s --addr=%s --log-level=err",
+	    folder != NULL ? folder : "build/plain", command, addr);
+	char **argv;
+	pid_t pid;
+
+	ck_assert(g_shell_parse_argv(line, NULL, &argv, NULL));
+	pid = fork();
+	ck_assert_int_ge(pid, 0);
+	if (pid == 0) {
+		(void)execv(argv[0], argv);
+		_exit(127);
+	}
+	g_strfreev(argv);
+	g_free(line);
+	g_array_append_val(children, pid);
+	wait_for(addr);
+	return pid;
+}
+
+static void
+set_up(void)
+{
+	loop = uv_default_loop();
+	ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
+	client = dff_httpc_new(ctx, loop);
+	children = g_array_new(FALSE, FALSE, sizeof(pid_t));
+	(void)signal(SIGPIPE, SIG_IGN);
+}
+
+static void
+tear_down(void)
+{
+	for (guint i = 0; i < children->len; i++) {
+		pid_t pid = g_array_index(children, pid_t, i);
+
+		(void)kill(pid, SIGKILL);
+		(void)waitpid(pid, NULL, 0);
+	}
+	g_array_unref(children);
+	dff_httpc_drop(client);
+	for (int i = 0; i < 50; i++)
+		(void)uv_run(loop, UV_RUN_NOWAIT);
+	dff_ctx_drop(ctx);
+}
+
+START_TEST(log_keeps_records_and_fails_on_demand)
+{
+	answer_t *waiting;
+	answer_t *lost;
+
+	start(PLATFORM, "dff-platform");
+	expect(PLATFORM, "/log/claims", "abc", 200, "\"offset\":1");
+	expect(PLATFORM, "/log/claims?from=1", NULL, 200, "\"YWJj\"");
+	expect(PLATFORM, "/log/nonsense", "abc", 404, "unknown");
+	waiting =
+	    begin(PLATFORM, "/log/claims?from=2&wait_ms=4000", NULL, NULL);
+	expect(PLATFORM, "/log/claims", "second", 200, "\"offset\":2");
+	finish(waiting);
+	ck_assert_ptr_nonnull(strstr(waiting->body->str, "\"offset\":2"));
+	drop(waiting);
+	expect(PLATFORM, "/control/lose-answers", "{\"count\":1}", 200, "{}");
+	lost = ask(PLATFORM, "/log/claims", "third");
+	ck_assert_int_eq(lost->end, DFF_HTTPC_BROKEN);
+	drop(lost);
+	expect(PLATFORM, "/log/claims?from=3", NULL, 200, "\"offset\":3");
+	expect(PLATFORM, "/control/outage",
+	    "{\"appends\":true,\"reads\":true,\"vms\":true}", 200, "{}");
+	expect(PLATFORM, "/log/claims", "x", 503, "out");
+	expect(PLATFORM, "/log/claims?from=1", NULL, 503, "out");
+	expect(PLATFORM, "/vms", NULL, 503, "out");
+	expect(PLATFORM, "/control/outage", "{}", 200, "{}");
+	expect(PLATFORM, "/log/claims?from=4", NULL, 200, "\"next\":4");
+}
+END_TEST
+
+START_TEST(vm_list_and_weights)
+{
+	start(PLATFORM, "dff-platform --vm-lag=0 --weights-every=60000");
+	expect(PLATFORM, "/control/vm",
+	    "{\"id\":\"e1\",\"addr\":\"127.0.0.1:9\",\"domain\":\"a\","
+	    "\"pool\":\"p\",\"kind\":\"engine\"}",
+	    200, "{}");
+	expect(PLATFORM, "/vms", NULL, 200, "\"state\":\"live\"");
+	expect(PLATFORM, "/control/vm", "{\"id\":\"e1\",\"state\":\"leaving\"}",
+	    200, "{}");
+	expect(PLATFORM, "/vms", NULL, 200, "\"state\":\"leaving\"");
+	expect(PLATFORM, "/control/vm", "{\"id\":\"e1\",\"state\":\"gone\"}",
+	    200, "{}");
+	expect(PLATFORM, "/vms", NULL, 200, "{\"vms\":[]}");
+	expect(PLATFORM, "/weights", "{\"model\":\"m\",\"engine\":\"e1\"}", 200,
+	    "{}");
+	expect(PLATFORM, "/weights", "{\"model\":\"m\",\"engine\":\"e2\"}", 429,
+	    "retry_after_ms");
+}
+END_TEST
+
+START_TEST(answer_is_whole_and_resumes)
+{
+	answer_t *whole;
+	answer_t *rest;
+
+	start(ENGINE, "dff-engine --step-us=2000");
+	whole = ask(ENGINE, "/v1/generate",
+	    "{\"id\":1,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":8}");
+	rest = ask(ENGINE, "/v1/generate",
+	    "{\"id\":2,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":8,\"resume_at\":5}");
+	ck_assert(g_str_has_prefix(whole->body->str, "{\"i\":0,"));
+	ck_assert(g_str_has_prefix(rest->body->str, "{\"i\":5,"));
+	ck_assert_ptr_nonnull(strstr(whole->body->str, rest->body->str));
+	ck_assert_ptr_nonnull(strstr(rest->body->str, "\"output\":8}\n"));
+	drop(whole);
+	drop(rest);
+	expect(ENGINE, "/v1/generate",
+	    "{\"id\":3,\"model\":\"other\",\"prompt\":\"abc\"}", 409, "model");
+	expect(ENGINE, "/v1/generate", "no JSON", 400, "malformed");
+}
+END_TEST
+
+START_TEST(orders_are_checked)
+{
+	start(ENGINE, "dff-engine --check-fence --role-away=100");
+	expect(ENGINE, "/v1/orders",
+	    "{\"order\":7,\"fence\":5,\"kind\":\"role\","
+	    "\"target\":\"prefill\"}",
+	    202, "accepted");
+	expect(ENGINE, "/v1/generate",
+	    "{\"id\":1,\"model\":\"model\",\"prompt\":\"abc\"}", 503, "away");
+	g_usleep(200 * 1000);
+	expect(ENGINE, "/v1/state", NULL, 200, "\"role\":\"prefill\"");
+	expect(ENGINE, "/v1/generate",
+	    "{\"id\":1,\"model\":\"model\",\"prompt\":\"abc\"}", 409, "role");
+	expect(ENGINE, "/v1/orders",
+	    "{\"order\":6,\"fence\":4,\"kind\":\"role\","
+	    "\"target\":\"decode\"}",
+	    409, "\"fence\":5");
+	expect(ENGINE, "/v1/orders",
+	    "{\"order\":8,\"fence\":5,\"kind\":\"role\",\"target\":\"chief\"}",
+	    422, "refused");
+}
+END_TEST
+
+START_TEST(poison_closes_the_port_for_a_while)
+{
+	answer_t *answer;
+
+	start(ENGINE, "dff-engine --poison=BAD --restart-away=600");
+	answer = ask(ENGINE, "/v1/generate",
+	    "{\"id\":1,\"model\":\"model\",\"prompt\":\"so BAD\"}");
+	ck_assert_int_eq(answer->end, DFF_HTTPC_BROKEN);
+	drop(answer);
+	answer = ask(ENGINE, "/v1/state", NULL);
+	ck_assert_int_eq(answer->end, DFF_HTTPC_CONNECT);
+	drop(answer);
+	wait_for(ENGINE);
+	expect(ENGINE, "/v1/generate",
+	    "{\"id\":2,\"model\":\"model\",\"prompt\":\"good\"}", 200, "end");
+}
+END_TEST
+
+START_TEST(kv_cache_is_handed_over)
+{
+	answer_t *whole;
+	answer_t *decoded;
+
+	start(ENGINE, "dff-engine --role=prefill");
+	start(ENGINE2, "dff-engine");
+	expect(ENGINE, "/v1/generate",
+	    "{\"id\":11,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":6,\"phase\":\"prefill\"}",
+	    200, "\"output\":0");
+	decoded = ask(ENGINE2, "/v1/generate",
+	    "{\"id\":12,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":6,\"phase\":\"decode\",\"kv_addr\":\"" ENGINE
+	    "\",\"kv_id\":11}");
+	whole = ask(ENGINE2, "/v1/generate",
+	    "{\"id\":13,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":6}");
+	ck_assert_int_eq(decoded->status, 200);
+	ck_assert_ptr_nonnull(strstr(decoded->body->str, "\"i\":5,"));
+	ck_assert_ptr_nonnull(strstr(decoded->body->str, "\"cached\":1"));
+	ck_assert_int_eq(strncmp(decoded->body->str, whole->body->str, 60), 0);
+	drop(decoded);
+	drop(whole);
+	expect(ENGINE2, "/v1/generate",
+	    "{\"id\":14,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":6,\"phase\":\"decode\",\"kv_addr\":\"" ENGINE
+	    "\",\"kv_id\":11}",
+	    409, "kv");
+}
+END_TEST
+
+START_TEST(service_keeps_a_journal)
+{
+	answer_t *answer;
+
+	start(SERVICE, "dff-service");
+	answer = begin(SERVICE, "/pay", "crate", "idempotency-key: k1\r\n");
+	finish(answer);
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"ran\":1"));
+	drop(answer);
+	expect(SERVICE, "/control/journal", NULL, 200, "[\"k1\"]");
+	expect(SERVICE, "/load", NULL, 200, "\"slots\":8");
+}
+END_TEST
+
+START_TEST(stop_lets_an_answer_end)
+{
+	pid_t pid = start(ENGINE, "dff-engine --step-us=20000");
+	answer_t *answer;
+	int status;
+
+	answer = begin(ENGINE, "/v1/generate",
+	    "{\"id\":1,\"model\":\"model\",\"prompt\":\"abc\","
+	    "\"max_tokens\":30}",
+	    NULL);
+	while (answer->body->len == 0)
+		(void)uv_run(loop, UV_RUN_ONCE);
+	ck_assert_int_eq(kill(pid, SIGTERM), 0);
+	finish(answer);
+	ck_assert_int_eq(answer->end, DFF_HTTPC_DONE);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"output\":30}"));
+	drop(answer);
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	ck_assert(WIFEXITED(status));
+	ck_assert_int_eq(WEXITSTATUS(status), 0);
+	g_array_set_size(children, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("process_standins");
+	TCase *tcase = tcase_create("process_standins");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, log_keeps_records_and_fails_on_demand);
+	tcase_add_test(tcase, vm_list_and_weights);
+	tcase_add_test(tcase, answer_is_whole_and_resumes);
+	tcase_add_test(tcase, orders_are_checked);
+	tcase_add_test(tcase, poison_closes_the_port_for_a_while);
+	tcase_add_test(tcase, kv_cache_is_handed_over);
+	tcase_add_test(tcase, service_keeps_a_journal);
+	tcase_add_test(tcase, stop_lets_an_answer_end);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
