--- a/source/authority/authority.c
+++ b/source/authority/authority.c
@@ -421,7 +421,7 @@
 			flight->clear_at += auth->config.tcp_timeout;
 	}
 	dff_log(ctx, DFF_LOG_INFO, "order",
-	    "answered order=%" G_GUINT64_FORMAT " answer=%s", ev->order,
+	    "answered. order=%" G_GUINT64_FORMAT " answer=%s", ev->order,
 	    dff_order_answer_name(ev->answer));
 	if (intent == NULL)
 		return;
@@ -514,7 +514,7 @@
 		return;
 	if (shard->valid_until != 0)
 		dff_log(ctx, DFF_LOG_NOTICE, "lease",
-		    "lost shard=%s holder=%s fence=%" G_GUINT64_FORMAT,
+		    "lost. shard=%s holder=%s fence=%" G_GUINT64_FORMAT,
 		    shard->name, lease->holder, lease->fence);
 	shard->valid_until = 0;
 	change_lost(ctx, shard);
--- a/source/authority/harmless.c
+++ b/source/authority/harmless.c
@@ -104,7 +104,7 @@
 	(void)append_lease(auth, APPEND_ACK, &body, now, fx);
 	auth->ack_at = now + append_retry(auth);
 	dff_log(ctx, DFF_LOG_NOTICE, "lease",
-	    "former holder is harmless shard=%s node=%s "
+	    "former holder is harmless. shard=%s node=%s "
 	    "fence=%" G_GUINT64_FORMAT " why=%s",
 	    intent->shard, sender->node, sender->fence, why);
 }
--- a/source/authority/lease.c
+++ b/source/authority/lease.c
@@ -89,7 +89,7 @@
 	(void)append_lease(auth, APPEND_CLAIM, &body, now, fx);
 	shard->lease_append_at = now + auth->config.term / 2;
 	dff_log(ctx, DFF_LOG_INFO, "lease",
-	    "claimed, not read back yet shard=%s rank=%u", shard->name,
+	    "claimed, not read back yet. shard=%s rank=%u", shard->name,
 	    shard->rank);
 }
 
@@ -124,7 +124,7 @@
 
 	if (!open && (auth->stopping || shard->engines == 0)) {
 		dff_log(ctx, DFF_LOG_INFO, "lease",
-		    "released shard=%s fence=%" G_GUINT64_FORMAT, shard->name,
+		    "released. shard=%s fence=%" G_GUINT64_FORMAT, shard->name,
 		    lease->fence);
 		append_own(auth, shard, lease, APPEND_RELEASE, now, fx);
 		return;
@@ -179,7 +179,7 @@
 	if (append->kind == APPEND_CLAIM) {
 		shard->valid_until = 0;
 		dff_log(ctx, DFF_LOG_NOTICE, "lease",
-		    "got shard=%s fence=%" G_GUINT64_FORMAT, shard->name,
+		    "got. shard=%s fence=%" G_GUINT64_FORMAT, shard->name,
 		    lease->fence);
 	}
 	shard->valid_until = MAX(shard->valid_until, from + lease->term);
--- a/source/authority/order.c
+++ b/source/authority/order.c
@@ -33,6 +33,8 @@
 {
 	size_t len = strlen(pool);
 
+	if (DFF_FAULT(POOL_UNCHECKED))
+		return false;
 	for (GTreeNode *node = g_tree_node_first(auth->state.marks);
 	     node != NULL; node = g_tree_node_next(node)) {
 		const mark_t *mark = g_tree_node_value(node);
@@ -108,7 +110,7 @@
 	change_t *change = &shard->change;
 
 	dff_log(ctx, DFF_LOG_INFO, "order",
-	    "goes on vm=%s kind=%s target=%s from=%s to=%s "
+	    "goes on. vm=%s kind=%s target=%s from=%s to=%s "
 	    "order=%" G_GUINT64_FORMAT,
 	    change->vm, dff_order_kind_name(change->kind), change->target,
 	    phase_names[change->phase], phase_names[phase], change->order);
@@ -142,7 +144,7 @@
 	change_t *change = &shard->change;
 
 	dff_log(ctx, DFF_LOG_NOTICE, "order",
-	    "ended vm=%s kind=%s target=%s order=%" G_GUINT64_FORMAT
+	    "ended. vm=%s kind=%s target=%s order=%" G_GUINT64_FORMAT
 	    " outcome=%s",
 	    change->vm, dff_order_kind_name(change->kind), change->target,
 	    change->order, how);
@@ -163,7 +165,7 @@
 	if (change->phase == CHANGE_NONE)
 		return;
 	dff_log(ctx, DFF_LOG_NOTICE, "order",
-	    "left to the next holder vm=%s order=%" G_GUINT64_FORMAT
+	    "left to the next holder. vm=%s order=%" G_GUINT64_FORMAT
 	    " phase=%s",
 	    change->vm, change->order, phase_names[change->phase]);
 	memset(change, 0, sizeof(*change));
@@ -415,7 +417,7 @@
 	effect->u.order_send.fence = own_lease(auth, shard)->fence;
 	change->sent = true;
 	dff_log(ctx, DFF_LOG_NOTICE, "order",
-	    "sent vm=%s kind=%s target=%s order=%" G_GUINT64_FORMAT
+	    "sent. vm=%s kind=%s target=%s order=%" G_GUINT64_FORMAT
 	    " fence=%" G_GUINT64_FORMAT,
 	    change->vm, dff_order_kind_name(change->kind), change->target,
 	    change->order, own_lease(auth, shard)->fence);
--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -15,8 +15,15 @@
 #include "base/fault.h"
 #include "claim/store.h"
 
+/*
+ * A node's appends are this many batch times apart, so that a busy node
+ * takes a bounded share of the log and a quiet one waits a batch time only.
+ */
+#define APPEND_GAP 6
 /* Outcomes wait this many batch times for claims to travel with. */
-#define OUTCOME_PATIENCE 4
+#define OUTCOME_PATIENCE 20
+/* What the log refused waits this many. */
+#define REFUSED_PATIENCE 4
 /* Age, by the platform's clock, at which a call without outcome is unknown. */
 #define OPEN_MAX_MS (10 * 60 * 1000)
 /* Sweeps in the time that an append may stay undecided. */
@@ -89,6 +96,7 @@
 	GQueue verdicts; /* pending_t */
 	uint64_t next_append;
 	dff_time_t flush_at;
+	dff_time_t flushed_at;
 	dff_time_t sweep_at;
 	dff_time_t now;
 };
@@ -150,6 +158,7 @@
 	g_queue_init(&claims->verdicts);
 	claims->next_append = DFF_CLAIM_APPEND_TAG;
 	claims->flush_at = DFF_TIME_NEVER;
+	claims->flushed_at = INT64_MIN / 2;
 	claims->sweep_at = DFF_TIME_NEVER;
 	/* This process is here, so its predecessors have ended. */
 	if (config->incarnation > 0)
@@ -245,8 +254,8 @@
 log_verdict(dff_ctx_t *ctx, dff_key_t key, uint64_t call,
     dff_claim_state_t state, uint64_t offset)
 {
-	dff_log(ctx, DFF_LOG_INFO, "claim",
-	    "decided call=%" G_GUINT64_FORMAT " key=%016" G_GINT64_MODIFIER
+	dff_log(ctx, DFF_LOG_DEBUG, "claim",
+	    "decided. call=%" G_GUINT64_FORMAT " key=%016" G_GINT64_MODIFIER
 	    "x%016" G_GINT64_MODIFIER "x state=%s offset=%" G_GUINT64_FORMAT,
 	    call, key.hi, key.lo, dff_claim_state_name(state), offset);
 }
@@ -256,6 +265,9 @@
 static void
 plan_flush(dff_claims_t *claims, dff_time_t at)
 {
+	dff_time_t gap = APPEND_GAP * claims->config.batch_time;
+
+	at = MAX(at, claims->flushed_at + gap);
 	if (at >= claims->flush_at)
 		return;
 	claims->flush_at = at;
@@ -357,7 +369,7 @@
 	}
 	add_append(claims, &batch, id, fx);
 	dff_log(ctx, DFF_LOG_DEBUG, "claim",
-	    "appended a batch claims=%zu outcomes=%zu", batch.n_claims,
+	    "appended a batch. claims=%zu outcomes=%zu", batch.n_claims,
 	    batch.n_outcomes);
 	g_free(claim);
 	g_free(outcome);
@@ -369,6 +381,8 @@
 flush(dff_ctx_t *ctx, dff_claims_t *claims, dff_time_t now, dff_effects_t *fx)
 {
 	claims->flush_at = DFF_TIME_NEVER;
+	if (claims->batch.length > 0)
+		claims->flushed_at = now;
 	dff_timers_cancel(claims->timers, DFF_TIMER_CLAIM_FLUSH, 0);
 	while (claims->batch.length > 0)
 		append_batch(ctx, claims, now, fx);
@@ -551,7 +565,7 @@
 		set_answer(mine, answer);
 	}
 	dff_log(ctx, DFF_LOG_INFO, "claim",
-	    "ended call=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
+	    "ended. call=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
 	    " outcome=%s",
 	    mine->call, mine->claim,
 	    outcome == HELD_RELEASED ? "not_run" :
@@ -605,7 +619,7 @@
 	if (ev->outcome != DFF_APPEND_REFUSED)
 		return;
 	dff_log(ctx, DFF_LOG_NOTICE, "claim",
-	    "batch refused by the log append=%" G_GUINT64_FORMAT, ev->id);
+	    "batch refused by the log. append=%" G_GUINT64_FORMAT, ev->id);
 	g_hash_table_iter_init(&iter, claims->mine);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mine_t *mine = value;
@@ -620,7 +634,7 @@
 			continue;
 		mine->append = 0;
 		queue_mine(ctx, claims, mine,
-		    claims->config.batch_time * OUTCOME_PATIENCE, now, NULL);
+		    claims->config.batch_time * REFUSED_PATIENCE, now, NULL);
 	}
 	(void)fx;
 }
@@ -698,7 +712,7 @@
 	g_hash_table_insert(claims->gone, g_strdup(node),
 	    g_memdup2(&incarnation, sizeof(incarnation)));
 	dff_log(ctx, DFF_LOG_NOTICE, "claim",
-	    "holder is gone, its open claims are unknown node=%s "
+	    "holder is gone, its open claims are unknown. node=%s "
 	    "incarnation=%" G_GUINT64_FORMAT,
 	    node, incarnation);
 }
@@ -725,7 +739,7 @@
 	mine->claim = held->offset;
 	g_hash_table_insert(claims->mine, &mine->key, mine);
 	dff_log(ctx, DFF_LOG_NOTICE, "claim",
-	    "claim landed after its call had left, released "
+	    "claim landed after its call had left, released. "
 	    "offset=%" G_GUINT64_FORMAT,
 	    held->offset);
 	end_mine(ctx, claims, mine, HELD_RELEASED, now, fx);
--- a/test/fake/authority_sim.h
+++ b/test/fake/authority_sim.h
@@ -24,8 +24,10 @@
  * @crashes: engines crash, also in mid-change
  * @deaf: nodes are cut off from the log and still send requests
  * @hurry: short changes, proposed often, and orders that are often slow
+ * @upgrade: the catalogue wants another version than the engines have
  * @chaos: time with faults
  * @calm: time after that, for everything to come to rest
+ * @term: length of a lease; 0 for a short one
  * @kill_holder_at: kill the holder of a lease then; 0 never
  * @log: print log lines
  */
@@ -45,8 +47,10 @@
 	bool deaf;
 	bool slow;
 	bool hurry;
+	bool upgrade;
 	dff_time_t chaos;
 	dff_time_t calm;
+	dff_time_t term;
 	dff_time_t kill_holder_at;
 	bool log;
 } authority_sim_config_t;
@@ -88,6 +92,9 @@
 /** authority_sim_hurry() - orders that come late, one after another */
 void authority_sim_hurry(authority_sim_config_t *config, uint32_t seed);
 
+/** authority_sim_upgrade() - a rolling change of version, some faults */
+void authority_sim_upgrade(authority_sim_config_t *config, uint32_t seed);
+
 /** authority_sim_run() - one run */
 void authority_sim_run(
     const authority_sim_config_t *config, authority_sim_result_t *result);
--- a/test/test_authority_faults.c
+++ b/test/test_authority_faults.c
@@ -23,6 +23,7 @@
 	FAULT_CLOSE_EARLY,
 	FAULT_NUMBER_NOT_RAISED,
 	FAULT_NO_DRAIN,
+	FAULT_POOL_UNCHECKED,
 	FAULT_COUNT,
 } planted_t;
 
@@ -123,6 +124,16 @@
 }
 END_TEST
 
+START_TEST(declared_version_rolls_out)
+{
+	authority_sim_result_t result;
+	uint32_t seed = find(authority_sim_upgrade, runs() / 3, &result);
+
+	ck_assert_msg(seed == 0, "seed %u: %s at %.3f s", seed, result.broken,
+	    (double)result.at / DFF_SEC);
+}
+END_TEST
+
 START_TEST(draining_alone_cuts_nothing)
 {
 	authority_sim_result_t result;
@@ -153,6 +164,8 @@
 	find_fault(
 	    FAULT_NUMBER_NOT_RAISED, "number_not_raised", authority_sim_chaos);
 	find_fault(FAULT_NO_DRAIN, "no_drain", drain_only);
+	find_fault(
+	    FAULT_POOL_UNCHECKED, "pool_unchecked", authority_sim_upgrade);
 	ck_assert_uint_eq(found, FAULT_COUNT - 1);
 }
 END_TEST
@@ -189,6 +202,7 @@
 	tcase_set_timeout(tcase, 500);
 	tcase_add_test(tcase, nothing_is_found_with_everything_on);
 	tcase_add_test(tcase, nothing_is_found_in_a_hurry);
+	tcase_add_test(tcase, declared_version_rolls_out);
 	tcase_add_test(tcase, draining_alone_cuts_nothing);
 	tcase_add_test(tcase, each_planted_fault_is_found);
 	tcase_add_test(tcase, deaf_nodes_need_engines_that_refuse);
