Policy: learned first tokens and pace, roles, a virtual fleet to measure

Requests that gave no token before the crash now go to one half of the pool, by place, and are spread there by hash; the rest go to the other half.

test_policy:suspect_runs_apart asked for the least loaded of two engines whatever the kind of suspect; that is wrong now. It is replaced by one that asks for both: kinds never meet, and the least loaded engine of the half.

Ruled out: a cost of 2 s for meeting the other kind, too weak against a batch of five.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,9 @@
 TOOLS = $(patsubst source/tool/%.c,%,$(wildcard source/tool/dff-*.c))
 TOOL_PARTS = $(filter-out source/tool/dff-%.c,$(wildcard source/tool/*.c))
 TESTS = $(patsubst test/%.c,%,$(wildcard test/test_*.c))
-FAKES = $(wildcard test/fake/*.c)
+# The virtual fleet is shared by benches and tests.
+FAKES = $(wildcard test/fake/*.c) \
+	$(filter-out bench/bench_%.c,$(wildcard bench/*.c))
 BENCHES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 
 CORE_OBJ = $(CORE:%.c=$(OUT)/%.o)
--- a/source/policy/cache.c
+++ b/source/policy/cache.c
@@ -12,6 +12,9 @@
 #define BELIEF_AGE_GAP (20 * DFF_SEC)
 /* Blocks believed of one engine before the older half is dropped. */
 #define BELIEF_MAX 8192
+/* Weight of one answer in the trust, and the least trust. */
+#define TRUST_GAIN 0.2
+#define TRUST_MIN  0.05
 /* Tokens in one prefix block. */
 #define BLOCK_TOKENS (DFF_PREFIX_BYTES / DFF_TOKEN_BYTES)
 
@@ -27,6 +30,7 @@
 	cache->blocks =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	cache->gap_at = 0;
+	cache->trust = 1;
 }
 
 void
@@ -70,7 +74,7 @@
 		else
 			high = mid - 1;
 	}
-	return (uint32_t)low * BLOCK_TOKENS;
+	return (uint32_t)((double)low * BLOCK_TOKENS * cache->trust);
 }
 
 static gboolean
@@ -127,7 +131,14 @@
 dff_cache_correct(prefix_cache_t *cache, uint32_t believed, uint32_t cached,
     const uint64_t *prefix, size_t count, dff_time_t now)
 {
-	/* Evictions went by unheard: trust what is older less. */
+	double found;
+
+	if (believed > 0) {
+		found = MIN((double)cached / believed, 1 / cache->trust);
+		cache->trust *= 1 + TRUST_GAIN * (found - 1);
+		cache->trust = CLAMP(cache->trust, TRUST_MIN, 1);
+	}
+	/* Evictions went by unheard: believe what is older for less long. */
 	if (cached + BLOCK_TOKENS <= believed)
 		cache->gap_at = now;
 	dff_cache_store(cache, prefix, count, now);
--- a/source/policy/choose.c
+++ b/source/policy/choose.c
@@ -9,11 +9,9 @@
 
 #include "policy/state.h"
 
-/* Candidates up to which all are looked at. */
-#define LOOK_AT_ALL 16
-/* Candidates drawn from a larger pool. */
-#define DRAW_COUNT 8
-#define DRAW_TRIES 24
+/* Candidates looked at: as many as this, and more while none fits. */
+#define LOOK_ENOUGH 2
+#define LOOK_MOST   16
 /* Time that the way to another failure domain and back costs. */
 #define DOMAIN_COST (10 * DFF_MSEC)
 /* Quantile of the output length that a whole answer is planned with. */
@@ -22,10 +20,15 @@
 #define TIME_MARGIN 0.9
 /* Work ahead on an engine beyond which calls wait at the node. */
 #define AHEAD_MAX (200 * DFF_MSEC)
+/* Time to move one piece of KV cache inside and across failure domains. */
+#define KV_PIECE_NEAR (400 * DFF_USEC)
+#define KV_PIECE_FAR  (1200 * DFF_USEC)
 /* Slots taken for granted at a plain service that told none. */
 #define SERVICE_SLOTS 8
 /* Cost of each other call that would share an engine with a suspect. */
 #define SUSPECT_COST (2 * DFF_SEC)
+/* Cost of sending a suspect where those of the other kind go. */
+#define MIXED_COST (60 * DFF_SEC)
 
 static void
 forecast_service(const dff_policy_t *policy, const dff_work_t *work,
@@ -42,21 +45,40 @@
 	forecast->ahead_us = over * entry->service_us / slots;
 	forecast->cost = entry->service_us;
 	forecast->first = (dff_time_t)(forecast->ahead_us + entry->service_us);
+	forecast->first_safe = forecast->first;
 	forecast->whole = forecast->first;
 	forecast->room = load.running < slots;
 	forecast->score = (double)forecast->first + load.running;
 }
 
-/* Memory pieces still free, less those that later work will take. */
+/* Memory pieces still free, less those that work sent since will take. */
 static double
-free_pieces(
-    const dff_policy_t *policy, const upstream_t *up, const pool_state_t *pool)
+free_pieces(const upstream_t *up)
 {
 	double since;
 
-	(void)policy;
 	since = up->own.prefill + up->peers.prefill - up->base.prefill;
-	return up->free_pieces - dff_cost_pieces(pool, MAX(since, 0));
+	return up->free_pieces - dff_cost_pieces(MAX(since, 0));
+}
+
+/* Whether the engine would take up the call soon after it gets it. */
+static bool
+has_room(const dff_policy_t *policy, const dff_work_t *work,
+    const upstream_t *up, const forecast_t *forecast)
+{
+	const pool_state_t *pool = policy->pool_at[up->pool];
+	double pieces;
+
+	if (forecast->ahead_us >= (double)AHEAD_MAX)
+		return false;
+	if (forecast->batch < 1)
+		return true;
+	if (pool->batch_cap > 0 && forecast->batch >= pool->batch_cap)
+		return false;
+	pieces = dff_cost_pieces((double)work->prompt_tokens +
+	    MAX(work->max_tokens,
+		policy->entries[work->entry].max_output_tokens));
+	return up->total_pieces == 0 || free_pieces(up) >= pieces;
 }
 
 static void
@@ -65,33 +87,35 @@
 {
 	const pool_state_t *pool = policy->pool_at[up->pool];
 	load_t load = dff_fleet_load(policy, up, now);
-	double prefill = dff_cost_prefill(policy, up);
-	double tokens = work->prompt_tokens + work->delivered;
 	double output = dff_cost_output(policy, work, OUTPUT_QUANTILE);
-	double fresh;
-	double step;
+	double fresh = work->prompt_tokens + work->delivered;
+	double pace;
 
 	if (part_on(policy, DFF_PART_AFFINITY))
 		forecast->cached = MIN(dff_cache_match(&up->cache, work->prefix,
 					   work->prefix_count, now),
 		    work->prompt_tokens);
-	fresh = tokens - forecast->cached;
-	step = dff_cost_step(policy, up, load.running + 1);
+	fresh -= forecast->cached;
+	if (up->role == DFF_ROLE_DECODE)
+		fresh = 0;
+	if (up->role == DFF_ROLE_PREFILL)
+		output = 0;
 	forecast->batch = load.running;
-	forecast->ahead_us = load.prefill * prefill;
-	forecast->cost =
-	    fresh * prefill + output * step / MAX(load.running + 1, 1);
+	forecast->step_us = dff_cost_step(policy, up, load.running + 1);
+	forecast->queued_tokens = load.prefill + fresh;
+	pace = forecast->step_us;
+	if (up->role == DFF_ROLE_MIXED)
+		pace *= dff_cost_stretch(policy, pool);
+	forecast->ahead_us = load.prefill * up->prefill_us;
+	forecast->cost = fresh * up->prefill_us +
+	    output * forecast->step_us / MAX(load.running + 1, 1);
 	forecast->first =
-	    (dff_time_t)((forecast->ahead_us + fresh * prefill + step) *
-		dff_cost_bias(pool, now));
-	forecast->gap = (dff_time_t)step;
-	forecast->whole = forecast->first + (dff_time_t)(output * step);
-	forecast->room = forecast->ahead_us < (double)AHEAD_MAX;
-	if (up->total_pieces > 0 &&
-	    free_pieces(policy, up, pool) <
-		dff_cost_pieces(pool, fresh + output) &&
-	    load.running >= 1)
-		forecast->room = false;
+	    (dff_time_t)dff_cost_first(policy, up, forecast->queued_tokens);
+	forecast->first_safe = (dff_time_t)((double)forecast->first *
+	    dff_cost_margin(policy, pool));
+	forecast->gap = (dff_time_t)forecast->step_us;
+	forecast->whole = forecast->first + (dff_time_t)(output * pace);
+	forecast->room = has_room(policy, work, up, forecast);
 	forecast->score = (double)forecast->whole;
 }
 
@@ -113,6 +137,25 @@
 	    TIME_MARGIN * (double)cls->whole;
 }
 
+/*
+ * What is at stake when a suspect runs at an upstream. No node knows the
+ * suspects of the others, so those that gave no token yet, of which one may
+ * well be the cause, are kept apart from the rest by the upstream's place
+ * in the pool, and from each other by their hash.
+ */
+static double
+suspect_cost(const dff_work_t *work, const upstream_t *up, double batch)
+{
+	double cost = batch * (double)SUSPECT_COST;
+	uint64_t hash;
+
+	if (work->delivered > 0)
+		return cost + (up->place % 2 == 0 ? (double)MIXED_COST : 0);
+	hash = dff_hash(up->vm.id, strlen(up->vm.id), work->body_hash);
+	cost += (double)(hash % 16) / 16 * (double)SUSPECT_COST;
+	return cost + (up->place % 2 == 1 ? (double)MIXED_COST : 0);
+}
+
 void
 dff_choose_forecast(const dff_policy_t *policy, const dff_work_t *work,
     upstream_t *up, dff_time_t now, forecast_t *forecast)
@@ -126,7 +169,7 @@
 	if (strcmp(up->vm.domain, policy->config.domain) != 0)
 		forecast->score += DOMAIN_COST;
 	if (work->suspect)
-		forecast->score += forecast->batch * (double)SUSPECT_COST;
+		forecast->score += suspect_cost(work, up, forecast->batch);
 	forecast->in_time = meets_class(policy, work, now, forecast);
 }
 
@@ -148,17 +191,124 @@
 	return a->score < b->score;
 }
 
+/** struct pick - the best so far of each role */
+typedef struct pick {
+	forecast_t mixed;
+	forecast_t prefill;
+	forecast_t decode;
+} pick_t;
+
+static void
+keep_better(const dff_work_t *work, const forecast_t *fresh, forecast_t *best)
+{
+	if (best->up == NULL || better(work, fresh, best))
+		*best = *fresh;
+}
+
 static void
 look_at(dff_policy_t *policy, const dff_work_t *work, upstream_t *up,
-    dff_time_t now, forecast_t *best)
+    dff_time_t now, pick_t *pick)
 {
 	forecast_t forecast;
 
-	if (!dff_fleet_usable(policy, up, now) || up->role != DFF_ROLE_MIXED)
+	if (!dff_fleet_usable(policy, up, now))
 		return;
 	dff_choose_forecast(policy, work, up, now, &forecast);
-	if (best->up == NULL || better(work, &forecast, best))
-		*best = forecast;
+	switch (up->role) {
+	case DFF_ROLE_PREFILL:
+		keep_better(work, &forecast, &pick->prefill);
+		return;
+	case DFF_ROLE_DECODE:
+		keep_better(work, &forecast, &pick->decode);
+		return;
+	default:
+		keep_better(work, &forecast, &pick->mixed);
+		return;
+	}
+}
+
+/* Time that the KV cache of a call takes between two engines. */
+static dff_time_t
+handover_time(
+    const dff_work_t *work, const upstream_t *from, const upstream_t *to)
+{
+	double pieces = dff_cost_pieces(work->prompt_tokens + work->delivered);
+	bool near = strcmp(from->vm.domain, to->vm.domain) == 0;
+
+	return (dff_time_t)(pieces * (near ? KV_PIECE_NEAR : KV_PIECE_FAR));
+}
+
+/* Prefill at one engine, then decode at the other. */
+static forecast_t
+join(const dff_policy_t *policy, const dff_work_t *work, dff_time_t now,
+    const forecast_t *prefill, const forecast_t *decode)
+{
+	forecast_t joined = *decode;
+	dff_time_t handover = handover_time(work, prefill->up, decode->up);
+
+	joined.prefill_up = prefill->up;
+	joined.cached = prefill->cached;
+	joined.ahead_us = prefill->ahead_us;
+	joined.first = prefill->first + handover + decode->first;
+	joined.first_safe = prefill->first_safe + handover + decode->first;
+	joined.whole = prefill->first + handover + decode->whole;
+	joined.cost = prefill->cost + decode->cost;
+	joined.score = prefill->score + (double)handover + decode->score;
+	joined.room = prefill->room && decode->room;
+	joined.in_time = meets_class(policy, work, now, &joined);
+	return joined;
+}
+
+static bool
+fits(const forecast_t *forecast)
+{
+	return forecast->up != NULL && forecast->room && forecast->in_time;
+}
+
+/* Whether more candidates need not be looked at. */
+static bool
+satisfied(const pick_t *pick)
+{
+	return fits(&pick->mixed) ||
+	    (fits(&pick->prefill) && fits(&pick->decode));
+}
+
+/* A step that visits every row of a table of this length once. */
+static guint
+stride_of(dff_ctx_t *ctx, guint len)
+{
+	guint stride = 1 + dff_rand_below(ctx, len);
+	guint a = stride;
+	guint b = len;
+
+	while (b != 0) {
+		guint rest = a % b;
+
+		a = b;
+		b = rest;
+	}
+	return a == 1 ? stride : 1;
+}
+
+/* Look at candidates from a random one on until one fits. */
+static void
+look_around(dff_ctx_t *ctx, dff_policy_t *policy, const dff_work_t *work,
+    const GPtrArray *ups, dff_time_t now, pick_t *pick)
+{
+	bool sampling = part_on(policy, DFF_PART_SAMPLING);
+	guint most = sampling ? MIN(ups->len, LOOK_MOST) : ups->len;
+	guint enough = sampling ? LOOK_ENOUGH : ups->len;
+	guint start = dff_rand_below(ctx, ups->len);
+	guint stride = stride_of(ctx, ups->len);
+
+	for (guint i = 0; i < most; i++) {
+		if (i >= enough && satisfied(pick) && !work->suspect)
+			return;
+		look_at(policy, work,
+		    g_ptr_array_index(
+			ups, (start + (guint64)i * stride) % ups->len),
+		    now, pick);
+	}
 }
 
 bool
@@ -166,26 +316,18 @@
     const dff_work_t *work, dff_time_t now, forecast_t *best)
 {
 	const GPtrArray *ups;
-	guint start;
+	pick_t pick;
 
 	ups = policy->pool_at[policy->entries[work->entry].pool]->upstreams;
-	memset(best, 0, sizeof(*best));
-	if (ups->len == 0)
-		return false;
-	start = dff_rand_below(ctx, ups->len);
-	if (ups->len <= LOOK_AT_ALL || !part_on(policy, DFF_PART_SAMPLING)) {
-		for (guint i = 0; i < ups->len; i++)
-			look_at(policy, work,
-			    g_ptr_array_index(ups, (start + i) % ups->len), now,
-			    best);
-		return best->up != NULL;
-	}
-	for (guint i = 0; i < DRAW_TRIES; i++) {
-		if (i >= DRAW_COUNT && best->up != NULL)
-			break;
-		look_at(policy, work,
-		    g_ptr_array_index(ups, dff_rand_below(ctx, ups->len)), now,
-		    best);
+	memset(&pick, 0, sizeof(pick));
+	if (ups->len > 0)
+		look_around(ctx, policy, work, ups, now, &pick);
+	*best = pick.mixed;
+	if (pick.prefill.up != NULL && pick.decode.up != NULL) {
+		forecast_t joined =
+		    join(policy, work, now, &pick.prefill, &pick.decode);
+
+		keep_better(work, &joined, best);
 	}
 	return best->up != NULL;
 }
--- a/source/policy/cost.c
+++ b/source/policy/cost.c
@@ -17,14 +17,25 @@
 #define FIT_SPREAD 0.5
 /* Slope taken for granted until there is a spread, as a part of a step. */
 #define FIT_SLOPE 0.02
-/* Weight of one first token in the bias of the forecasts. */
-#define BIAS_GAIN 0.05
-#define BIAS_MIN  0.5
-#define BIAS_MAX  3.0
-/* Time in which a bias that nothing confirms fades by half. */
-#define BIAS_FADE (10 * DFF_SEC)
-/* Tokens in one memory piece until reports tell. */
-#define PIECE_TOKENS 16.0
+/* How much of the older first tokens the line keeps at each new one. */
+#define FIRST_KEEP 0.99
+/* First tokens seen before the line through them is trusted. */
+#define FIRST_TRUST 10.0
+/* Steepest and flattest line, as a multiple of the bare prefill time. */
+#define FIRST_STEEP 4.0
+/* Part of the first tokens that come no later than the margin allows. */
+#define MARGIN_QUANTILE 0.8
+#define MARGIN_GAIN	0.05
+#define MARGIN_MIN	1.0
+#define MARGIN_MAX	3.0
+/* Weight of one answer in the stretch of the steps, and its bounds. */
+#define STRETCH_GAIN 0.05
+#define STRETCH_MIN  1.0
+#define STRETCH_MAX  6.0
+/* Fewest tokens from which a pace is read. */
+#define PACE_TOKENS 4
+/* Tokens in one memory piece, which is one prefix block. */
+#define PIECE_TOKENS ((double)DFF_PREFIX_BYTES / DFF_TOKEN_BYTES)
 
 void
 dff_lengths_add(lengths_t *lengths, uint32_t tokens)
@@ -88,21 +99,14 @@
 double
 dff_cost_step(const dff_policy_t *policy, const upstream_t *up, double batch)
 {
-	double base;
-	double slope;
+	double base = up->step_us;
+	double slope = up->step_us * FIT_SLOPE;
 
 	if (!part_on(policy, DFF_PART_LEARNING) || up->pool < 0)
 		return up->step_us;
-	if (!dff_fit_line(&policy->pool_at[up->pool]->step, &base, &slope))
-		return up->step_us;
-	return (base + slope * batch) * up->slowness;
-}
-
-double
-dff_cost_prefill(const dff_policy_t *policy, const upstream_t *up)
-{
-	(void)policy;
-	return up->prefill_us;
+	if (dff_fit_line(&policy->pool_at[up->pool]->step, &base, &slope))
+		return (base + slope * batch) * up->slowness;
+	return base + slope * batch;
 }
 
 double
@@ -122,36 +126,68 @@
 	return MAX(guess - work->delivered, 1);
 }
 
+/* Time to the first token with so many prompt tokens ahead and of its own. */
 double
-dff_cost_bias(const pool_state_t *pool, dff_time_t now)
+dff_cost_first(const dff_policy_t *policy, const upstream_t *up, double tokens)
 {
-	double age;
+	const pool_state_t *pool = policy->pool_at[up->pool];
+	double base = up->step_us;
+	double slope = up->prefill_us;
+
+	if (part_on(policy, DFF_PART_LEARNING) && pool->first.n > FIRST_TRUST)
+		(void)dff_fit_line(&pool->first, &base, &slope);
+	if (up->prefill_us > 0)
+		slope =
+		    CLAMP(slope, up->prefill_us, up->prefill_us * FIRST_STEEP);
+	return base + slope * tokens;
+}
 
-	if (pool->bias <= 0)
-		return 1;
-	age = (double)(now - pool->bias_at) / (double)BIAS_FADE;
-	return 1 + (pool->bias - 1) * exp2(-MAX(age, 0));
+double
+dff_cost_margin(const dff_policy_t *policy, const pool_state_t *pool)
+{
+	if (!part_on(policy, DFF_PART_LEARNING))
+		return MARGIN_MIN;
+	return MAX(pool->first_margin, MARGIN_MIN);
+}
+
+double
+dff_cost_stretch(const dff_policy_t *policy, const pool_state_t *pool)
+{
+	if (!part_on(policy, DFF_PART_LEARNING))
+		return STRETCH_MIN;
+	return MAX(pool->stretch, STRETCH_MIN);
 }
 
 void
 dff_cost_learn_first(
-    pool_state_t *pool, dff_time_t expected, dff_time_t seen, dff_time_t now)
+    pool_state_t *pool, const attempt_t *attempt, dff_time_t now)
+{
+	double seen = (double)(now - attempt->began);
+	double margin = MAX(pool->first_margin, MARGIN_MIN);
+	double within = seen <= margin * attempt->first_us ? 1 : 0;
+
+	dff_fit_add(&pool->first, attempt->queued_tokens, seen, FIRST_KEEP);
+	margin += MARGIN_GAIN * (MARGIN_QUANTILE - within);
+	pool->first_margin = CLAMP(margin, MARGIN_MIN, MARGIN_MAX);
+}
+
+void
+dff_cost_learn_pace(
+    pool_state_t *pool, const attempt_t *attempt, dff_time_t now)
 {
-	double bias = dff_cost_bias(pool, now);
-	double ratio;
+	double pace;
+	double seen;
 
-	if (expected <= 0)
+	if (attempt->tokens < PACE_TOKENS || attempt->step_us <= 0)
 		return;
-	/* The forecast had the bias in it already. */
-	ratio = bias * (double)seen / (double)expected;
-	bias += BIAS_GAIN * (CLAMP(ratio, BIAS_MIN, BIAS_MAX) - bias);
-	pool->bias = CLAMP(bias, BIAS_MIN, BIAS_MAX);
-	pool->bias_at = now;
+	pace = (double)(now - attempt->first_at) / (attempt->tokens - 1);
+	seen = CLAMP(pace / attempt->step_us, STRETCH_MIN, STRETCH_MAX);
+	pool->stretch = MAX(pool->stretch, STRETCH_MIN);
+	pool->stretch += STRETCH_GAIN * (seen - pool->stretch);
 }
 
 double
-dff_cost_pieces(const pool_state_t *pool, double tokens)
+dff_cost_pieces(double tokens)
 {
-	(void)pool;
 	return ceil(tokens / PIECE_TOKENS);
 }
--- a/source/policy/fleet.c
+++ b/source/policy/fleet.c
@@ -18,6 +18,8 @@
 #define EJECT_DOUBLINGS 5
 /* Weight of a new report in the learned speeds. */
 #define SPEED_GAIN 0.3
+/* Part of the memory that is free when it is not what calls wait for. */
+#define BATCH_MEMORY 4
 /* How much of the older reports a pool's line keeps at each new one. */
 #define FIT_KEEP 0.995
 
@@ -79,8 +81,13 @@
 static void
 sort_pools(dff_policy_t *policy)
 {
-	for (uint32_t i = 0; i < policy->pool_count; i++)
-		g_ptr_array_sort(policy->pool_at[i]->upstreams, by_id);
+	for (uint32_t i = 0; i < policy->pool_count; i++) {
+		GPtrArray *ups = policy->pool_at[i]->upstreams;
+
+		g_ptr_array_sort(ups, by_id);
+		for (guint j = 0; j < ups->len; j++)
+			((upstream_t *)g_ptr_array_index(ups, j))->place = j;
+	}
 }
 
 void
@@ -177,7 +184,6 @@
 {
 	sample_t *last;
 
-	up->touched = now;
 	last =
 	    &up->samples[(up->sample_next + SAMPLE_COUNT - 1) % SAMPLE_COUNT];
 	if (now - last->at < SAMPLE_EVERY && last->at != 0) {
@@ -249,10 +255,10 @@
 		    SPEED_GAIN * (report->prefill_us - up->prefill_us);
 	else if (report->prefill_us > 0)
 		up->prefill_us = report->prefill_us;
-	if (report->token_us <= 0 || report->running == 0)
+	if (report->token_us <= 0)
 		return;
 	up->step_us = report->token_us;
-	if (up->pool < 0)
+	if (up->pool < 0 || report->running == 0)
 		return;
 	pool = policy->pool_at[up->pool];
 	dff_fit_add(&pool->step, report->running, report->token_us, FIT_KEEP);
@@ -262,6 +268,23 @@
 	up->slowness += SPEED_GAIN * (CLAMP(want, 0.2, 5) - up->slowness);
 }
 
+/* Calls that wait although memory is free tell how large a batch gets. */
+static void
+learn_batch_cap(dff_policy_t *policy, const upstream_t *up,
+    const dff_ev_engine_report_t *report)
+{
+	pool_state_t *pool;
+
+	if (up->pool < 0)
+		return;
+	pool = policy->pool_at[up->pool];
+	if (report->running > pool->batch_cap && pool->batch_cap > 0)
+		pool->batch_cap = report->running;
+	if (report->waiting > 0 && report->running > 0 &&
+	    report->free_pieces > report->total_pieces / BATCH_MEMORY)
+		pool->batch_cap = MAX(pool->batch_cap, report->running);
+}
+
 static bool
 model_differs(const dff_policy_t *policy, const upstream_t *up,
     const dff_ev_engine_report_t *report)
@@ -285,6 +308,7 @@
 	if (up == NULL || report->taken > now)
 		return;
 	policy->round++;
+	dff_fleet_sample(policy, up, now);
 	if (up->reported && report->incarnation != up->incarnation)
 		upstream_reset(up);
 	else if (up->reported && report->taken < up->taken)
@@ -302,6 +326,7 @@
 	up->total_pieces = report->total_pieces;
 	up->base = sent_at(up, report->taken);
 	learn_speeds(policy, up, report);
+	learn_batch_cap(policy, up, report);
 }
 
 void
--- a/source/policy/limit.c
+++ b/source/policy/limit.c
@@ -49,6 +49,7 @@
 {
 	char key[DFF_NAME_MAX * 2];
 	account_pair_t *pair;
+	account_t *account;
 
 	(void)g_snprintf(key, sizeof(key), "%s\n%s", owner, entry);
 	pair = g_hash_table_lookup(policy->pairs, key);
@@ -60,6 +61,9 @@
 	pair->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(policy->pairs, g_strdup(key), pair);
+	account = dff_limit_owner(policy, owner);
+	pair->next = account->pairs;
+	account->pairs = pair;
 	return pair;
 }
 
@@ -143,19 +147,15 @@
 }
 
 static use_t
-peers_of_owner(const dff_policy_t *policy, const char *owner, dff_time_t now)
+peers_of_owner(dff_policy_t *policy, const char *owner, dff_time_t now)
 {
-	GHashTableIter iter;
-	gpointer value;
+	const account_pair_t *pair;
 	use_t sum = {0};
 
-	g_hash_table_iter_init(&iter, policy->pairs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		use_t use;
+	for (pair = dff_limit_owner(policy, owner)->pairs; pair != NULL;
+	     pair = pair->next) {
+		use_t use = peers_of_pair(pair, now);
 
-		if (strcmp(((account_pair_t *)value)->owner, owner) != 0)
-			continue;
-		use = peers_of_pair(value, now);
 		sum.running += use.running;
 		sum.waiting += use.waiting;
 		sum.rate += use.rate;
--- a/source/policy/policy.c
+++ b/source/policy/policy.c
@@ -12,6 +12,8 @@
 #define WAIT_PART 0.5
 /* Time between two looks at the waiting calls when nothing happens. */
 #define LOOK_EVERY (20 * DFF_MSEC)
+/* Time between two counts of a pool's usable upstreams and its queues. */
+#define COUNT_EVERY (100 * DFF_MSEC)
 /* Shortest and longest time after which a refused caller may come back. */
 #define RETRY_LEAST (100 * DFF_MSEC)
 #define RETRY_MOST  (30 * DFF_SEC)
@@ -145,7 +147,6 @@
 	pair->here.waiting += (uint32_t)by;
 	policy->owner_at[entry->owner]->waiting += (uint32_t)by;
 	policy->pool_at[entry->pool]->waiting += (uint32_t)by;
-	policy->pool_at[entry->pool]->waiting_work += by * wait->cost;
 }
 
 static void
@@ -264,6 +265,13 @@
 	decision->what = DFF_DECIDE_RUN;
 	(void)dff_name_copy(decision->vm, up->vm.id);
 	(void)g_strlcpy(decision->addr, up->vm.addr, sizeof(decision->addr));
+	if (forecast->prefill_up != NULL) {
+		(void)dff_name_copy(
+		    decision->prefill_vm, forecast->prefill_up->vm.id);
+		(void)g_strlcpy(decision->prefill_addr,
+		    forecast->prefill_up->vm.addr,
+		    sizeof(decision->prefill_addr));
+	}
 	decision->first_token = forecast->first;
 	decision->whole = forecast->whole;
 	decision->cached_tokens = forecast->cached;
@@ -276,33 +284,39 @@
 	    forecast->batch, forecast->cached);
 }
 
-static uint32_t
-usable_count(const dff_policy_t *policy, uint32_t pool, dff_time_t now)
+/* Count now and then what would cost too much to count for each call. */
+static void
+count_pool(dff_policy_t *policy, uint32_t index, dff_time_t now)
 {
-	const GPtrArray *ups = policy->pool_at[pool]->upstreams;
-	uint32_t count = 0;
+	pool_state_t *pool = policy->pool_at[index];
 
-	for (guint i = 0; i < ups->len; i++)
-		if (dff_fleet_usable(policy, g_ptr_array_index(ups, i), now))
-			count++;
-	return count;
+	if (pool->counted_at != 0 && now - pool->counted_at < COUNT_EVERY)
+		return;
+	pool->counted_at = now;
+	pool->usable = 0;
+	for (guint i = 0; i < pool->upstreams->len; i++)
+		if (dff_fleet_usable(
+			policy, g_ptr_array_index(pool->upstreams, i), now))
+			pool->usable++;
+	pool->peers_waiting = dff_limit_peers_waiting(policy, index, now);
 }
 
 /* Time until a call that waits here would reach an engine. */
 static double
 queue_wait(dff_policy_t *policy, const dff_work_t *work, dff_time_t now)
 {
-	uint32_t pool = policy->entries[work->entry].pool;
-	uint32_t here = policy->pool_at[pool]->waiting;
+	uint32_t index = policy->entries[work->entry].pool;
+	const pool_state_t *pool = policy->pool_at[index];
 	double ahead;
 	double others = 0;
 	double share;
 
+	count_pool(policy, index, now);
 	ahead = dff_queue_ahead(policy, work, dff_queue_due(policy, work), now);
 	if (part_on(policy, DFF_PART_PEERS))
-		others = dff_limit_peers_waiting(policy, pool, now);
-	share = (here + 1) / (here + 1 + others);
-	return ahead / (MAX(usable_count(policy, pool, now), 1) * share);
+		others = pool->peers_waiting;
+	share = (pool->waiting + 1) / (pool->waiting + 1 + others);
+	return ahead / (MAX(pool->usable, 1) * share);
 }
 
 static void
@@ -315,7 +329,7 @@
 	dff_time_t past = now - work->arrived;
 	double wait = queue_wait(policy, work, now);
 	double most = WAIT_PART * (double)cls->first_token;
-	double first = wait + (double)best->first;
+	double first = wait + (double)best->first_safe;
 	double over;
 
 	over = MAX((double)past + first - (double)cls->first_token,
@@ -489,6 +503,22 @@
 	dff_limit_owner(policy, attempt->owner)->running += (uint32_t)by;
 }
 
+/* What the try will do at its engine, by the engine's role. */
+static void
+plan_engine(dff_policy_t *policy, const dff_work_t *work, attempt_t *row,
+    dff_time_t now)
+{
+	upstream_t *up = row->up;
+
+	if (up->role != DFF_ROLE_DECODE) {
+		row->left.prefill = work->prompt_tokens - row->cached_tokens;
+		dff_cache_store(
+		    &up->cache, work->prefix, work->prefix_count, now);
+	}
+	if (up->role != DFF_ROLE_PREFILL)
+		row->left.decode = dff_cost_output(policy, work, 0.5);
+}
+
 void
 dff_policy_begin(dff_ctx_t *ctx, dff_policy_t *policy, uint64_t attempt,
     const dff_work_t *work, const char *vm, uint32_t cached_tokens,
@@ -511,19 +541,18 @@
 	row->prompt_tokens = work->prompt_tokens;
 	row->cached_tokens = MIN(cached_tokens, work->prompt_tokens);
 	row->began = now;
-	row->expected = forecast.first;
+	row->first_us = (double)forecast.first;
+	row->queued_tokens = forecast.queued_tokens;
+	row->step_us = forecast.step_us;
 	row->cost = forecast.cost;
 	row->suspect = work->suspect;
 	row->prefix = g_memdup2(
 	    work->prefix, work->prefix_count * sizeof(work->prefix[0]));
 	row->prefix_count = work->prefix_count;
 	row->left.running = 1;
-	if (policy->pools[up->pool].kind == DFF_VM_ENGINE) {
-		row->left.prefill = work->prompt_tokens - row->cached_tokens;
-		row->left.decode = dff_cost_output(policy, work, 0.5);
-		dff_cache_store(
-		    &up->cache, work->prefix, work->prefix_count, now);
-	}
+	if (policy->pools[up->pool].kind == DFF_VM_ENGINE)
+		plan_engine(policy, work, row, now);
+	up->touched = now;
 	up->own.running += 1;
 	up->own.prefill += row->left.prefill;
 	up->own.decode += row->left.decode;
@@ -546,9 +575,10 @@
 	if (row == NULL || count == 0)
 		return;
 	if (row->tokens == 0) {
-		if (row->up->pool >= 0)
-			dff_cost_learn_first(policy->pool_at[row->up->pool],
-			    row->expected, now - row->began, now);
+		if (row->up->pool >= 0 && row->up->role == DFF_ROLE_MIXED)
+			dff_cost_learn_first(
+			    policy->pool_at[row->up->pool], row, now);
+		row->first_at = now;
 		row->up->own.prefill -= row->left.prefill;
 		row->left.prefill = 0;
 	}
@@ -574,6 +604,10 @@
 	}
 	if (row->tokens > 0)
 		dff_lengths_add(&entry->lengths, usage->output_tokens);
+	if (row->up->pool >= 0 && row->up->role == DFF_ROLE_MIXED)
+		dff_cost_learn_pace(policy->pool_at[row->up->pool], row, now);
+	if (row->up->role == DFF_ROLE_DECODE)
+		return;
 	dff_cache_correct(&row->up->cache, row->cached_tokens,
 	    usage->cached_tokens, row->prefix, row->prefix_count, now);
 }
@@ -590,6 +624,7 @@
 		return;
 	policy->round++;
 	up = row->up;
+	up->touched = now;
 	up->own.running -= 1;
 	up->own.prefill -= row->left.prefill;
 	up->own.decode -= row->left.decode;
--- a/source/policy/queue.c
+++ b/source/policy/queue.c
@@ -67,7 +67,6 @@
 	}
 	g_ptr_array_insert(policy->waiting, (gint)low, wait);
 	pool->waiting++;
-	pool->waiting_work += cost;
 	account_of(policy, wait)->waiting++;
 	pair_of(policy, wait)->here.waiting++;
 }
@@ -81,7 +80,6 @@
 	if (!wait->orphan) {
 		pool = policy->pool_at[wait->pool];
 		pool->waiting--;
-		pool->waiting_work -= wait->cost;
 		account_of(policy, wait)->waiting--;
 		pair_of(policy, wait)->here.waiting--;
 	}
--- a/source/policy/state.h
+++ b/source/policy/state.h
@@ -46,12 +46,14 @@
 typedef struct prefix_cache {
 	GHashTable *blocks;
 	dff_time_t gap_at;
+	double trust; /* part of what was believed that was there */
 } prefix_cache_t;
 
 /** struct upstream - one upstream of the fleet */
 typedef struct upstream {
 	dff_vm_t vm;
 	int pool;
+	uint32_t place; /* in its pool, by VM id */
 	bool gone;
 	bool drained;
 
@@ -112,14 +114,16 @@
 	int index;
 	GPtrArray *upstreams;
 	fit_t step;
-	fit_t piece;
-	double bias;
-	dff_time_t bias_at;
+	fit_t first;
+	double first_margin;
+	double stretch;
+	double batch_cap;
 	double retry_tokens;
 	uint32_t turn;
-	double waiting_work;
 	uint32_t waiting;
-	GHashTable *holders;
+	dff_time_t counted_at; /* moment of the next two */
+	uint32_t usable;
+	uint32_t peers_waiting;
 } pool_state_t;
 
 /** struct use - an owner's use of an entry, here or at a peer */
@@ -140,6 +144,7 @@
 	dff_time_t bucket_at;
 	double served;
 	dff_time_t served_at;
+	struct account_pair *pairs; /* of an owner */
 } account_t;
 
 /** struct account_pair - own use of one entry by one owner */
@@ -148,6 +153,7 @@
 	char entry[DFF_NAME_MAX];
 	account_t here;
 	GHashTable *peers;
+	struct account_pair *next; /* of the same owner */
 } account_pair_t;
 
 /** struct waiting - a call that waits */
@@ -172,10 +178,12 @@
 	uint32_t cached_tokens;
 	uint32_t tokens;
 	dff_time_t began;
-	dff_time_t expected;
+	dff_time_t first_at;
+	double first_us;
+	double queued_tokens;
+	double step_us;
 	double cost;
 	bool suspect;
-	bool limited;
 	uint64_t *prefix;
 	size_t prefix_count;
 } attempt_t;
@@ -238,13 +246,17 @@
 bool dff_fit_line(const fit_t *fit, double *base, double *slope);
 double dff_cost_step(
     const dff_policy_t *policy, const upstream_t *up, double batch);
-double dff_cost_prefill(const dff_policy_t *policy, const upstream_t *up);
 double dff_cost_output(
     const dff_policy_t *policy, const dff_work_t *work, double quantile);
-double dff_cost_bias(const pool_state_t *pool, dff_time_t now);
+double dff_cost_first(
+    const dff_policy_t *policy, const upstream_t *up, double tokens);
+double dff_cost_margin(const dff_policy_t *policy, const pool_state_t *pool);
+double dff_cost_stretch(const dff_policy_t *policy, const pool_state_t *pool);
 void dff_cost_learn_first(
-    pool_state_t *pool, dff_time_t expected, dff_time_t seen, dff_time_t now);
-double dff_cost_pieces(const pool_state_t *pool, double tokens);
+    pool_state_t *pool, const attempt_t *attempt, dff_time_t now);
+void dff_cost_learn_pace(
+    pool_state_t *pool, const attempt_t *attempt, dff_time_t now);
+double dff_cost_pieces(double tokens);
 
 /* ---- cache.c ---- */
 
@@ -285,8 +297,11 @@
 	upstream_t *up;
 	upstream_t *prefill_up;
 	dff_time_t first;
+	dff_time_t first_safe;
 	dff_time_t gap;
 	dff_time_t whole;
+	double queued_tokens;
+	double step_us;
 	uint32_t cached;
 	double batch;
 	double ahead_us;
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -402,23 +402,41 @@
 }
 END_TEST
 
+/*
+ * Suspects that gave tokens and those that gave none never meet, whichever
+ * node sends them; each kind goes where the fewest calls would be lost.
+ */
 START_TEST(suspect_runs_apart)
 {
 	fixture_t f;
 	dff_work_t work;
-	dff_decision_t decision;
+	dff_decision_t silent;
+	dff_decision_t heard;
 
 	set_up(&f, DFF_POLICY_PREDICT, 0);
+	add_vm(&f, "e3", "engines", DFF_VM_ENGINE);
+	add_vm(&f, "e4", "engines", DFF_VM_ENGINE);
+	dff_policy_load_vms(f.ctx, f.policy, f.vms, f.count, T0);
 	report(&f, "e1", 3, 0, T0 + 1, T0 + 1);
-	report(&f, "e2", 1, 1500, T0 + 1, T0 + 1);
-	work = work_of(&f, ENTRY_ASK, 10, T0 + 2);
-	work.suspect = true;
-	work.tries = 1;
-	decision = offer(&f, &work, T0 + 2);
-	ck_assert_str_eq(decision.vm, "e2");
-	for (int i = 0; i < 4; i++)
-		ck_assert_str_eq(
-		    offer_new(&f, ENTRY_ASK, 10, T0 + 3 + i).vm, "e1");
+	report(&f, "e2", 3, 0, T0 + 1, T0 + 1);
+	report(&f, "e3", 1, 1500, T0 + 1, T0 + 1);
+	report(&f, "e4", 1, 1500, T0 + 1, T0 + 1);
+	for (int i = 0; i < 20; i++) {
+		work = work_of(&f, ENTRY_ASK, 10, T0 + 2);
+		work.suspect = true;
+		work.tries = 1;
+		dff_policy_offer(f.ctx, f.policy, &work, T0 + 2, &silent);
+		work.delivered = 5;
+		dff_policy_offer(f.ctx, f.policy, &work, T0 + 2, &heard);
+		ck_assert_str_eq(silent.vm, "e3");
+		ck_assert_str_eq(heard.vm, "e4");
+	}
+	work.delivered = 0;
+	silent = offer(&f, &work, T0 + 2);
+	ck_assert_str_eq(silent.vm, "e3");
+	for (int i = 0; i < 8; i++)
+		ck_assert_str_ne(
+		    offer_new(&f, ENTRY_ASK, 10, T0 + 3 + i).vm, "e3");
 	tear_down(&f);
 }
 END_TEST
