--- a/source/catalogue/parse.c
+++ b/source/catalogue/parse.c
@@ -27,14 +27,15 @@
 	FIELD_COUNT, /* uint32_t */
 	FIELD_REAL, /* double */
 	FIELD_MSEC, /* dff_time_t */
-	FIELD_BOOL, /* bool */
-	FIELD_CHOICE, /* see store_choice() */
+	FIELD_BOOL, /* bool: false for the first word, true for the second */
+	FIELD_VM_KIND, /* dff_vm_kind_t */
+	FIELD_FENCING, /* dff_fencing_t */
 } field_kind_t;
 
 /*
- * One key of a section. Numbers have bounds; a choice has its words, parted
- * by "|", and its place among them is stored. A key without a default must
- * be given; "" leaves the field zero.
+ * One key of a section. Numbers have bounds; what is chosen from words has
+ * those, parted by "|". A key without a default must be given; "" leaves the
+ * field zero.
  */
 typedef struct field {
 	const char *key;
@@ -76,17 +77,16 @@
     {NULL, 0, 0, NULL, 0, 0, NULL},
 };
 
-/* Words of a choice stand in the order of the enum that they are stored as. */
 static const field_t pool_fields[] = {
-    {"kind", FIELD_CHOICE, offsetof(dff_pool_t, kind), NULL, 0, 0,
+    {"kind", FIELD_VM_KIND, offsetof(dff_pool_t, kind), NULL, 0, 0,
 	"engine|service"},
     {"model", FIELD_NAME, offsetof(dff_pool_t, model), "", 0, 0, NULL},
     {"version", FIELD_COUNT, offsetof(dff_pool_t, version), "0", 0, VERSION_MAX,
 	NULL},
     {"adapter", FIELD_NAME, offsetof(dff_pool_t, adapter), "", 0, 0, NULL},
-    {"fencing", FIELD_CHOICE, offsetof(dff_pool_t, fencing), "ignored", 0, 0,
+    {"fencing", FIELD_FENCING, offsetof(dff_pool_t, fencing), "ignored", 0, 0,
 	"ignored|checked"},
-    {"roles", FIELD_CHOICE, offsetof(dff_pool_t, roles), "mixed", 0, 0,
+    {"roles", FIELD_BOOL, offsetof(dff_pool_t, roles), "mixed", 0, 0,
 	"mixed|any"},
     {"role_change_price", FIELD_REAL, offsetof(dff_pool_t, role_change_price),
 	"0", 0, PRICE_MAX, NULL},
@@ -255,13 +255,18 @@
 
 	if (place < 0)
 		return;
-	if (value->field->offset == offsetof(dff_pool_t, kind)) {
+	switch (value->field->kind) {
+	case FIELD_VM_KIND:
 		*(dff_vm_kind_t *)at =
 		    place == 0 ? DFF_VM_ENGINE : DFF_VM_SERVICE;
-	} else if (value->field->offset == offsetof(dff_pool_t, fencing)) {
-		*(dff_fencing_t *)at = (dff_fencing_t)place;
-	} else {
+		return;
+	case FIELD_FENCING:
+		*(dff_fencing_t *)at =
+		    place == 0 ? DFF_FENCING_IGNORED : DFF_FENCING_CHECKED;
+		return;
+	default:
 		*(bool *)at = place == 1;
+		return;
 	}
 }
 
@@ -306,10 +311,8 @@
 		store_number(value);
 		return;
 	case FIELD_BOOL:
-		*(bool *)(value->row + value->field->offset) =
-		    choice_of(value) == 1;
-		return;
-	case FIELD_CHOICE:
+	case FIELD_VM_KIND:
+	case FIELD_FENCING:
 		store_choice(value);
 		return;
 	}
