--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -24,6 +24,9 @@
 #define WORK_ROWS_MAX 32
 /* Entries with the most use that are told in one frame. */
 #define USE_ROWS_MAX 24
+/* The same between domains, in a fleet too large to be read whole. */
+#define FAR_WORK_ROWS_MAX 8
+#define FAR_USE_ROWS_MAX  16
 /* Engines with room that a relay tells another domain of. */
 #define SUMMARY_REPORTS_MAX 12
 /* Engines with room in other domains that a relay tells its own of. */
@@ -394,6 +397,9 @@
 void watch_note(
     dff_node_t *node, const dff_ev_engine_report_t *report, dff_time_t now);
 
+/** watch_shared() - the fleet is too large to be read whole by each node */
+bool watch_shared(const dff_node_t *node);
+
 /* ---- node.c ---- */
 
 /** node_take_report() - use a load report, read here or told by a peer */
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -10,7 +10,7 @@
 #define PART "peer"
 
 /* Heartbeats between two summaries of a relay. */
-#define FAR_EVERY 2
+#define FAR_EVERY 3
 /* Bytes a second that heartbeats may take; with more to tell they come less
  * often, but never less often than twice within suspect_after. */
 #define BEAT_BYTES_PER_S (10 * 1024)
@@ -51,6 +51,7 @@
 {
 	Dff__Summary summary = DFF__SUMMARY__INIT;
 	Dff__Frame frame = DFF__FRAME__INIT;
+	bool shared = watch_shared(node);
 	packed_rows_t *rows;
 
 	rows = g_new0(packed_rows_t, 1);
@@ -61,9 +62,11 @@
 	summary.merged = merged;
 	summary.n_offsets = DFF_STREAM_COUNT;
 	summary.offsets = rows->offset_at;
-	summary.n_work = MIN(rows->work_count, WORK_ROWS_MAX);
+	summary.n_work =
+	    MIN(rows->work_count, shared ? FAR_WORK_ROWS_MAX : WORK_ROWS_MAX);
 	summary.work = rows->work_at;
-	summary.n_use = MIN(rows->use_count, USE_ROWS_MAX);
+	summary.n_use =
+	    MIN(rows->use_count, shared ? FAR_USE_ROWS_MAX : USE_ROWS_MAX);
 	summary.use = rows->use_at;
 	summary.n_reports = watch_pack(node,
 	    merged ? WATCH_OTHER_DOMAINS : WATCH_OWN_DOMAIN, rows->report,
--- a/source/node/watch.c
+++ b/source/node/watch.c
@@ -50,6 +50,12 @@
 	g_free(watch);
 }
 
+bool
+watch_shared(const dff_node_t *node)
+{
+	return node->watch->shared;
+}
+
 static uint64_t
 rank(const char *vm, const char *node)
 {
