--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -585,9 +585,11 @@
 	const figures_t *last;
 	const figures_t *mid;
 
-	/* "--quick" leaves the largest fleet out. */
+	/* "--quick" leaves the largest fleet out; "--small" the next as well. */
 	if (argc > 1 && strcmp(argv[1], "--quick") == 0)
 		count--;
+	if (argc > 1 && strcmp(argv[1], "--small") == 0)
+		count -= 2;
 	(void)printf("%6s %7s %7s %7s | %9s %9s %9s %8s %8s %8s %8s %7s\n",
 	    "nodes", "domains", "workers", "owners", "core %", "B/s mean",
 	    "B/s most", "polls/s", "MB", "us/call", "boot ms", "refused");
