Time left until a moment is taken with one look at the clock

Cause: MAX(at - now(), 0) reads the clock twice; if the process is held up between the two, a moment that was ahead becomes negative and, as unsigned milliseconds, a timer that never fires. Seen: dff-load sent 22,724 of 100,000 requests and slept; a debugger showed the timer's timeout at 2^64 - 1 with nothing open. Ruled out: lost answers (the entry had none open).

--- a/include/dragonflyfall/program.h
+++ b/include/dragonflyfall/program.h
@@ -77,6 +77,9 @@
 /** dff_program_now() - now, by a clock that runs on during suspension */
 dff_time_t dff_program_now(void);
 
+/** dff_program_until() - time left until a moment; 0 once it has passed */
+dff_time_t dff_program_until(dff_time_t at);
+
 /** dff_program_wall_ms() - wall clock in milliseconds since 1970 */
 uint64_t dff_program_wall_ms(void);
 
--- a/source/net/program.c
+++ b/source/net/program.c
@@ -62,6 +62,15 @@
 	return (dff_time_t)ts.tv_sec * DFF_SEC + ts.tv_nsec / 1000;
 }
 
+dff_time_t
+dff_program_until(dff_time_t at)
+{
+	/* One look at the clock: MAX() would look twice. */
+	dff_time_t left = at - dff_program_now();
+
+	return left > 0 ? left : 0;
+}
+
 uint64_t
 dff_program_wall_ms(void)
 {
--- a/source/net/runner.c
+++ b/source/net/runner.c
@@ -59,7 +59,7 @@
 static void
 set_wake(runner_t *runner, dff_time_t at)
 {
-	dff_time_t wait = MAX(at - dff_program_now(), 0);
+	dff_time_t wait = dff_program_until(at);
 	/* Rounded up: a wake too early would only have to be set again. */
 	uint64_t msec = (uint64_t)((wait + DFF_MSEC - 1) / DFF_MSEC);
 
--- a/source/tool/dff-engine.c
+++ b/source/tool/dff-engine.c
@@ -86,7 +86,7 @@
 		(void)uv_timer_stop(&engine->timer);
 		return;
 	}
-	wait = MAX(next - dff_program_now(), 0);
+	wait = dff_program_until(next);
 	uv_update_time(engine->standin.loop);
 	(void)uv_timer_start(&engine->timer, on_timer,
 	    (uint64_t)((wait + DFF_MSEC - 1) / DFF_MSEC), 0);
--- a/source/tool/dff-service.c
+++ b/source/tool/dff-service.c
@@ -40,7 +40,7 @@
 		(void)uv_timer_stop(&service->timer);
 		return;
 	}
-	wait = MAX(next - dff_program_now(), 0);
+	wait = dff_program_until(next);
 	uv_update_time(service->standin.loop);
 	(void)uv_timer_start(&service->timer, on_timer,
 	    (uint64_t)((wait + DFF_MSEC - 1) / DFF_MSEC), 0);
--- a/source/tool/standin.c
+++ b/source/tool/standin.c
@@ -44,7 +44,7 @@
 		(void)uv_timer_stop(&standin->later_timer);
 		return;
 	}
-	wait = MAX(first->at - dff_program_now(), 0);
+	wait = dff_program_until(first->at);
 	uv_update_time(standin->loop);
 	(void)uv_timer_start(&standin->later_timer, on_later,
 	    (uint64_t)((wait + DFF_MSEC - 1) / DFF_MSEC), 0);
