Orders: who yields a pool's turn tries again in 5 s, not in 60

Cause: holders of one pool in three domains begin a load at once; the first mark wins and the others give up, which cost them the wait that is meant for changes that failed. Ruled out: the VM list's short cut (same with it off).

--- a/source/authority/order.c
+++ b/source/authority/order.c
@@ -149,7 +149,8 @@
 	    change->vm, dff_order_kind_name(change->kind), change->target,
 	    change->order, how);
 	if (change->outcome != OUTCOME_DONE) {
-		dff_time_t at = now + CHANGE_RETRY;
+		dff_time_t at =
+		    now + (change->yielded ? YIELD_RETRY : CHANGE_RETRY);
 
 		g_hash_table_insert(auth->retry_at, g_strdup(change->vm),
 		    g_memdup2(&at, sizeof(at)));
@@ -268,6 +269,7 @@
 		/* Of two that began at once in a pool the first goes on. */
 		if (mark->weights &&
 		    pool_loads(auth, shard->pool, mark->offset)) {
+			change->yielded = true;
 			enter(ctx, auth, shard, CHANGE_UNMARK, now);
 			return;
 		}
--- a/source/authority/parts.h
+++ b/source/authority/parts.h
@@ -22,6 +22,8 @@
 #define LOOK_EVERY (5 * DFF_SEC)
 /* Time before a change that failed is proposed again. */
 #define CHANGE_RETRY (60 * DFF_SEC)
+/* The same if another change of the pool had only begun earlier. */
+#define YIELD_RETRY (5 * DFF_SEC)
 /* A living VM is in the VM list after this time. */
 #define VM_LIST_LAG (30 * DFF_SEC)
 
@@ -75,6 +77,7 @@
  * @odd_since: moment since which the engine is back and not as ordered
  * @sent: the order was sent and not answered
  * @fenced: times that the engine knew a newer number
+ * @yielded: another change of the pool had begun earlier
  * @outcome: what is to be recorded
  */
 typedef struct change {
@@ -95,6 +98,7 @@
 	dff_time_t odd_since;
 	bool sent;
 	uint32_t fenced;
+	bool yielded;
 	order_outcome_t outcome;
 } change_t;
 
