--- a/test/test_node.c
+++ b/test/test_node.c
@@ -49,6 +49,8 @@
 static char code[64];
 static uint8_t append_data[64 * 1024];
 static GString *text;
+/* Upstreams that this node was last asked to read, by VM id. */
+static GHashTable *watched;
 static int starts;
 static int cancels;
 static int refusals;
@@ -246,6 +248,7 @@
 	node = dff_node_new(ctx, &config);
 	fx = dff_effects_new();
 	text = g_string_new(NULL);
+	watched = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	now = DFF_SEC;
 	starts = cancels = refusals = ends = replies = appends = stops = 0;
 	next_call = 0;
@@ -277,6 +280,7 @@
 	dff_node_drop(node);
 	dff_effects_drop(fx);
 	g_string_free(text, TRUE);
+	g_hash_table_unref(watched);
 	dff_ctx_drop(ctx);
 }
 
@@ -628,6 +632,192 @@
 }
 END_TEST
 
+static void
+note_watched(void)
+{
+	for (size_t i = 0; i < dff_effects_count(fx); i++) {
+		const dff_effect_t *effect = dff_effects_at(fx, i);
+
+		if (effect->type != DFF_FX_ENGINE_WATCH)
+			continue;
+		if (effect->u.engine_watch.on)
+			g_hash_table_add(
+			    watched, g_strdup(effect->u.engine_watch.vm));
+		else
+			g_hash_table_remove(watched, effect->u.engine_watch.vm);
+	}
+}
+
+/* Three entry VMs of one domain and @engines engines, half of them there. */
+static void
+feed_large_vms(int engines)
+{
+	dff_event_t event = {.type = DFF_EV_VM_LIST};
+	dff_vm_t *vms = g_new0(dff_vm_t, engines + 3);
+
+	for (int i = 0; i < engines + 3; i++) {
+		char id[32];
+
+		(void)g_snprintf(id, sizeof(id), "%s-%d",
+		    i < 3 ? "entry" : "worker", i < 3 ? i + 1 : i);
+		set_vm(&vms[i], id, i < 3 ? "" : "engines",
+		    i < 3 ? DFF_VM_ENTRY : DFF_VM_ENGINE);
+		if (i >= 3 && i % 2 == 0)
+			(void)dff_name_copy(vms[i].domain, "b");
+	}
+	event.u.vm_list.vms = vms;
+	event.u.vm_list.count = (size_t)engines + 3;
+	(void)step(&event);
+	note_watched();
+	g_free(vms);
+}
+
+static void
+feed_frame(const char *from, uint64_t incarnation, Dff__Frame *frame)
+{
+	dff_event_t event = {.type = DFF_EV_PEER_FRAME};
+	uint8_t data[4096];
+
+	frame->version = 1;
+	frame->from = (char *)(uintptr_t)from;
+	frame->incarnation = incarnation;
+	event.u.peer.id = from;
+	event.u.peer.len = dff__frame__pack(frame, data);
+	event.u.peer.data = data;
+	(void)step(&event);
+}
+
+static void
+feed_beat(const char *from)
+{
+	Dff__Heartbeat beat = DFF__HEARTBEAT__INIT;
+	Dff__Frame frame = DFF__FRAME__INIT;
+
+	frame.body_case = DFF__FRAME__BODY_HEARTBEAT;
+	frame.heartbeat = &beat;
+	feed_frame(from, 1, &frame);
+}
+
+START_TEST(reads_a_small_fleet_whole)
+{
+	feed_large_vms(40);
+	ck_assert_uint_eq(g_hash_table_size(watched), 40);
+}
+END_TEST
+
+START_TEST(shares_a_large_fleet_with_its_domain)
+{
+	guint alone;
+
+	feed_large_vms(200);
+	alone = g_hash_table_size(watched);
+	/* With no live peer all of the own domain, none of the other. */
+	ck_assert_uint_eq(alone, 100);
+	feed_beat("entry-2");
+	feed_beat("entry-3");
+	for (int i = 0; i < 20; i++) {
+		dff_event_t wake = {.type = DFF_EV_WAKE};
+
+		now += 100 * DFF_MSEC;
+		(void)step(&wake);
+		note_watched();
+	}
+	ck_assert_uint_lt(g_hash_table_size(watched), 60);
+	ck_assert_uint_gt(g_hash_table_size(watched), 10);
+}
+END_TEST
+
+START_TEST(passes_over_frames_that_it_does_not_know)
+{
+	dff_event_t event = {.type = DFF_EV_PEER_FRAME};
+	static const uint8_t garbage[] = {0xff, 0xff, 0xff, 0x7f, 0x01};
+	Dff__Frame frame = DFF__FRAME__INIT;
+	uint64_t bad;
+
+	feed_large_vms(0);
+	bad = dff_node_counter(node, DFF_COUNT_FRAMES_BAD);
+	event.u.peer.id = "entry-2";
+	event.u.peer.data = garbage;
+	event.u.peer.len = sizeof(garbage);
+	(void)step(&event);
+	ck_assert_uint_eq(
+	    dff_node_counter(node, DFF_COUNT_FRAMES_BAD), bad + 1);
+	/* A body of a later release. */
+	feed_frame("entry-2", 1, &frame);
+	ck_assert_uint_eq(
+	    dff_node_counter(node, DFF_COUNT_FRAMES_BAD), bad + 2);
+	feed_frame("stranger", 1, &frame);
+	ck_assert_uint_eq(
+	    dff_node_counter(node, DFF_COUNT_FRAMES_BAD), bad + 3);
+	feed_beat("entry-2");
+	ck_assert_uint_eq(
+	    dff_node_counter(node, DFF_COUNT_FRAMES_BAD), bad + 3);
+}
+END_TEST
+
+/* The log is gone here, but a peer hands on the edit that it has read. */
+START_TEST(takes_an_edit_from_a_peer)
+{
+	dff_event_t down = {.type = DFF_EV_LOG_DOWN};
+	Dff__CatalogueEdit edit = DFF__CATALOGUE_EDIT__INIT;
+	Dff__Record record = DFF__RECORD__INIT;
+	Dff__PeerRecord row = DFF__PEER_RECORD__INIT;
+	Dff__PeerRecord *rows[] = {&row};
+	Dff__Records records = DFF__RECORDS__INIT;
+	Dff__Frame frame = DFF__FRAME__INIT;
+	char id[] = "by-peer";
+	uint8_t data[2048];
+
+	feed_large_vms(0);
+	down.u.log_down.stream = DFF_STREAM_CATALOGUE;
+	(void)step(&down);
+	edit.edit_id = id;
+	edit.against = dff_node_revision(node);
+	edit.text = (char *)(uintptr_t)catalogue_text;
+	record.version = 1;
+	record.body_case = DFF__RECORD__BODY_EDIT;
+	record.edit = &edit;
+	row.stream = DFF_STREAM_CATALOGUE;
+	row.offset = next_offset[DFF_STREAM_CATALOGUE];
+	row.data.len = dff__record__pack(&record, data);
+	row.data.data = data;
+	records.n_records = 1;
+	records.records = rows;
+	frame.body_case = DFF__FRAME__BODY_RECORDS;
+	frame.records = &records;
+	feed_frame("entry-2", 1, &frame);
+	ck_assert_uint_eq(dff_node_revision(node), row.offset);
+	/* The same record from the log, later, changes nothing. */
+	feed_record(DFF_STREAM_CATALOGUE, data, row.data.len);
+	ck_assert_uint_eq(dff_node_revision(node), row.offset);
+}
+END_TEST
+
+/* All that the stream held has expired and nobody has its state. */
+START_TEST(begins_anew_only_after_a_while)
+{
+	dff_event_t event = {.type = DFF_EV_LOG_HEAD};
+
+	feed_vms();
+	event.u.log_head.stream = DFF_STREAM_CATALOGUE;
+	event.u.log_head.first = 50;
+	event.u.log_head.next = 50;
+	event.u.log_head.asked = now;
+	next_offset[DFF_STREAM_CATALOGUE] = 50;
+	(void)step(&event);
+	feed_edit("early", 0, catalogue_text);
+	ck_assert_uint_eq(dff_node_revision(node), 0);
+	event.u.log_head.next = 51;
+	for (int i = 0; i < 15; i++) {
+		(void)step(&event);
+		wait_until(now + DFF_SEC);
+	}
+	next_offset[DFF_STREAM_CATALOGUE] = 50;
+	feed_edit("early", 0, catalogue_text);
+	ck_assert_uint_eq(dff_node_revision(node), 50);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -639,7 +829,12 @@
 
 	tcase_add_checked_fixture(boot, setup, teardown);
 	tcase_add_test(boot, takes_no_work_before_the_catalogue);
+	tcase_add_test(boot, begins_anew_only_after_a_while);
 	tcase_add_checked_fixture(ready, setup_ready, teardown);
+	tcase_add_test(ready, reads_a_small_fleet_whole);
+	tcase_add_test(ready, shares_a_large_fleet_with_its_domain);
+	tcase_add_test(ready, passes_over_frames_that_it_does_not_know);
+	tcase_add_test(ready, takes_an_edit_from_a_peer);
 	tcase_add_test(ready, serves_a_whole_answer);
 	tcase_add_test(ready, tells_why_it_refuses);
 	tcase_add_test(ready, resumes_at_the_next_token_elsewhere);
