Authority: a state that began anew learns who holds a lease

Cause: dff_authority_rebase() lets a placer begin after an expired start of the stream. It knew no lease then, so its claim, which names no earlier record, was good by its own state and bad by the others': two holders. A renewal under a number that is not known now tells the lease, and a state that began anew waits a term and the drift before it claims.

--- a/source/authority/authority.c
+++ b/source/authority/authority.c
@@ -597,6 +597,7 @@
 	if (auth->state.applied != 0)
 		return -EALREADY;
 	auth->state.applied = applied;
+	auth->rebased_at = MAX(auth->now, 1);
 	return 0;
 }
 
--- a/source/authority/lease.c
+++ b/source/authority/lease.c
@@ -71,6 +71,10 @@
 		free_at = lease->read_at;
 		if (!lease->released && !DFF_FAULT(NO_TERM_WAIT))
 			free_at += lease->term + auth->config.drift;
+	} else if (auth->rebased_at != 0) {
+		/* A holder from before that renews within its term. */
+		free_at = MAX(free_at, auth->rebased_at) + auth->config.term +
+		    auth->config.drift;
 	}
 	return free_at + MIN(shard->rank, RANK_MAX) * step;
 }
--- a/source/authority/parts.h
+++ b/source/authority/parts.h
@@ -170,6 +170,7 @@
 	GHashTable *retry_at; /* vm -> dff_time_t: no change before, owned */
 	uint64_t sequence;
 	dff_time_t started_at;
+	dff_time_t rebased_at; /* the state began anew; 0 never */
 	dff_time_t ack_at;
 	dff_time_t head_asked;
 	dff_time_t tick_at;
--- a/source/authority/state.c
+++ b/source/authority/state.c
@@ -189,6 +189,33 @@
 
 /* ---- records ---- */
 
+static lease_t *
+new_lease(authority_state_t *state, const char *shard)
+{
+	lease_t *lease = g_new0(lease_t, 1);
+
+	g_strlcpy(lease->shard, shard, sizeof(lease->shard));
+	g_tree_insert(state->leases, lease->shard, lease);
+	return lease;
+}
+
+static void
+grant(lease_t *lease, const Dff__Record *record, const Dff__Lease *body,
+    uint64_t fence)
+{
+	(void)dff_name_copy(lease->holder, record->writer);
+	lease->incarnation = record->incarnation;
+	lease->term = (dff_time_t)body->term_ms * DFF_MSEC;
+	lease->fence = fence;
+	lease->released = false;
+}
+
+static bool
+term_fits(const Dff__Lease *body)
+{
+	return body->term_ms > 0 && body->term_ms <= INT32_MAX;
+}
+
 /*
  * A claim says which record of the lease its writer had read last. If the
  * lease was renewed or claimed since, the claim has lost.
@@ -200,21 +227,14 @@
 	lease_t *lease = authority_state_lease(state, claim->shard);
 	intent_t *open;
 
-	if (claim->term_ms == 0 || claim->term_ms > INT32_MAX)
+	if (!term_fits(claim))
 		return -EINVAL;
-	if (lease == NULL) {
-		lease = g_new0(lease_t, 1);
-		g_strlcpy(lease->shard, claim->shard, sizeof(lease->shard));
-		g_tree_insert(state->leases, lease->shard, lease);
-	}
+	if (lease == NULL)
+		lease = new_lease(state, claim->shard);
 	if (claim->after != lease->last && !DFF_FAULT(CLAIM_UNCHECKED))
 		return 0;
-	(void)dff_name_copy(lease->holder, record->writer);
-	lease->incarnation = record->incarnation;
-	lease->term = (dff_time_t)claim->term_ms * DFF_MSEC;
-	lease->fence = offset;
+	grant(lease, record, claim, offset);
 	lease->last = offset;
-	lease->released = false;
 	lease->read_at = now;
 	open = find_open(state, claim->shard);
 	if (open != NULL)
@@ -222,6 +242,24 @@
 	return 0;
 }
 
+/*
+ * A renewal under a number that is not known here: the claim came before
+ * the offset at which this state began anew. Only its holder renews it.
+ */
+static lease_t *
+learn_lease(authority_state_t *state, const Dff__Record *record,
+    const Dff__Lease *renewal)
+{
+	lease_t *lease = authority_state_lease(state, renewal->shard);
+
+	if (lease != NULL && renewal->fence <= lease->fence)
+		return NULL;
+	if (lease == NULL)
+		lease = new_lease(state, renewal->shard);
+	grant(lease, record, renewal, renewal->fence);
+	return lease;
+}
+
 static int
 apply_renewal(authority_state_t *state, const Dff__Record *record,
     const Dff__Lease *renewal, uint64_t offset, dff_time_t now)
@@ -229,6 +267,10 @@
 	lease_t *lease =
 	    lease_of_writer(state, record, renewal->shard, renewal->fence);
 
+	if (!term_fits(renewal) || renewal->fence >= offset)
+		return -EINVAL;
+	if (lease == NULL)
+		lease = learn_lease(state, record, renewal);
 	if (lease == NULL)
 		return 0;
 	lease->last = offset;
--- a/test/test_authority.c
+++ b/test/test_authority.c
@@ -470,6 +470,35 @@
 }
 END_TEST
 
+START_TEST(state_that_began_anew_learns_the_holder)
+{
+	bench_t *bench = bench_new();
+	node_t *old;
+	node_t *other;
+
+	run_for(bench, 2 * DFF_SEC);
+	old = holder(bench);
+	other = old == &bench->nodes[0] ? &bench->nodes[1] : &bench->nodes[0];
+	node_close(other);
+	node_open(other, other == &bench->nodes[0] ? "a.placer" : "b.placer", 2,
+	    bench->now);
+	load_vms(bench);
+	ck_assert_int_eq(dff_authority_rebase(other->auth, bench->log->len), 0);
+	for (int i = 0; i < 10; i++) {
+		run_for(bench, TERM / 2);
+		ck_assert_ptr_eq(holder(bench), old);
+	}
+	/* It follows a lease that it has never seen claimed. */
+	old->paused = true;
+	run_for(bench, 2 * TERM);
+	ck_assert_ptr_eq(holder(bench), other);
+	old->paused = false;
+	run_for(bench, DFF_SEC);
+	ck_assert_ptr_eq(holder(bench), other);
+	bench_drop(bench);
+}
+END_TEST
+
 START_TEST(snapshot_gives_the_same_state)
 {
 	bench_t *bench = bench_new();
@@ -533,6 +562,7 @@
 	tcase_add_test(
 	    tcase, successor_completes_and_holds_back_until_acknowledged);
 	tcase_add_test(tcase, crash_on_the_way_is_an_outcome);
+	tcase_add_test(tcase, state_that_began_anew_learns_the_holder);
 	tcase_add_test(tcase, snapshot_gives_the_same_state);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
