--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -711,7 +711,7 @@
 		return;
 	g_hash_table_insert(claims->gone, g_strdup(node),
 	    g_memdup2(&incarnation, sizeof(incarnation)));
-	dff_log(ctx, DFF_LOG_NOTICE, "claim",
+	dff_log(ctx, DFF_LOG_INFO, "claim",
 	    "holder is gone, its open claims are unknown. node=%s "
 	    "incarnation=%" G_GUINT64_FORMAT,
 	    node, incarnation);
