--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -58,7 +58,8 @@
  * @hollow_since: moment at which the end was reached without a base; -1 not
  * @head_at: moment of the last answered read; -1 before the first
  * @down: the last read failed
- * @snapshot_at: moment at which a snapshot was last seen in the stream
+ * @snapshot_at: moment at which a newer snapshot was last seen
+ * @snapshot_through: offset that it speaks for
  * @recent: recent_t, oldest first
  * @recent_bytes: bytes in @recent
  */
@@ -74,6 +75,7 @@
 	dff_time_t head_at;
 	bool down;
 	dff_time_t snapshot_at;
+	uint64_t snapshot_through;
 	GQueue recent;
 	size_t recent_bytes;
 } stream_t;
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -294,8 +294,10 @@
 		before = known->incarnation;
 	heard = dff_members_hear(
 	    ctx, node->members, ev->id, frame->incarnation, now, &peer);
-	if (heard == DFF_HEARD_NEW)
-		dff_claims_holder_gone(ctx, node->claims, ev->id, before);
+	/* What ran there before the process that speaks has ended. */
+	if (heard == DFF_HEARD_NEW || (heard == DFF_HEARD_BACK && before == 0))
+		dff_claims_holder_gone(
+		    ctx, node->claims, ev->id, frame->incarnation - 1);
 	if (heard == DFF_HEARD_ALIEN || heard == DFF_HEARD_STALE)
 		node->counters[DFF_COUNT_FRAMES_BAD]++;
 	else
--- a/source/node/stream.c
+++ b/source/node/stream.c
@@ -196,20 +196,36 @@
 	}
 }
 
-static bool
-is_snapshot(const uint8_t *data, size_t len)
+/* Offset that a snapshot record speaks for; 0 for any other record. */
+static uint64_t
+snapshot_through(const uint8_t *data, size_t len)
 {
 	Dff__Record *record;
-	bool answer;
+	uint64_t through = 0;
 
 	record = dff__record__unpack(NULL, len, data);
 	if (record == NULL)
-		return false;
-	answer = record->body_case == DFF__RECORD__BODY_CATALOGUE_SNAPSHOT ||
-	    record->body_case == DFF__RECORD__BODY_AUTHORITY_SNAPSHOT ||
-	    record->body_case == DFF__RECORD__BODY_CLAIMS_SNAPSHOT;
+		return 0;
+	if (record->body_case == DFF__RECORD__BODY_CATALOGUE_SNAPSHOT)
+		through = record->catalogue_snapshot->through;
+	else if (record->body_case == DFF__RECORD__BODY_AUTHORITY_SNAPSHOT)
+		through = record->authority_snapshot->through;
+	else if (record->body_case == DFF__RECORD__BODY_CLAIMS_SNAPSHOT)
+		through = record->claims_snapshot->through;
 	dff__record__free_unpacked(record, NULL);
-	return answer;
+	return through;
+}
+
+/* A paused writer's old snapshot must not put the next good one off. */
+static void
+note_snapshot(stream_t *stream, const uint8_t *data, size_t len, dff_time_t now)
+{
+	uint64_t through = snapshot_through(data, len);
+
+	if (through <= stream->snapshot_through)
+		return;
+	stream->snapshot_through = through;
+	stream->snapshot_at = now;
 }
 
 /* Records before this one are missing: only a snapshot can help. */
@@ -268,8 +284,7 @@
 	if (changed == -EINVAL)
 		node->counters[DFF_COUNT_RECORDS_BAD]++;
 	remember(stream, ev);
-	if (is_snapshot(ev->data, ev->len))
-		stream->snapshot_at = now;
+	note_snapshot(stream, ev->data, ev->len, now);
 	if (changed > 0)
 		state_changed(ctx, node, ev->stream);
 	check_caught_up(ctx, node, stream);
--- a/test/test_node.c
+++ b/test/test_node.c
@@ -818,6 +818,42 @@
 }
 END_TEST
 
+/* Seconds until the node has appended a catalogue snapshot. */
+static int
+wait_for_snapshot(int most)
+{
+	for (int i = 0; i < most; i++) {
+		int before = appends;
+
+		wait_until(now + DFF_SEC);
+		feed_head(DFF_STREAM_CATALOGUE);
+		if (appends > before && append.stream == DFF_STREAM_CATALOGUE)
+			return i;
+	}
+	return -1;
+}
+
+START_TEST(an_old_snapshot_puts_no_new_one_off)
+{
+	uint8_t old[1024];
+	size_t len;
+	int before;
+
+	ck_assert_int_ge(wait_for_snapshot(200), 0);
+	len = append.len;
+	memcpy(old, append_data, len);
+	feed_record(DFF_STREAM_CATALOGUE, old, len);
+	before = appends;
+	/* A writer that was paused wakes and appends what it had, thrice. */
+	for (int i = 0; i < 3; i++) {
+		wait_until(now + 40 * DFF_SEC);
+		feed_record(DFF_STREAM_CATALOGUE, old, len);
+	}
+	/* Two periods have passed: the next good one is written. */
+	ck_assert_int_gt(appends, before);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -835,6 +871,7 @@
 	tcase_add_test(ready, shares_a_large_fleet_with_its_domain);
 	tcase_add_test(ready, passes_over_frames_that_it_does_not_know);
 	tcase_add_test(ready, takes_an_edit_from_a_peer);
+	tcase_add_test(ready, an_old_snapshot_puts_no_new_one_off);
 	tcase_add_test(ready, serves_a_whole_answer);
 	tcase_add_test(ready, tells_why_it_refuses);
 	tcase_add_test(ready, resumes_at_the_next_token_elsewhere);
