--- a/source/policy/policy.c
+++ b/source/policy/policy.c
@@ -602,6 +602,8 @@
 		    SERVICE_GAIN * (took - entry->service_us);
 		return;
 	}
+	if (row->up->pool >= 0 && row->up->role == DFF_ROLE_PREFILL)
+		dff_cost_learn_first(policy->pool_at[row->up->pool], row, now);
 	if (row->tokens > 0)
 		dff_lengths_add(&entry->lengths, usage->output_tokens);
 	if (row->up->pool >= 0 && row->up->role == DFF_ROLE_MIXED)
--- a/source/policy/roles.c
+++ b/source/policy/roles.c
@@ -24,9 +24,12 @@
 /* Load beyond which an engine counts as no more, so that it soon falls. */
 #define LOAD_MOST 1.5
 /* Backlog of an engine that is just busy. */
-#define BACKLOG_FREE (500 * DFF_MSEC)
-/* Time in which what is beyond that should be gone. */
-#define BACKLOG_TIME (2 * DFF_SEC)
+#define BACKLOG_FREE (60 * DFF_MSEC)
+/*
+ * What is beyond that, as engines: nodes hold calls back when an engine has
+ * a backlog of a few hundred milliseconds, so it never gets much longer.
+ */
+#define BACKLOG_TIME (300 * DFF_MSEC)
 /* Part of an engine's time that a role may be busy before it lacks one. */
 #define BUSY_MOST 0.85
 /* Engine-seconds a second that a change must bring at least. */
