Policy: an answer that has begun is never refused for its first token

A stream broken by a crash was offered again long after its first token was due; with no room at that moment it was refused as queue_full, which cut the caller's answer. It now waits while it can still be whole, and runs as soon as there is room, late or not. test_policy checks it (refused before).

--- a/source/policy/policy.c
+++ b/source/policy/policy.c
@@ -329,11 +329,15 @@
 	dff_time_t past = now - work->arrived;
 	double wait = queue_wait(policy, work, now);
 	double most = WAIT_PART * (double)cls->first_token;
-	double first = wait + (double)best->first_safe;
 	double over;
 
-	over = MAX((double)past + first - (double)cls->first_token,
+	over = MAX((double)past + wait + (double)best->first_safe -
+		(double)cls->first_token,
 	    (double)past + wait - most);
+	/* An answer that has begun waits as long as it can still be whole. */
+	if (work->delivered > 0)
+		over = (double)past + wait + (double)best->whole -
+		    (double)cls->whole;
 	(void)g_snprintf(decision->why, sizeof(decision->why),
 	    "wait_ms=%.1f first_ms=%.1f past_ms=%.1f ahead_ms=%.1f room=%d "
 	    "in_time=%d",
@@ -343,7 +347,7 @@
 	decision->what = DFF_DECIDE_WAIT;
 	if (!part_on(policy, DFF_PART_ADMISSION))
 		return;
-	if (over <= 0 && past < most)
+	if (over <= 0)
 		return;
 	decide_refuse(decision, 503, "queue_full", come_back(ctx, over + wait));
 }
@@ -405,7 +409,9 @@
 		decide_run(&best, decision);
 		return;
 	}
-	if (!part_on(policy, DFF_PART_ADMISSION) && best.room) {
+	/* What has begun goes on, late or not: it would be cut else. */
+	if (best.room &&
+	    (work->delivered > 0 || !part_on(policy, DFF_PART_ADMISSION))) {
 		decide_run(&best, decision);
 		return;
 	}
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -323,6 +323,32 @@
 }
 END_TEST
 
+START_TEST(answer_that_has_begun_is_not_given_up)
+{
+	fixture_t f;
+	dff_work_t first;
+	dff_work_t begun;
+	dff_decision_t decision;
+
+	set_up(&f, DFF_POLICY_PREDICT, 0);
+	dff_policy_set_drain(f.ctx, f.policy, "e2", true);
+	first = work_of(&f, ENTRY_ASK, 6000, T0 + 1);
+	ck_assert_int_eq(offer(&f, &first, T0 + 1).what, DFF_DECIDE_RUN);
+	/* Its first token was due two seconds ago, and was in time. */
+	begun = work_of(&f, ENTRY_ASK, 100, T0 - 3 * DFF_SEC);
+	begun.tries = 1;
+	begun.delivered = 5;
+	ck_assert_int_eq(offer(&f, &begun, T0 + 2).what, DFF_DECIDE_WAIT);
+	ck_assert(!dff_policy_next(f.ctx, f.policy, T0 + 3, &decision));
+	dff_policy_end(
+	    f.ctx, f.policy, first.call, DFF_TRY_CANCELLED, NULL, T0 + 4);
+	ck_assert(dff_policy_next(f.ctx, f.policy, T0 + 5, &decision));
+	ck_assert_int_eq(decision.what, DFF_DECIDE_RUN);
+	ck_assert_uint_eq(decision.call, begun.call);
+	tear_down(&f);
+}
+END_TEST
+
 START_TEST(owner_limit_holds_with_peers)
 {
 	fixture_t f;
@@ -628,6 +654,7 @@
 	tcase_add_test(tcase, waits_then_runs_when_there_is_room);
 	tcase_add_test(tcase, refuses_at_once_what_cannot_be_in_time);
 	tcase_add_test(tcase, waiting_call_past_its_time_is_refused);
+	tcase_add_test(tcase, answer_that_has_begun_is_not_given_up);
 	tcase_add_test(tcase, owner_limit_holds_with_peers);
 	tcase_add_test(tcase, owner_limit_shrinks_when_alone);
 	tcase_add_test(tcase, rate_limit_refuses_and_says_when);
