Policy: a batch size is believed only if the batch stood still, and not for ever

Cause: one report with a waiting call set the largest batch, but calls that have just come wait for the next step too; the node then held calls back, so no report ever showed more. Seen: 150 requests/s through an entry went from all in time to 496 of 1,500 with 1,004 refused. Ruled out: memory pieces (999,000 free) and work ahead (0.6 ms).

--- a/source/policy/choose.c
+++ b/source/policy/choose.c
@@ -61,20 +61,27 @@
 	return up->free_pieces - dff_cost_pieces(MAX(since, 0));
 }
 
-/* Whether the engine would take up the call soon after it gets it. */
+/* Whether the engine would not take up any call soon after it gets it. */
+static bool
+is_full(const pool_state_t *pool, const forecast_t *forecast)
+{
+	if (forecast->ahead_us >= (double)AHEAD_MAX)
+		return true;
+	if (forecast->batch < 1 || pool->batch_cap <= 0)
+		return false;
+	return forecast->batch >= pool->batch_cap;
+}
+
 static bool
 has_room(const dff_policy_t *policy, const dff_work_t *work,
     const upstream_t *up, const forecast_t *forecast)
 {
-	const pool_state_t *pool = policy->pool_at[up->pool];
 	double pieces;
 
-	if (forecast->ahead_us >= (double)AHEAD_MAX)
+	if (forecast->full)
 		return false;
 	if (forecast->batch < 1)
 		return true;
-	if (pool->batch_cap > 0 && forecast->batch >= pool->batch_cap)
-		return false;
 	pieces = dff_cost_pieces((double)work->prompt_tokens +
 	    MAX(work->max_tokens,
 		policy->entries[work->entry].max_output_tokens));
@@ -115,6 +122,7 @@
 	    dff_cost_margin(policy, pool));
 	forecast->gap = (dff_time_t)forecast->step_us;
 	forecast->whole = forecast->first + (dff_time_t)(output * pace);
+	forecast->full = is_full(pool, forecast);
 	forecast->room = has_room(policy, work, up, forecast);
 	forecast->score = (double)forecast->whole;
 }
--- a/source/policy/fleet.c
+++ b/source/policy/fleet.c
@@ -21,6 +21,8 @@
 #define SPEED_GAIN 0.3
 /* Part of the memory that is free when it is not what calls wait for. */
 #define BATCH_MEMORY 4
+/* Time after which a batch size that was not seen again is forgotten. */
+#define BATCH_CAP_TIME (10 * DFF_SEC)
 /* How much of the older reports a pool's line keeps at each new one. */
 #define FIT_KEEP 0.995
 
@@ -269,11 +271,17 @@
 	up->slowness += SPEED_GAIN * (CLAMP(want, 0.2, 5) - up->slowness);
 }
 
-/* Calls that wait although memory is free tell how large a batch gets. */
+/*
+ * Calls that wait although memory is free tell how large a batch gets. One
+ * report does not: calls that have just come wait for the next step as well.
+ * So the batch must have stood still while calls waited.
+ */
 static void
-learn_batch_cap(dff_policy_t *policy, const upstream_t *up,
-    const dff_ev_engine_report_t *report)
+learn_batch_cap(
+    dff_policy_t *policy, upstream_t *up, const dff_ev_engine_report_t *report)
 {
+	bool full = report->waiting > 0 && report->running > 0 &&
+	    report->free_pieces > report->total_pieces / BATCH_MEMORY;
 	pool_state_t *pool;
 
 	if (up->pool < 0)
@@ -281,9 +289,14 @@
 	pool = policy->pool_at[up->pool];
 	if (report->running > pool->batch_cap && pool->batch_cap > 0)
 		pool->batch_cap = report->running;
-	if (report->waiting > 0 && report->running > 0 &&
-	    report->free_pieces > report->total_pieces / BATCH_MEMORY)
+	if (full && up->was_full && up->was_running == report->running) {
 		pool->batch_cap = MAX(pool->batch_cap, report->running);
+		pool->batch_cap_at = report->taken;
+	}
+	if (report->taken - pool->batch_cap_at > BATCH_CAP_TIME)
+		pool->batch_cap = 0;
+	up->was_full = full;
+	up->was_running = report->running;
 }
 
 static bool
--- a/source/policy/state.h
+++ b/source/policy/state.h
@@ -60,6 +60,8 @@
 	bool reported;
 	bool changing;
 	bool wrong_model;
+	bool was_full; /* calls waited at the report before */
+	uint32_t was_running;
 	dff_time_t taken;
 	uint64_t incarnation;
 	dff_role_t role;
@@ -117,7 +119,8 @@
 	fit_t first;
 	double first_margin;
 	double stretch;
-	double batch_cap;
+	double batch_cap; /* 0 unknown */
+	dff_time_t batch_cap_at; /* moment it was last confirmed */
 	double retry_tokens;
 	uint32_t turn;
 	uint32_t waiting;
@@ -309,6 +312,7 @@
 	double score;
 	bool in_time;
 	bool room;
+	bool full; /* no room for any call, whatever its size */
 } forecast_t;
 
 void dff_choose_forecast(const dff_policy_t *policy, const dff_work_t *work,
