Policy: a waiting call is decided on anew only when that can help; beat 200 ms

Cause: each event decided anew on every waiting call, and each decision walks the queue. Now a pool without a free engine is skipped until something changes, or 100 ms.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -22,7 +22,7 @@
 dff_node_defaults(dff_node_config_t *config)
 {
 	memset(config, 0, sizeof(*config));
-	config->beat = 500 * DFF_MSEC;
+	config->beat = 200 * DFF_MSEC;
 	config->suspect_after = 3 * DFF_SEC;
 	config->dead_after = 6 * DFF_SEC;
 	config->blind_after = 5 * DFF_SEC;
--- a/source/policy/policy.c
+++ b/source/policy/policy.c
@@ -403,6 +403,8 @@
 		return;
 	}
 	*cost = best.cost;
+	if (best.full && !work->suspect)
+		policy->pool_at[entry->pool]->full_round = policy->round;
 	if (!dff_limit_running(policy, entry, now))
 		best.room = false;
 	if (best.room && best.in_time) {
--- a/source/policy/queue.c
+++ b/source/policy/queue.c
@@ -7,6 +7,9 @@
 
 #include "policy/state.h"
 
+/* Time after which a waiting call is decided on anew in any case. */
+#define SWEEP_EVERY (100 * DFF_MSEC)
+
 static uint32_t
 pool_of(const dff_policy_t *policy, const dff_work_t *work)
 {
@@ -132,6 +135,21 @@
 	return sum;
 }
 
+/*
+ * Whether a waiting call should be decided on anew. While nothing has changed,
+ * or no engine takes any call, once in a while is enough: there may be
+ * hundreds, and each decision walks the queue.
+ */
+static bool
+is_due(const dff_policy_t *policy, const waiting_t *wait, dff_time_t now)
+{
+	if (now - wait->tried >= SWEEP_EVERY)
+		return true;
+	if (wait->round == policy->round)
+		return false;
+	return policy->pool_at[wait->pool]->full_round != policy->round;
+}
+
 guint
 dff_queue_pick(dff_policy_t *policy, dff_time_t now)
 {
@@ -144,7 +162,7 @@
 
 		if (wait->orphan)
 			return i;
-		if (wait->round == policy->round && wait->tried >= now)
+		if (!is_due(policy, wait, now))
 			continue;
 		if (!part_on(policy, DFF_PART_WEIGHTS))
 			return i;
--- a/source/policy/state.h
+++ b/source/policy/state.h
@@ -124,6 +124,7 @@
 	double retry_tokens;
 	uint32_t turn;
 	uint32_t waiting;
+	uint32_t full_round; /* round in which no engine took any call */
 	dff_time_t counted_at; /* moment of the next two */
 	uint32_t usable;
 	uint32_t peers_waiting;
