--- a/source/node/stream.c
+++ b/source/node/stream.c
@@ -414,6 +414,17 @@
 	return node->config.serve;
 }
 
+/*
+ * A node that began the catalogue anew has nothing to hand on: its snapshot
+ * would take the place of one with a revision that others still hold.
+ */
+static bool
+has_state(const dff_node_t *node, dff_stream_t id)
+{
+	return id != DFF_STREAM_CATALOGUE ||
+	    dff_history_revision(node->history) > 0;
+}
+
 void
 stream_snapshot(dff_ctx_t *ctx, dff_node_t *node, dff_stream_t id,
     dff_time_t now, dff_effects_t *fx)
@@ -428,7 +439,8 @@
 	/* Spread over a second period, so that one node writes for all. */
 	wait = every + (dff_time_t)(dff_rand_unit(ctx) * (double)every);
 	dff_timers_set(node->timers, DFF_TIMER_SNAPSHOT, id, now + wait);
-	if (!writes_snapshots(node, id) || !stream_up(node, id, now))
+	if (!writes_snapshots(node, id) || !has_state(node, id) ||
+	    !stream_up(node, id, now))
 		return;
 	if (now - stream->snapshot_at < every)
 		return;
--- a/test/test_node.c
+++ b/test/test_node.c
@@ -793,6 +793,21 @@
 }
 END_TEST
 
+/* Seconds until the node has appended a catalogue snapshot. */
+static int
+wait_for_snapshot(int most)
+{
+	for (int i = 0; i < most; i++) {
+		int before = appends;
+
+		wait_until(now + DFF_SEC);
+		feed_head(DFF_STREAM_CATALOGUE);
+		if (appends > before && append.stream == DFF_STREAM_CATALOGUE)
+			return i;
+	}
+	return -1;
+}
+
 /* All that the stream held has expired and nobody has its state. */
 START_TEST(begins_anew_only_after_a_while)
 {
@@ -812,27 +827,14 @@
 		(void)step(&event);
 		wait_until(now + DFF_SEC);
 	}
+	/* It has nothing that a new node should take over. */
+	ck_assert_int_eq(wait_for_snapshot(200), -1);
 	next_offset[DFF_STREAM_CATALOGUE] = 50;
 	feed_edit("early", 0, catalogue_text);
 	ck_assert_uint_eq(dff_node_revision(node), 50);
 }
 END_TEST
 
-/* Seconds until the node has appended a catalogue snapshot. */
-static int
-wait_for_snapshot(int most)
-{
-	for (int i = 0; i < most; i++) {
-		int before = appends;
-
-		wait_until(now + DFF_SEC);
-		feed_head(DFF_STREAM_CATALOGUE);
-		if (appends > before && append.stream == DFF_STREAM_CATALOGUE)
-			return i;
-	}
-	return -1;
-}
-
 START_TEST(an_old_snapshot_puts_no_new_one_off)
 {
 	uint8_t old[1024];
