--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,8 @@
 
 # Each mechanism off, one by one: which proof fails?
 faults:
-	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios
+	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios \
+	    build/fault/test_node build/fault/test_history
 	test/faults build/fault
 
 lint:
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -27,8 +27,12 @@
 #define HEAD_EVERY (1 * DFF_SEC)
 /* Time between two reads of the VM list. */
 #define VMS_EVERY (500 * DFF_MSEC)
-/* Time that a call runs at its engine. */
-#define CALL_TIME (3 * DFF_SEC)
+/* Time to the first token of a call, and until its answer ends. */
+#define FIRST_TIME (100 * DFF_MSEC)
+#define CALL_TIME  (3 * DFF_SEC)
+/* Tokens of each answer, and how they come: one, then equal parts. */
+#define CALL_TOKENS 128
+#define CALL_PARTS  29
 /* Calls a second at one node at the size of the users' letter. */
 #define CALLS_PER_S 10.6
 /* Budget of one node for control, from the users' letter. */
@@ -56,7 +60,9 @@
 /** struct running - a call under way */
 typedef struct running {
 	uint64_t attempt;
-	dff_time_t ends_at;
+	uint32_t given;
+	uint32_t parts;
+	dff_time_t next;
 } running_t;
 
 /** struct fake - one node and what surrounds it */
@@ -151,7 +157,9 @@
 		return;
 	case DFF_FX_TRY_START:
 		running.attempt = effect->u.try_start.attempt;
-		running.ends_at = fleet->now + CALL_TIME;
+		running.given = 0;
+		running.parts = 0;
+		running.next = fleet->now + FIRST_TIME;
 		g_array_append_val(fake->running, running);
 		return;
 	case DFF_FX_CALL_REFUSE:
@@ -275,7 +283,7 @@
 	call->entry = entry;
 	call->idem_key = "";
 	call->prompt_len = 16 * DFF_PREFIX_BYTES;
-	call->max_tokens = 64;
+	call->max_tokens = CALL_TOKENS;
 	call->body_hash = fleet->next_call;
 	call->prefix = prefix;
 	call->prefix_count = G_N_ELEMENTS(prefix);
@@ -283,31 +291,51 @@
 	feed(fleet, index, &event);
 }
 
+/* The next tokens of a running call; true once its answer has ended. */
+static bool
+go_on(fleet_t *fleet, int index, running_t *running)
+{
+	static const char text[CALL_TOKENS] = {'x'};
+	dff_event_t event = {.type = DFF_EV_TRY_TOKENS};
+	dff_ev_try_tokens_t *tokens = &event.u.try_tokens;
+
+	tokens->attempt = running->attempt;
+	tokens->first = running->given;
+	tokens->count = 1 + running->parts * (CALL_TOKENS - 1) / CALL_PARTS -
+	    running->given;
+	tokens->text = text;
+	tokens->len = tokens->count;
+	running->given += tokens->count;
+	running->next += (CALL_TIME - FIRST_TIME) / CALL_PARTS;
+	if (tokens->count > 0)
+		feed(fleet, index, &event);
+	if (running->parts++ < CALL_PARTS)
+		return false;
+	memset(&event, 0, sizeof(event));
+	event.type = DFF_EV_TRY_END;
+	event.u.try_end.attempt = running->attempt;
+	event.u.try_end.prompt_tokens = 1024;
+	event.u.try_end.output_tokens = running->given;
+	feed(fleet, index, &event);
+	return true;
+}
+
 static void
-end_calls(fleet_t *fleet, int index)
+run_calls(fleet_t *fleet, int index)
 {
 	fake_t *fake = &fleet->fakes[index];
 
 	for (guint i = 0; i < fake->running->len;) {
 		running_t running = g_array_index(fake->running, running_t, i);
-		dff_event_t event = {.type = DFF_EV_TRY_TOKENS};
 
-		if (running.ends_at > fleet->now) {
+		if (running.next > fleet->now) {
+			i++;
+		} else if (go_on(fleet, index, &running)) {
+			g_array_remove_index_fast(fake->running, i);
+		} else {
+			g_array_index(fake->running, running_t, i) = running;
 			i++;
-			continue;
 		}
-		g_array_remove_index_fast(fake->running, i);
-		event.u.try_tokens.attempt = running.attempt;
-		event.u.try_tokens.count = 1;
-		event.u.try_tokens.text = "x";
-		event.u.try_tokens.len = 1;
-		feed(fleet, index, &event);
-		memset(&event, 0, sizeof(event));
-		event.type = DFF_EV_TRY_END;
-		event.u.try_end.attempt = running.attempt;
-		event.u.try_end.prompt_tokens = 1024;
-		event.u.try_end.output_tokens = 1;
-		feed(fleet, index, &event);
 	}
 }
 
@@ -331,7 +359,7 @@
 		feed_vms(fleet, index);
 	if (phase % REPORT_EVERY < TICK)
 		feed_reports(fleet, index);
-	end_calls(fleet, index);
+	run_calls(fleet, index);
 	fake->calls_owed += fleet->call_rate * (double)TICK / (double)DFF_SEC;
 	while (fake->calls_owed >= 1) {
 		fake->calls_owed -= 1;
--- a/test/test_node.c
+++ b/test/test_node.c
@@ -856,6 +856,68 @@
 }
 END_TEST
 
+/* The next record of the authority stream, written by a placer. */
+static void
+feed_authority(Dff__Record *record)
+{
+	uint8_t data[1024];
+	char writer[] = "entry-1.placer";
+
+	record->version = 1;
+	record->writer = writer;
+	record->incarnation = 9;
+	record->sequence = next_offset[DFF_STREAM_AUTHORITY];
+	feed_record(
+	    DFF_STREAM_AUTHORITY, data, dff__record__pack(record, data));
+}
+
+/* A placer takes the shard's lease and marks an engine. */
+static void
+mark_engine(const char *vm)
+{
+	Dff__Lease lease = DFF__LEASE__INIT;
+	Dff__DrainMark mark = DFF__DRAIN_MARK__INIT;
+	Dff__Record claim = DFF__RECORD__INIT;
+	Dff__Record drain = DFF__RECORD__INIT;
+	char shard[] = "engines@a";
+	char holder[] = "entry-1.placer";
+
+	lease.shard = shard;
+	lease.holder = holder;
+	lease.incarnation = 9;
+	lease.term_ms = 6000;
+	claim.body_case = DFF__RECORD__BODY_LEASE_CLAIM;
+	claim.lease_claim = &lease;
+	mark.shard = shard;
+	mark.fence = next_offset[DFF_STREAM_AUTHORITY];
+	mark.vm = (char *)(uintptr_t)vm;
+	mark.on = true;
+	drain.body_case = DFF__RECORD__BODY_DRAIN;
+	drain.drain = &mark;
+	feed_authority(&claim);
+	feed_authority(&drain);
+}
+
+START_TEST(a_marked_engine_gets_no_new_work)
+{
+	bool seen[2] = {false};
+
+	for (int i = 0; i < 30; i++) {
+		(void)open_call("grade");
+		seen[0] |= strcmp(vm_name, "engine-2") == 0;
+	}
+	mark_engine("engine-2");
+	for (int i = 0; i < 30; i++) {
+		int before = starts;
+
+		(void)open_call("grade");
+		seen[1] |= starts > before && strcmp(vm_name, "engine-2") == 0;
+	}
+	ck_assert(seen[0]);
+	ck_assert(!seen[1]);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -873,6 +935,7 @@
 	tcase_add_test(ready, shares_a_large_fleet_with_its_domain);
 	tcase_add_test(ready, passes_over_frames_that_it_does_not_know);
 	tcase_add_test(ready, takes_an_edit_from_a_peer);
+	tcase_add_test(ready, a_marked_engine_gets_no_new_work);
 	tcase_add_test(ready, an_old_snapshot_puts_no_new_one_off);
 	tcase_add_test(ready, serves_a_whole_answer);
 	tcase_add_test(ready, tells_why_it_refuses);
