--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -77,6 +77,7 @@
 	double calls_owed;
 	uint64_t calls;
 	uint64_t refused;
+	char code[64]; /* of the last refusal */
 } fake_t;
 
 /** struct letter - a frame under way */
@@ -164,6 +165,8 @@
 		return;
 	case DFF_FX_CALL_REFUSE:
 		fake->refused++;
+		(void)g_strlcpy(
+		    fake->code, effect->u.call_refuse.code, sizeof(fake->code));
 		return;
 	default:
 		return;
--- a/source/catalogue/catalogue.c
+++ b/source/catalogue/catalogue.c
@@ -101,7 +101,7 @@
 	if (len > DFF_CATALOGUE_BYTES_MAX)
 		return -EFBIG;
 	found = dff_problems_new();
-	*cat = load_text(text, len, found);
+	*cat = load_text(len > 0 ? text : "", len, found);
 	*count = dff_problems_count(found);
 	dff_problems_copy(found, problems, max);
 	dff_problems_drop(found);
--- a/test/test_node.c
+++ b/test/test_node.c
@@ -444,6 +444,20 @@
 }
 END_TEST
 
+/* Engines took the call and never answered: it may have run. */
+START_TEST(calls_nothing_not_run_that_was_sent)
+{
+	(void)open_call("grade");
+	for (int i = 0; i < 10 && refusals == 0; i++) {
+		fail_try(start.attempt, DFF_FAIL_TIMEOUT, true);
+		wait_until(now + 200 * DFF_MSEC);
+		feed_reports();
+	}
+	ck_assert_int_eq(refusals, 1);
+	ck_assert_int_eq(refuse.ran, DFF_RAN_UNKNOWN);
+}
+END_TEST
+
 START_TEST(cancels_for_a_caller_that_went_away)
 {
 	dff_event_t event = {.type = DFF_EV_CALL_GONE};
@@ -943,6 +957,7 @@
 	tcase_add_test(ready, never_passes_on_tokens_out_of_turn);
 	tcase_add_test(ready, a_short_answer_never_looks_whole);
 	tcase_add_test(ready, gives_up_with_an_explicit_error);
+	tcase_add_test(ready, calls_nothing_not_run_that_was_sent);
 	tcase_add_test(ready, cancels_for_a_caller_that_went_away);
 	tcase_add_test(ready, runs_a_payout_only_after_its_claim);
 	tcase_add_test(ready, never_repeats_a_payout_that_may_have_run);
