Policy: in a large pool only upstreams whose load is known are candidates

Cause: at 340 nodes a node knows about 22 of a pool's 200 engines (its domain's and a dozen others); 16 drawn at random held none of them in about one call in seven, and an engine that told nothing is forecast by defaults, so the call was refused (first_ms=2048 ahead_ms=0). Ruled out: owners' limits and the queue (wait_ms=0).

--- a/source/policy/choose.c
+++ b/source/policy/choose.c
@@ -298,24 +298,63 @@
 	return a == 1 ? stride : 1;
 }
 
-/* Look at candidates from a random one on until one fits. */
+/* How far a look at a pool goes, and in which order. */
+typedef struct walk {
+	guint start;
+	guint stride;
+	guint most; /* candidates at most */
+	guint enough; /* candidates, if one of them fits */
+} walk_t;
+
+static upstream_t *
+walk_at(const walk_t *walk, const GPtrArray *ups, guint i)
+{
+	return g_ptr_array_index(
+	    ups, (walk->start + (guint64)i * walk->stride) % ups->len);
+}
+
+/* Look at those whose load is known; returns how many there were. */
+static guint
+look_at_known(dff_policy_t *policy, const dff_work_t *work,
+    const GPtrArray *ups, const walk_t *walk, dff_time_t now, pick_t *pick)
+{
+	guint looked = 0;
+
+	for (guint i = 0; i < ups->len && looked < walk->most; i++) {
+		upstream_t *up = walk_at(walk, ups, i);
+
+		if (!dff_fleet_fresh(up, now))
+			continue;
+		if (looked >= walk->enough && satisfied(pick) && !work->suspect)
+			break;
+		look_at(policy, work, up, now, pick);
+		looked++;
+	}
+	return looked;
+}
+
+/*
+ * Look at candidates from a random one on until one fits. In a large fleet
+ * a node knows the load of few engines in other domains: one that told
+ * nothing is no candidate while others did.
+ */
 static void
 look_around(dff_ctx_t *ctx, dff_policy_t *policy, const dff_work_t *work,
     const GPtrArray *ups, dff_time_t now, pick_t *pick)
 {
 	bool sampling = part_on(policy, DFF_PART_SAMPLING);
-	guint most = sampling ? MIN(ups->len, LOOK_MOST) : ups->len;
-	guint enough = sampling ? LOOK_ENOUGH : ups->len;
-	guint start = dff_rand_below(ctx, ups->len);
-	guint stride = stride_of(ctx, ups->len);
+	walk_t walk = {.most = sampling ? MIN(ups->len, LOOK_MOST) : ups->len,
+	    .enough = sampling ? LOOK_ENOUGH : ups->len};
 
-	for (guint i = 0; i < most; i++) {
-		if (i >= enough && satisfied(pick) && !work->suspect)
+	walk.start = dff_rand_below(ctx, ups->len);
+	walk.stride = stride_of(ctx, ups->len);
+	if (ups->len > LOOK_MOST &&
+	    look_at_known(policy, work, ups, &walk, now, pick) > 0)
+		return;
+	for (guint i = 0; i < walk.most; i++) {
+		if (i >= walk.enough && satisfied(pick) && !work->suspect)
 			return;
-		look_at(policy, work,
-		    g_ptr_array_index(
-			ups, (start + (guint64)i * stride) % ups->len),
-		    now, pick);
+		look_at(policy, work, walk_at(&walk, ups, i), now, pick);
 	}
 }
 
--- a/source/policy/fleet.c
+++ b/source/policy/fleet.c
@@ -219,8 +219,8 @@
 	return oldest->sent;
 }
 
-static bool
-report_fresh(const upstream_t *up, dff_time_t now)
+bool
+dff_fleet_fresh(const upstream_t *up, dff_time_t now)
 {
 	return up->reported && now - up->taken < REPORT_STALE;
 }
@@ -230,7 +230,7 @@
 {
 	load_t sum = sent_now(policy, up);
 
-	if (!report_fresh(up, now))
+	if (!dff_fleet_fresh(up, now))
 		return sum;
 	sum.running += up->said.running - up->base.running;
 	sum.prefill += up->said.prefill - up->base.prefill;
--- a/source/policy/state.h
+++ b/source/policy/state.h
@@ -232,6 +232,8 @@
 void dff_fleet_index(dff_policy_t *policy);
 void dff_fleet_sample(
     const dff_policy_t *policy, upstream_t *up, dff_time_t now);
+/* Its load is known: it reported not long ago. */
+bool dff_fleet_fresh(const upstream_t *up, dff_time_t now);
 load_t dff_fleet_load(
     const dff_policy_t *policy, const upstream_t *up, dff_time_t now);
 bool dff_fleet_usable(
