Node: one rule for what a caller is told of its work

ran_so_far() and ran_after() were the same rule twice, and the planted fault SENT_IS_NOT_RUN stood in one of them alone. call_ran() serves both; the fault now covers every refusal and test_node still finds it.

--- a/source/node/attempt.c
+++ b/source/node/attempt.c
@@ -138,16 +138,6 @@
 	finish_try(ctx, node, call, outcome, NULL, now);
 }
 
-static dff_ran_t
-ran_after(const call_t *call)
-{
-	if (call->begun)
-		return DFF_RAN_YES;
-	return call->ever_sent && !DFF_FAULT(SENT_IS_NOT_RUN) ?
-	    DFF_RAN_UNKNOWN :
-	    DFF_RAN_NOT;
-}
-
 /* The try is over without a whole answer: resume elsewhere or give up. */
 static void
 try_again(dff_ctx_t *ctx, dff_node_t *node, call_t *call, dff_time_t now,
@@ -171,7 +161,7 @@
 	}
 	if (call->work.tries >= TRIES_MAX) {
 		call_refuse(ctx, node, call, 502, "upstream_failed",
-		    ran_after(call), RETRY_UPSTREAM,
+		    call_ran(call), RETRY_UPSTREAM,
 		    "every upstream that was tried failed", fx);
 		return;
 	}
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -291,13 +291,14 @@
 	call_close(node, call);
 }
 
-/* Whether work of a call has run, for a caller that gets no more of it. */
-static dff_ran_t
-ran_so_far(const call_t *call)
+dff_ran_t
+call_ran(const call_t *call)
 {
 	if (call->begun)
 		return DFF_RAN_YES;
-	return call->ever_sent ? DFF_RAN_UNKNOWN : DFF_RAN_NOT;
+	if (call->ever_sent && !DFF_FAULT(SENT_IS_NOT_RUN))
+		return DFF_RAN_UNKNOWN;
+	return DFF_RAN_NOT;
 }
 
 static void
@@ -316,7 +317,7 @@
 		return;
 	case DFF_DECIDE_REFUSE:
 		call_refuse(ctx, node, call, decision->status, decision->code,
-		    ran_so_far(call), decision->retry_after, decision->why, fx);
+		    call_ran(call), decision->retry_after, decision->why, fx);
 		return;
 	}
 }
@@ -331,7 +332,7 @@
 	index = dff_catalogue_find_entry(node_catalogue(node), call->entry);
 	if (index < 0) {
 		call_refuse(ctx, node, call, 404, "unknown_entry",
-		    ran_so_far(call), 0, "the entry has been withdrawn", fx);
+		    call_ran(call), 0, "the entry has been withdrawn", fx);
 		return;
 	}
 	call->work.entry = (uint32_t)index;
@@ -339,7 +340,7 @@
 	    poison_crashes(node->poison, call->work.body_hash, now) >=
 		POISON_LIMIT) {
 		node->counters[DFF_COUNT_POISON]++;
-		call_refuse(ctx, node, call, 422, "poison", ran_so_far(call), 0,
+		call_refuse(ctx, node, call, 422, "poison", call_ran(call), 0,
 		    "engines crashed under this request", fx);
 		return;
 	}
@@ -402,7 +403,7 @@
 		return;
 	case CALL_WAITING:
 		dff_policy_leave(node->policy, call->handle);
-		call_refuse(ctx, node, call, 503, "too_late", ran_so_far(call),
+		call_refuse(ctx, node, call, 503, "too_late", call_ran(call),
 		    call->cls.first_token,
 		    "the time of its class has passed in the queue", fx);
 		return;
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -294,6 +294,9 @@
     const char *code, dff_ran_t ran, dff_time_t retry_after, const char *text,
     dff_effects_t *fx);
 
+/** call_ran() - whether work of a call has run, as its caller is to be told */
+dff_ran_t call_ran(const call_t *call);
+
 /** call_close() - forget a call whose caller has its final answer */
 void call_close(dff_node_t *node, call_t *call);
 
