--- a/Makefile
+++ b/Makefile
@@ -11,14 +11,14 @@
 
 PACKAGES = gcc make pkg-config clang-format clang-tidy cppcheck valgrind \
 	libuv1-dev libh2o-dev libssl-dev zlib1g-dev libprotobuf-c-dev \
-	libglib2.0-dev check libjansson-dev libxxhash-dev curl
+	libhttp-parser-dev libglib2.0-dev check libjansson-dev libxxhash-dev curl
 
 MODE ?= plain
 OUT = build/$(MODE)
 
 LIBS = libuv libh2o libprotobuf-c glib-2.0 jansson libxxhash
 PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS) check 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lssl -lcrypto -lz -lm
+PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lhttp_parser -lssl -lcrypto -lz -lm
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 
 CFLAGS_plain = -O2
@@ -30,7 +30,7 @@
 CFLAGS_fault = -O2 -include test/fake/fault.h
 LDFLAGS_fault = -Wl,-u,fault_is_on
 
-CPPFLAGS += -Iinclude -Isource -D_GNU_SOURCE -DH2O_USE_LIBUV=1
+CPPFLAGS += -Iinclude -Isource -I. -D_GNU_SOURCE -DH2O_USE_LIBUV=1
 CFLAGS += -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes $(CFLAGS_$(MODE)) $(PKG_CFLAGS)
 LDFLAGS += $(LDFLAGS_$(MODE))
@@ -38,10 +38,12 @@
 # The core does no I/O; the shell does; each tool is a thin main.
 CORE = $(wildcard source/base/*.c source/proto/*.c source/catalogue/*.c \
 	source/claim/*.c source/authority/*.c source/policy/*.c \
-	source/member/*.c source/node/*.c source/model/*.c)
+	source/member/*.c source/node/*.c source/relay/*.c source/model/*.c)
 SHELL_SRC = $(wildcard source/net/*.c)
 TOOLS = $(patsubst source/tool/%.c,%,$(wildcard source/tool/dff-*.c))
 TOOL_PARTS = $(filter-out source/tool/dff-%.c,$(wildcard source/tool/*.c))
+# The adapter to the users' platform, and its program.
+PLATFORM = $(filter-out platform/dff-edge.c,$(wildcard platform/*.c))
 TESTS = $(patsubst test/%.c,%,$(wildcard test/test_*.c))
 # The virtual fleet is shared by benches and tests.
 FAKES = $(wildcard test/fake/*.c) \
@@ -50,21 +52,26 @@
 
 CORE_OBJ = $(CORE:%.c=$(OUT)/%.o)
 SHELL_OBJ = $(SHELL_SRC:%.c=$(OUT)/%.o) $(TOOL_PARTS:%.c=$(OUT)/%.o)
+PLATFORM_OBJ = $(PLATFORM:%.c=$(OUT)/%.o)
 FAKE_OBJ = $(FAKES:%.c=$(OUT)/%.o)
 
-PROGRAMS = $(TOOLS:%=$(OUT)/%)
+PROGRAMS = $(TOOLS:%=$(OUT)/%) $(OUT)/dff-edge
 TEST_PROGRAMS = $(TESTS:%=$(OUT)/%)
 BENCH_PROGRAMS = $(BENCHES:%=$(OUT)/%)
 
 # Hand-written sources: what the formatter and the linters look at.
 SOURCES = $(filter-out source/proto/%,$(wildcard source/*/*.c source/*/*.h \
-	include/dragonflyfall/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
+	include/dragonflyfall/*.h platform/*.c platform/*.h platform/test/*.c \
+	platform/test/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
 	bench/*.h))
 
-.PHONY: all deps check faults lint format demo bench capacity tests clean generate
+.PHONY: all edge deps check faults lint format demo bench capacity tests clean generate
 
 all: $(PROGRAMS)
 
+# What deploy/system.toml builds.
+edge: $(OUT)/dff-edge
+
 tests: $(PROGRAMS) $(TEST_PROGRAMS) $(BENCH_PROGRAMS)
 
 $(OUT)/libdragonflyfall.a: $(CORE_OBJ)
@@ -86,7 +93,11 @@
 # protobuf-c's generated code is not held to the warnings of our own.
 $(OUT)/source/proto/%.o: CFLAGS += -Wno-unused-parameter
 
-$(PROGRAMS): $(OUT)/%: $(OUT)/source/tool/%.o $(OUT)/libdffshell.a \
+$(OUT)/dff-edge: $(OUT)/platform/dff-edge.o $(PLATFORM_OBJ) \
+	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(TOOLS:%=$(OUT)/%): $(OUT)/%: $(OUT)/source/tool/%.o $(OUT)/libdffshell.a \
 	$(OUT)/libdragonflyfall.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
@@ -142,6 +153,6 @@
 	cd source/proto && protoc-c --c_out=. dragonflyfall.proto
 
 clean:
-	rm -rf build
+	rm -rf build target
 
--include $(shell find build/$(MODE) -name '*.d' 2>/dev/null)
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/source/net/h1_server.c
@@ -0,0 +1,576 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "net/address.h"
+#include "net/h1_head.h"
+
+/* Connections that wait to be accepted. */
+#define BACKLOG 1024
+/* Longest time that written bytes may stay without acknowledgement: a
+ * caller that fell silent is then gone. */
+#define UNACKED_MSEC 10000
+/* Bytes of further requests that are read while one is being answered. */
+#define PIPELINED_MAX 65536
+/* Time between looks for connections that were idle too long. */
+#define SWEEP_MSEC 500
+
+typedef struct conn {
+	uv_tcp_t tcp; /* first, so that a handle is a connection */
+	dff_h1d_t *h1d;
+	GList link;
+	h1_reader_t reader;
+	GByteArray *body;
+	GByteArray *input; /* read, not yet parsed */
+	dff_h1d_req_t *req; /* the one being answered */
+	uint64_t idle_since;
+	size_t unread; /* bytes written that are not yet sent */
+	int refuse; /* status for a request that breaks a limit */
+	bool whole; /* the parser stands at a whole request */
+	bool parsing;
+	bool last; /* close after this answer */
+	bool eof; /* the caller will send no more */
+	bool closing;
+} conn_t;
+
+struct dff_h1d {
+	dff_ctx_t *ctx;
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	uv_timer_t sweep;
+	dff_h1d_limits_t limits;
+	dff_h1d_handlers_t handlers;
+	void *arg;
+	GQueue conns;
+	int handles;
+	bool leaving;
+	bool dropped;
+};
+
+struct dff_h1d_req {
+	conn_t *conn;
+	uint64_t data;
+	bool begun;
+	bool chunked;
+	bool no_body; /* the answer bears no body */
+};
+
+typedef struct write_req {
+	uv_write_t super; /* first, so that a uv request is ours */
+	conn_t *conn;
+	GString *bytes;
+} write_req_t;
+
+static void parse_input(conn_t *conn);
+
+static void
+free_when_empty(dff_h1d_t *h1d)
+{
+	if (h1d->dropped && h1d->handles == 0 && h1d->conns.length == 0)
+		g_free(h1d);
+}
+
+static void
+on_conn_closed(uv_handle_t *handle)
+{
+	conn_t *conn = (conn_t *)handle;
+	dff_h1d_t *h1d = conn->h1d;
+
+	g_queue_unlink(&h1d->conns, &conn->link);
+	h1_reader_clear(&conn->reader);
+	g_byte_array_unref(conn->body);
+	g_byte_array_unref(conn->input);
+	g_free(conn);
+	free_when_empty(h1d);
+}
+
+static void
+close_conn(conn_t *conn)
+{
+	dff_h1d_req_t *req = conn->req;
+
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	conn->req = NULL;
+	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+	if (req == NULL)
+		return;
+	if (!conn->h1d->dropped)
+		conn->h1d->handlers.gone(conn->h1d->arg, req);
+	g_free(req);
+}
+
+/* ---- writing ---- */
+
+static void
+on_written(uv_write_t *super, int status)
+{
+	write_req_t *write = (write_req_t *)super;
+	conn_t *conn = write->conn;
+
+	conn->unread -= write->bytes->len;
+	(void)g_string_free(write->bytes, TRUE);
+	g_free(write);
+	if (conn->closing)
+		return;
+	if (status < 0 || (conn->last && conn->req == NULL && conn->unread == 0))
+		close_conn(conn);
+}
+
+static void
+send_bytes(conn_t *conn, GString *bytes)
+{
+	uv_buf_t buf = uv_buf_init(bytes->str, (unsigned)bytes->len);
+	write_req_t *write;
+	int sent = 0;
+
+	if (conn->unread == 0)
+		sent = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
+	if (sent == (int)bytes->len) {
+		(void)g_string_free(bytes, TRUE);
+		return;
+	}
+	if (sent > 0)
+		g_string_erase(bytes, 0, sent);
+	write = g_new0(write_req_t, 1);
+	write->conn = conn;
+	write->bytes = bytes;
+	conn->unread += bytes->len;
+	buf = uv_buf_init(bytes->str, (unsigned)bytes->len);
+	if (uv_write(&write->super, (uv_stream_t *)&conn->tcp, &buf, 1,
+		on_written) != 0) {
+		conn->unread -= bytes->len;
+		(void)g_string_free(bytes, TRUE);
+		g_free(write);
+		conn->last = true;
+	}
+}
+
+static bool
+bears_no_body(int status)
+{
+	return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+void
+dff_h1d_begin(
+    dff_h1d_req_t *req, int status, const char *fields, int64_t length)
+{
+	conn_t *conn = req->conn;
+	GString *head = g_string_sized_new(512);
+
+	if (conn->h1d->leaving)
+		conn->last = true;
+	req->begun = true;
+	req->no_body = bears_no_body(status) ||
+	    conn->reader.parser.method == HTTP_HEAD;
+	req->chunked = length < 0 && !req->no_body;
+	g_string_append_printf(
+	    head, "HTTP/1.1 %d %s\r\n%s", status, dff_h1_reason(status), fields);
+	if (length >= 0 && !bears_no_body(status))
+		g_string_append_printf(
+		    head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+	else if (req->chunked)
+		g_string_append(head, "Transfer-Encoding: chunked\r\n");
+	if (conn->last)
+		g_string_append(head, "Connection: close\r\n");
+	g_string_append(head, "\r\n");
+	send_bytes(conn, head);
+}
+
+void
+dff_h1d_write(dff_h1d_req_t *req, const void *data, size_t len)
+{
+	conn_t *conn = req->conn;
+	GString *bytes;
+
+	if (len == 0 || req->no_body)
+		return;
+	bytes = g_string_sized_new(len + 16);
+	if (req->chunked)
+		g_string_append_printf(bytes, "%zx\r\n", len);
+	g_string_append_len(bytes, data, (gssize)len);
+	if (req->chunked)
+		g_string_append(bytes, "\r\n");
+	send_bytes(conn, bytes);
+}
+
+/* The request is over: close, or go on with the next one. */
+static void
+finish_req(dff_h1d_req_t *req)
+{
+	conn_t *conn = req->conn;
+
+	conn->req = NULL;
+	g_free(req);
+	conn->idle_since = uv_now(conn->h1d->loop);
+	if (conn->last || conn->eof) {
+		conn->last = true;
+		if (conn->unread == 0)
+			close_conn(conn);
+		return;
+	}
+	h1_reader_next(&conn->reader);
+	g_byte_array_set_size(conn->body, 0);
+	conn->whole = false;
+	if (conn->input->len > 0 && !conn->parsing)
+		parse_input(conn);
+}
+
+void
+dff_h1d_end(dff_h1d_req_t *req)
+{
+	if (req->chunked)
+		send_bytes(req->conn, g_string_new("0\r\n\r\n"));
+	finish_req(req);
+}
+
+void
+dff_h1d_abort(dff_h1d_req_t *req)
+{
+	conn_t *conn = req->conn;
+
+	conn->req = NULL;
+	g_free(req);
+	close_conn(conn);
+}
+
+void
+dff_h1d_answer(dff_h1d_req_t *req, int status, const char *fields,
+    const void *body, size_t len)
+{
+	dff_h1d_begin(req, status, fields, (int64_t)len);
+	dff_h1d_write(req, body, len);
+	dff_h1d_end(req);
+}
+
+/* ---- reading ---- */
+
+static conn_t *
+conn_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+	h1_reader_url(&conn_of(parser)->reader, at, len);
+	return 0;
+}
+
+static int
+check_head(conn_t *conn)
+{
+	if (conn->reader.head_bytes <= conn->h1d->limits.head_max)
+		return 0;
+	conn->refuse = 431;
+	return -1;
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t len)
+{
+	h1_reader_name(&conn_of(parser)->reader, at, len);
+	return check_head(conn_of(parser));
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	h1_reader_value(&conn_of(parser)->reader, at, len);
+	return check_head(conn_of(parser));
+}
+
+static int
+on_head(http_parser *parser)
+{
+	conn_t *conn = conn_of(parser);
+	const char *expect = dff_h1_field(&conn->reader.head, "expect");
+
+	conn->reader.head.method =
+	    g_strdup(http_method_str((enum http_method)parser->method));
+	if (parser->content_length != ULLONG_MAX &&
+	    parser->content_length > conn->h1d->limits.body_max) {
+		conn->refuse = 413;
+		return -1;
+	}
+	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+		send_bytes(conn, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
+	return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	conn_t *conn = conn_of(parser);
+
+	if (conn->body->len + len > conn->h1d->limits.body_max) {
+		conn->refuse = 413;
+		return -1;
+	}
+	g_byte_array_append(conn->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int
+on_message(http_parser *parser)
+{
+	conn_t *conn = conn_of(parser);
+
+	conn->whole = true;
+	if (!http_should_keep_alive(parser) || parser->upgrade)
+		conn->last = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_message,
+};
+
+static void
+refuse_bad(conn_t *conn)
+{
+	int status = conn->refuse != 0 ? conn->refuse : 400;
+	dff_h1d_req_t *req = g_new0(dff_h1d_req_t, 1);
+
+	dff_log(conn->h1d->ctx, DFF_LOG_INFO, "front",
+	    "request refused before routing status=%d parser=%s", status,
+	    http_errno_name(HTTP_PARSER_ERRNO(&conn->reader.parser)));
+	req->conn = conn;
+	conn->req = req;
+	conn->last = true;
+	dff_h1d_answer(req, status, "", "", 0);
+}
+
+static void
+take_request(conn_t *conn)
+{
+	dff_h1d_req_t *req = g_new0(dff_h1d_req_t, 1);
+
+	req->conn = conn;
+	conn->req = req;
+	conn->h1d->handlers.request(conn->h1d->arg, req);
+}
+
+static void
+parse_input(conn_t *conn)
+{
+	http_parser *parser = &conn->reader.parser;
+	size_t used;
+
+	conn->parsing = true;
+	while (!conn->closing && !conn->last && conn->req == NULL &&
+	    conn->input->len > 0) {
+		http_parser_pause(parser, 0);
+		used = http_parser_execute(parser, &parser_settings,
+		    (const char *)conn->input->data, conn->input->len);
+		/* A pause at a message's last byte leaves that byte unread. */
+		g_byte_array_remove_range(
+		    conn->input, 0, MIN(used, conn->input->len));
+		if (conn->whole) {
+			take_request(conn);
+			continue;
+		}
+		if (HTTP_PARSER_ERRNO(parser) != HPE_OK) {
+			refuse_bad(conn);
+			break;
+		}
+	}
+	conn->parsing = false;
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	buf->len = 16384;
+	buf->base = g_malloc(buf->len);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+	conn_t *conn = (conn_t *)stream;
+
+	if (got > 0 && !conn->closing) {
+		g_byte_array_append(
+		    conn->input, (const guint8 *)buf->base, (guint)got);
+		conn->idle_since = uv_now(conn->h1d->loop);
+		if (conn->req == NULL)
+			parse_input(conn);
+		else if (conn->input->len > PIPELINED_MAX)
+			close_conn(conn);
+	}
+	g_free(buf->base);
+	if (got < 0)
+		close_conn(conn);
+}
+
+/* ---- server ---- */
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	dff_h1d_t *h1d = listener->data;
+	unsigned unacked = UNACKED_MSEC;
+	conn_t *conn;
+	uv_os_fd_t fd;
+
+	if (status < 0) {
+		dff_log(h1d->ctx, DFF_LOG_WARNING, "front",
+		    "connection cannot be accepted error=%s",
+		    uv_strerror(status));
+		return;
+	}
+	conn = g_new0(conn_t, 1);
+	conn->h1d = h1d;
+	conn->link.data = conn;
+	conn->body = g_byte_array_new();
+	conn->input = g_byte_array_new();
+	conn->idle_since = uv_now(h1d->loop);
+	h1_reader_init(&conn->reader, HTTP_REQUEST);
+	conn->reader.parser.data = conn;
+	(void)uv_tcp_init(h1d->loop, &conn->tcp);
+	g_queue_push_tail_link(&h1d->conns, &conn->link);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+		close_conn(conn);
+		return;
+	}
+	(void)uv_tcp_nodelay(&conn->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+		    sizeof(unacked));
+	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0)
+		close_conn(conn);
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+	dff_h1d_t *h1d = timer->data;
+	uint64_t now = uv_now(h1d->loop);
+	uint64_t limit = (uint64_t)(h1d->limits.idle_time / DFF_MSEC);
+	GList *next;
+
+	for (GList *link = h1d->conns.head; link != NULL; link = next) {
+		conn_t *conn = link->data;
+
+		next = link->next;
+		if (conn->req != NULL && conn->unread > h1d->limits.unread_max)
+			close_conn(conn);
+		else if (conn->req == NULL && now - conn->idle_since > limit)
+			close_conn(conn);
+	}
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+	dff_h1d_t *h1d = handle->data;
+
+	h1d->handles--;
+	free_when_empty(h1d);
+}
+
+int
+dff_h1d_new(dff_ctx_t *ctx, uv_loop_t *loop, const char *addr,
+    const dff_h1d_limits_t *limits, const dff_h1d_handlers_t *handlers,
+    void *arg, dff_h1d_t **out)
+{
+	struct sockaddr_storage sa;
+	dff_h1d_t *h1d;
+	int err;
+
+	*out = NULL;
+	if (dff_address_parse(addr, &sa) < 0)
+		return -EINVAL;
+	h1d = g_new0(dff_h1d_t, 1);
+	h1d->ctx = ctx;
+	h1d->loop = loop;
+	h1d->limits = *limits;
+	h1d->handlers = *handlers;
+	h1d->arg = arg;
+	h1d->handles = 2;
+	h1d->listener.data = h1d;
+	h1d->sweep.data = h1d;
+	g_queue_init(&h1d->conns);
+	(void)uv_tcp_init(loop, &h1d->listener);
+	(void)uv_timer_init(loop, &h1d->sweep);
+	err = uv_tcp_bind(&h1d->listener, (const struct sockaddr *)&sa, 0);
+	if (err == 0)
+		err = uv_listen(
+		    (uv_stream_t *)&h1d->listener, BACKLOG, on_connection);
+	if (err < 0) {
+		dff_h1d_drop(h1d);
+		return err;
+	}
+	(void)uv_timer_start(&h1d->sweep, on_sweep, SWEEP_MSEC, SWEEP_MSEC);
+	*out = h1d;
+	return 0;
+}
+
+void
+dff_h1d_set_limits(dff_h1d_t *h1d, const dff_h1d_limits_t *limits)
+{
+	h1d->limits = *limits;
+}
+
+void
+dff_h1d_leave(dff_h1d_t *h1d)
+{
+	h1d->leaving = true;
+}
+
+size_t
+dff_h1d_connections(const dff_h1d_t *h1d)
+{
+	return h1d->conns.length;
+}
+
+void
+dff_h1d_drop(dff_h1d_t *h1d)
+{
+	if (h1d == NULL || h1d->dropped)
+		return;
+	h1d->dropped = true;
+	uv_close((uv_handle_t *)&h1d->listener, on_handle_closed);
+	uv_close((uv_handle_t *)&h1d->sweep, on_handle_closed);
+	for (GList *link = h1d->conns.head; link != NULL; link = link->next)
+		close_conn(link->data);
+}
+
+const dff_h1_head_t *
+dff_h1d_head(const dff_h1d_req_t *req)
+{
+	return &req->conn->reader.head;
+}
+
+const GByteArray *
+dff_h1d_body(const dff_h1d_req_t *req)
+{
+	return req->conn->body;
+}
+
+void
+dff_h1d_set_data(dff_h1d_req_t *req, uint64_t data)
+{
+	req->data = data;
+}
+
+uint64_t
+dff_h1d_data(const dff_h1d_req_t *req)
+{
+	return req->data;
+}
--- /dev/null
+++ b/source/net/relay_run.c
@@ -0,0 +1,662 @@
+#include "dragonflyfall/relay_run.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+
+#include "dragonflyfall/program.h"
+#include "net/address.h"
+
+/* Bytes that may wait for a caller that reads slowly. */
+#define UNREAD_MAX ((size_t)2 << 20)
+/* Limits before a routing states them. */
+#define HEAD_MAX  ((size_t)16384)
+#define BODY_MAX  ((size_t)4 << 20)
+#define IDLE_TIME (15 * DFF_SEC)
+/* Longest time for a connection that frees memory. */
+#define FREE_CONNECT_TIME (300 * DFF_MSEC)
+/* Time between looks whether a stop is complete. */
+#define DRAIN_LOOK_MSEC 50
+/* Largest answer of a prefill. */
+#define PREFILL_MAX 4096
+
+struct dff_run {
+	dff_ctx_t *ctx;
+	uv_loop_t *loop;
+	dff_run_config_t config;
+	dff_wire_t wire;
+	dff_relay_t *relay;
+	dff_h1c_t *client;
+	dff_h1d_t *front;
+	dff_h1d_t *health;
+	uv_udp_t udp;
+	uv_timer_t timer;
+	uv_timer_t drain;
+	GHashTable *calls; /* number to run_call_t */
+	GHashTable *sends; /* number to run_send_t */
+	uint64_t next_call;
+	dff_time_t stop_at; /* 0 while it runs */
+	void (*done)(void *arg);
+	void *done_arg;
+	bool ready; /* as last told */
+	char frame[65536];
+};
+
+/* A caller's request that has no final answer. */
+typedef struct run_call {
+	uint64_t number;
+	dff_h1d_req_t *req;
+} run_call_t;
+
+/* A send under way. */
+typedef struct run_send {
+	uint64_t number;
+	dff_run_t *run;
+	dff_h1c_req_t *req;
+	dff_step_t step;
+	int status;
+	GString *fields; /* what is passed on of the answer's head */
+	int64_t length; /* of the answer's body, -1 if not told */
+	GByteArray *body; /* of a prefill's answer */
+} run_send_t;
+
+static void
+free_send(void *data)
+{
+	run_send_t *send = data;
+
+	if (send->fields != NULL)
+		(void)g_string_free(send->fields, TRUE);
+	if (send->body != NULL)
+		g_byte_array_unref(send->body);
+	g_free(send);
+}
+
+/* ---- upstreams ---- */
+
+static void
+on_send_head(void *arg, const dff_h1_head_t *head)
+{
+	run_send_t *send = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_HEAD};
+	const char *length = dff_h1_field(head, "content-length");
+
+	send->status = head->status;
+	send->fields = g_string_new(NULL);
+	send->length =
+	    length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
+	for (guint i = 0; i < head->fields->len; i++) {
+		const dff_h1_field_t *field =
+		    &g_array_index(head->fields, dff_h1_field_t, i);
+
+		if (!dff_h1_is_hop(head, field->name))
+			g_string_append_printf(send->fields, "%s: %s\r\n",
+			    field->name, field->value);
+	}
+	event.head.status = head->status;
+	send->run->wire.decode_head(head, &event.head);
+	event.head.send = send->number;
+	dff_run_feed(send->run, &event);
+}
+
+static void
+on_send_data(void *arg, const char *data, size_t len)
+{
+	run_send_t *send = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_DATA};
+
+	if (send->step == DFF_STEP_PREFILL) {
+		if (send->body->len + len <= PREFILL_MAX)
+			g_byte_array_append(
+			    send->body, (const guint8 *)data, (guint)len);
+		return;
+	}
+	event.data.send = send->number;
+	event.data.bytes = data;
+	event.data.len = len;
+	dff_run_feed(send->run, &event);
+}
+
+static void
+on_send_end(void *arg, dff_h1c_end_t end)
+{
+	run_send_t *send = arg;
+	dff_run_t *run = send->run;
+	uint64_t number = send->number;
+	dff_relay_event_t event = {.type = DFF_RELAY_END};
+
+	send->req = NULL;
+	switch (end) {
+	case DFF_H1C_DONE:
+		event.end.how = DFF_SEND_DONE;
+		break;
+	case DFF_H1C_UNSENT:
+		event.end.how = DFF_SEND_UNSENT;
+		break;
+	case DFF_H1C_BROKEN:
+		event.end.how = DFF_SEND_BROKEN;
+		break;
+	}
+	if (send->step == DFF_STEP_PREFILL && end == DFF_H1C_DONE &&
+	    send->status == 200 &&
+	    run->wire.decode_prefill((const char *)send->body->data,
+		send->body->len, &event.end) < 0)
+		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+		    "answer of a prefill cannot be read send=%" G_GUINT64_FORMAT
+		    " bytes=%u", number, send->body->len);
+	event.end.send = number;
+	dff_run_feed(run, &event);
+	(void)g_hash_table_remove(run->sends, &number);
+}
+
+static const dff_h1c_handlers_t send_handlers = {
+    .head = on_send_head,
+    .data = on_send_data,
+    .end = on_send_end,
+};
+
+static void
+start_send(dff_run_t *run, const dff_relay_send_t *fx)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &fx->call);
+	const dff_h1_head_t *head = dff_h1d_head(call->req);
+	run_send_t *send = g_new0(run_send_t, 1);
+	dff_h1c_call_t http = {.addr = fx->addr,
+	    .peer = fx->upstream,
+	    .echo_name = run->wire.echo_field,
+	    .echo_value = dff_h1_field(head, run->wire.echo_field),
+	    .connect_time = fx->connect_time};
+
+	send->number = fx->send;
+	send->run = run;
+	send->step = fx->step;
+	send->body = g_byte_array_new();
+	g_hash_table_insert(run->sends, &send->number, send);
+	if (http.echo_value == NULL)
+		http.echo_name = NULL;
+	http.bytes = run->wire.encode_send(head, dff_h1d_body(call->req), fx);
+	send->req = dff_h1c_start(run->client, &http, &send_handlers, send);
+	if (send->req == NULL) {
+		dff_relay_event_t event = {.type = DFF_RELAY_END};
+
+		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+		    "address cannot be understood upstream=%s addr=%s",
+		    fx->upstream, fx->addr);
+		event.end.send = fx->send;
+		event.end.how = DFF_SEND_UNSENT;
+		dff_run_feed(run, &event);
+		(void)g_hash_table_remove(run->sends, &fx->send);
+	}
+}
+
+static void
+cancel_send(dff_run_t *run, uint64_t number)
+{
+	run_send_t *send = g_hash_table_lookup(run->sends, &number);
+
+	/* None if this send has just ended. */
+	if (send == NULL || send->req == NULL)
+		return;
+	dff_h1c_cancel(send->req);
+	(void)g_hash_table_remove(run->sends, &number);
+}
+
+static void
+on_free_head(void *arg, const dff_h1_head_t *head)
+{
+	(void)arg;
+	(void)head;
+}
+
+static void
+on_free_data(void *arg, const char *data, size_t len)
+{
+	(void)arg;
+	(void)data;
+	(void)len;
+}
+
+static void
+on_free_end(void *arg, dff_h1c_end_t end)
+{
+	dff_run_t *run = arg;
+
+	if (end != DFF_H1C_DONE)
+		dff_log(run->ctx, DFF_LOG_INFO, "upstream",
+		    "memory of a prompt could not be freed; it lapses end=%d",
+		    (int)end);
+}
+
+static void
+free_memory(dff_run_t *run, const dff_relay_free_t *release)
+{
+	static const dff_h1c_handlers_t handlers = {
+	    .head = on_free_head, .data = on_free_data, .end = on_free_end};
+	dff_h1c_call_t http = {.addr = release->addr,
+	    .peer = release->upstream,
+	    .connect_time = FREE_CONNECT_TIME};
+
+	http.bytes = run->wire.encode_free(release);
+	(void)dff_h1c_start(run->client, &http, &handlers, run);
+}
+
+/* ---- callers ---- */
+
+static void
+end_call(dff_run_t *run, uint64_t number)
+{
+	(void)g_hash_table_remove(run->calls, &number);
+}
+
+static void
+answer_call(dff_run_t *run, const dff_relay_answer_t *answer)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &answer->call);
+	dff_h1d_req_t *req = call->req;
+	char fields[64] = "";
+
+	if (answer->retry_after > 0)
+		(void)g_snprintf(fields, sizeof(fields),
+		    "Retry-After: %.3f\r\n",
+		    (double)answer->retry_after / DFF_SEC);
+	end_call(run, answer->call);
+	dff_h1d_answer(req, answer->status, fields, "", 0);
+}
+
+static void
+pass_head(dff_run_t *run, const dff_relay_pass_t *pass)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &pass->call);
+	run_send_t *send = g_hash_table_lookup(run->sends, &pass->send);
+
+	dff_h1d_begin(
+	    call->req, send->status, send->fields->str, send->length);
+}
+
+static void
+pass_data(dff_run_t *run, const dff_relay_pass_t *pass)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &pass->call);
+
+	dff_h1d_write(call->req, pass->bytes, pass->len);
+}
+
+static void
+pass_end(dff_run_t *run, uint64_t number)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &number);
+	dff_h1d_req_t *req = call->req;
+
+	end_call(run, number);
+	dff_h1d_end(req);
+}
+
+static void
+break_call(dff_run_t *run, uint64_t number)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &number);
+	dff_h1d_req_t *req = call->req;
+
+	end_call(run, number);
+	dff_h1d_abort(req);
+}
+
+static void
+on_request(void *arg, dff_h1d_req_t *req)
+{
+	dff_run_t *run = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_OPEN};
+	char host[DFF_HOST_MAX];
+	run_call_t *call;
+	int status;
+
+	status = run->wire.decode_request(
+	    dff_h1d_head(req), dff_h1d_body(req), &event.open, host);
+	if (status != 0) {
+		dff_log(run->ctx, DFF_LOG_INFO, "call",
+		    "request cannot be understood status=%d target=%.48s",
+		    status, dff_h1d_head(req)->target);
+		dff_h1d_answer(req, status, "", "", 0);
+		return;
+	}
+	call = g_new0(run_call_t, 1);
+	call->number = ++run->next_call;
+	call->req = req;
+	dff_h1d_set_data(req, call->number);
+	g_hash_table_insert(run->calls, &call->number, call);
+	event.open.call = call->number;
+	dff_run_feed(run, &event);
+}
+
+static void
+on_caller_gone(void *arg, dff_h1d_req_t *req)
+{
+	dff_run_t *run = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_GONE};
+
+	event.gone = dff_h1d_data(req);
+	dff_run_feed(run, &event);
+	end_call(run, event.gone);
+}
+
+/* ---- health ---- */
+
+static void
+on_health(void *arg, dff_h1d_req_t *req)
+{
+	dff_run_t *run = arg;
+	const char *why;
+	bool ready = dff_relay_ready(run->relay, dff_program_now(), &why);
+
+	if (ready != run->ready)
+		dff_log(run->ctx, DFF_LOG_NOTICE, "health",
+		    "readiness changed ready=%d why=%s calls=%zu", ready, why,
+		    dff_relay_calls(run->relay));
+	run->ready = ready;
+	dff_h1d_answer(req, ready ? 200 : 503, "", why, strlen(why));
+}
+
+static void
+on_health_gone(void *arg, dff_h1d_req_t *req)
+{
+	(void)arg;
+	(void)req;
+}
+
+/* ---- peers ---- */
+
+static void
+send_frame(dff_run_t *run, const dff_relay_frame_t *frame)
+{
+	struct sockaddr_storage sa;
+	uv_buf_t buf =
+	    uv_buf_init((char *)(uintptr_t)frame->bytes, (unsigned)frame->len);
+
+	if (dff_address_parse(frame->addr, &sa) < 0)
+		return;
+	/* A frame that cannot be sent now is made good by the next one. */
+	(void)uv_udp_try_send(
+	    &run->udp, &buf, 1, (const struct sockaddr *)&sa);
+}
+
+static void
+on_udp_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	dff_run_t *run = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(run->frame, sizeof(run->frame));
+}
+
+static void
+on_frame(uv_udp_t *udp, ssize_t got, const uv_buf_t *buf,
+    const struct sockaddr *sa, unsigned flags)
+{
+	dff_run_t *run = udp->data;
+	dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
+	char ip[INET_ADDRSTRLEN];
+	char addr[DFF_ADDR_MAX];
+	const struct sockaddr_in *in = (const struct sockaddr_in *)sa;
+
+	(void)flags;
+	if (got <= 0 || sa == NULL || sa->sa_family != AF_INET)
+		return;
+	(void)uv_ip4_name(in, ip, sizeof(ip));
+	(void)g_snprintf(
+	    addr, sizeof(addr), "%s:%d", ip, ntohs(in->sin_port));
+	event.beat.addr = addr;
+	event.beat.bytes = (const uint8_t *)buf->base;
+	event.beat.len = (size_t)got;
+	dff_run_feed(run, &event);
+}
+
+/* ---- the reducer ---- */
+
+static void
+carry_out(dff_run_t *run, const dff_relay_effect_t *fx)
+{
+	switch (fx->type) {
+	case DFF_RELAY_FX_SEND:
+		start_send(run, &fx->send);
+		break;
+	case DFF_RELAY_FX_CANCEL:
+		cancel_send(run, fx->cancel);
+		break;
+	case DFF_RELAY_FX_ANSWER:
+		answer_call(run, &fx->answer);
+		break;
+	case DFF_RELAY_FX_PASS_HEAD:
+		pass_head(run, &fx->pass);
+		break;
+	case DFF_RELAY_FX_PASS_DATA:
+		pass_data(run, &fx->pass);
+		break;
+	case DFF_RELAY_FX_PASS_END:
+		pass_end(run, fx->pass.call);
+		break;
+	case DFF_RELAY_FX_BREAK:
+		break_call(run, fx->call);
+		break;
+	case DFF_RELAY_FX_FREE:
+		free_memory(run, &fx->release);
+		break;
+	case DFF_RELAY_FX_FORGET:
+		dff_h1c_forget(run->client, fx->upstream);
+		break;
+	case DFF_RELAY_FX_FRAME:
+		send_frame(run, &fx->frame);
+		break;
+	}
+}
+
+static void on_timer(uv_timer_t *timer);
+
+static void
+set_timer(dff_run_t *run)
+{
+	dff_time_t at = dff_relay_wake(run->relay);
+	dff_time_t left;
+
+	if (at == DFF_TIME_NEVER)
+		return;
+	left = dff_program_until(at);
+	(void)uv_timer_start(&run->timer, on_timer,
+	    (uint64_t)((left + DFF_MSEC - 1) / DFF_MSEC), 0);
+}
+
+/* What callers may send follows the routing in force. */
+static void
+follow_limits(dff_run_t *run)
+{
+	const dff_routing_t *routing = dff_relay_routing(run->relay);
+	dff_h1d_limits_t limits = {.unread_max = UNREAD_MAX};
+
+	if (routing == NULL)
+		return;
+	limits.head_max = routing->head_max;
+	limits.body_max = routing->body_max;
+	limits.idle_time = routing->idle_time;
+	dff_h1d_set_limits(run->front, &limits);
+}
+
+void
+dff_run_feed(dff_run_t *run, const dff_relay_event_t *event)
+{
+	GArray *fx = g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
+
+	dff_relay_step(run->ctx, run->relay, event, dff_program_now(), fx);
+	for (guint i = 0; i < fx->len; i++)
+		carry_out(run, &g_array_index(fx, dff_relay_effect_t, i));
+	g_array_unref(fx);
+	if (event->type == DFF_RELAY_ROUTING)
+		follow_limits(run);
+	set_timer(run);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_WAKE};
+
+	dff_run_feed(timer->data, &event);
+}
+
+/* ---- the run ---- */
+
+static int
+listen_for_peers(dff_run_t *run, const char *text)
+{
+	struct sockaddr_storage sa;
+	int err;
+
+	if (dff_address_parse(text, &sa) < 0)
+		return -EINVAL;
+	err = uv_udp_bind(&run->udp, (const struct sockaddr *)&sa, 0);
+	if (err < 0)
+		return err;
+	return uv_udp_recv_start(&run->udp, on_udp_alloc, on_frame);
+}
+
+static int
+listen_all(dff_run_t *run)
+{
+	static const dff_h1d_handlers_t front = {on_request, on_caller_gone};
+	static const dff_h1d_handlers_t health = {on_health, on_health_gone};
+	const dff_h1d_limits_t limits = {
+	    HEAD_MAX, BODY_MAX, UNREAD_MAX, IDLE_TIME};
+	int err;
+
+	err = listen_for_peers(run, run->config.peers);
+	if (err == 0)
+		err = dff_h1d_new(run->ctx, run->loop, run->config.front,
+		    &limits, &front, run, &run->front);
+	if (err == 0)
+		err = dff_h1d_new(run->ctx, run->loop, run->config.health,
+		    &limits, &health, run, &run->health);
+	return err;
+}
+
+int
+dff_run_new(dff_ctx_t *ctx, uv_loop_t *loop, const dff_run_config_t *config,
+    const dff_wire_t *wire, dff_run_t **out)
+{
+	dff_run_t *run = g_new0(dff_run_t, 1);
+	int err;
+
+	*out = NULL;
+	run->ctx = ctx;
+	run->loop = loop;
+	run->config = *config;
+	run->wire = *wire;
+	run->relay = dff_relay_new(ctx, &config->relay);
+	run->client = dff_h1c_new(ctx, loop);
+	run->calls =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	run->sends = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_send);
+	run->udp.data = run;
+	run->timer.data = run;
+	run->drain.data = run;
+	(void)uv_udp_init(loop, &run->udp);
+	(void)uv_timer_init(loop, &run->timer);
+	(void)uv_timer_init(loop, &run->drain);
+	err = listen_all(run);
+	if (err < 0) {
+		dff_run_drop(run);
+		return err;
+	}
+	on_timer(&run->timer);
+	*out = run;
+	return 0;
+}
+
+static void
+on_drain_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	dff_run_t *run = handle->data;
+
+	uv_close((uv_handle_t *)&run->drain, on_drain_closed);
+}
+
+static void
+on_udp_closed(uv_handle_t *handle)
+{
+	dff_run_t *run = handle->data;
+
+	uv_close((uv_handle_t *)&run->timer, on_timer_closed);
+}
+
+void
+dff_run_drop(dff_run_t *run)
+{
+	dff_h1d_drop(run->front);
+	dff_h1d_drop(run->health);
+	dff_h1c_drop(run->client);
+	dff_relay_drop(run->relay);
+	g_hash_table_unref(run->calls);
+	g_hash_table_unref(run->sends);
+	uv_close((uv_handle_t *)&run->udp, on_udp_closed);
+}
+
+dff_relay_t *
+dff_run_relay(dff_run_t *run)
+{
+	return run->relay;
+}
+
+dff_h1c_t *
+dff_run_client(dff_run_t *run)
+{
+	return run->client;
+}
+
+/*
+ * Callers keep their connections until the end, since a request may be on
+ * its way on any of them.
+ */
+static void
+on_drain(uv_timer_t *timer)
+{
+	dff_run_t *run = timer->data;
+	dff_time_t since = dff_program_now() - run->stop_at;
+	size_t calls = dff_relay_calls(run->relay);
+
+	if (since < run->config.drain_max &&
+	    (calls > 0 || since < run->config.drain_min))
+		return;
+	(void)uv_timer_stop(timer);
+	dff_log(run->ctx, calls > 0 ? DFF_LOG_WARNING : DFF_LOG_NOTICE,
+	    "process", "drained calls_left=%zu after_ms=%" G_GINT64_FORMAT,
+	    calls, since / DFF_MSEC);
+	run->done(run->done_arg);
+}
+
+void
+dff_run_stop(dff_run_t *run, void (*done)(void *arg), void *arg)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_STOP};
+
+	if (run->stop_at != 0)
+		return;
+	run->stop_at = dff_program_now();
+	run->done = done;
+	run->done_arg = arg;
+	dff_run_feed(run, &event);
+	dff_h1d_leave(run->front);
+	(void)uv_timer_start(
+	    &run->drain, on_drain, DRAIN_LOOK_MSEC, DRAIN_LOOK_MSEC);
+}
+
+void
+dff_run_set(dff_run_t *run, const dff_run_config_t *config)
+{
+	run->config.drain_min = config->drain_min;
+	run->config.drain_max = config->drain_max;
+	dff_relay_set(run->relay, &config->relay);
+}
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1267,6 +1267,186 @@
   assert(message->base.descriptor == &dff__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_load__init
+                     (Dff__RelayLoad         *message)
+{
+  static const Dff__RelayLoad init_value = DFF__RELAY_LOAD__INIT;
+  *message = init_value;
+}
+size_t dff__relay_load__get_packed_size
+                     (const Dff__RelayLoad *message)
+{
+  assert(message->base.descriptor == &dff__relay_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_load__pack
+                     (const Dff__RelayLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_load__pack_to_buffer
+                     (const Dff__RelayLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayLoad *
+       dff__relay_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayLoad *)
+     protobuf_c_message_unpack (&dff__relay_load__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_load__free_unpacked
+                     (Dff__RelayLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dff__relay_kept__init
+                     (Dff__RelayKept         *message)
+{
+  static const Dff__RelayKept init_value = DFF__RELAY_KEPT__INIT;
+  *message = init_value;
+}
+size_t dff__relay_kept__get_packed_size
+                     (const Dff__RelayKept *message)
+{
+  assert(message->base.descriptor == &dff__relay_kept__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_kept__pack
+                     (const Dff__RelayKept *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_kept__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_kept__pack_to_buffer
+                     (const Dff__RelayKept *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_kept__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayKept *
+       dff__relay_kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayKept *)
+     protobuf_c_message_unpack (&dff__relay_kept__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_kept__free_unpacked
+                     (Dff__RelayKept *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_kept__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dff__relay_crash__init
+                     (Dff__RelayCrash         *message)
+{
+  static const Dff__RelayCrash init_value = DFF__RELAY_CRASH__INIT;
+  *message = init_value;
+}
+size_t dff__relay_crash__get_packed_size
+                     (const Dff__RelayCrash *message)
+{
+  assert(message->base.descriptor == &dff__relay_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_crash__pack
+                     (const Dff__RelayCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_crash__pack_to_buffer
+                     (const Dff__RelayCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayCrash *
+       dff__relay_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayCrash *)
+     protobuf_c_message_unpack (&dff__relay_crash__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_crash__free_unpacked
+                     (Dff__RelayCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dff__relay_beat__init
+                     (Dff__RelayBeat         *message)
+{
+  static const Dff__RelayBeat init_value = DFF__RELAY_BEAT__INIT;
+  *message = init_value;
+}
+size_t dff__relay_beat__get_packed_size
+                     (const Dff__RelayBeat *message)
+{
+  assert(message->base.descriptor == &dff__relay_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_beat__pack
+                     (const Dff__RelayBeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_beat__pack_to_buffer
+                     (const Dff__RelayBeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayBeat *
+       dff__relay_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayBeat *)
+     protobuf_c_message_unpack (&dff__relay_beat__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_beat__free_unpacked
+                     (Dff__RelayBeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor dff__catalogue_edit__field_descriptors[6] =
 {
   {
@@ -3921,3 +4101,324 @@
   (ProtobufCMessageInit) dff__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dff__relay_load__field_descriptors[4] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLoad, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLoad, backlog),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLoad, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_load__field_indices_by_name[] = {
+  2,   /* field[2] = backlog */
+  3,   /* field[3] = memory */
+  1,   /* field[1] = running */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange dff__relay_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dff__relay_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayLoad",
+  "RelayLoad",
+  "Dff__RelayLoad",
+  "dff",
+  sizeof(Dff__RelayLoad),
+  4,
+  dff__relay_load__field_descriptors,
+  dff__relay_load__field_indices_by_name,
+  1,  dff__relay_load__number_ranges,
+  (ProtobufCMessageInit) dff__relay_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_kept__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayKept, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayKept, chain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayKept, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_kept__field_indices_by_name[] = {
+  1,   /* field[1] = chain */
+  2,   /* field[2] = tokens */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange dff__relay_kept__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dff__relay_kept__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayKept",
+  "RelayKept",
+  "Dff__RelayKept",
+  "dff",
+  sizeof(Dff__RelayKept),
+  3,
+  dff__relay_kept__field_descriptors,
+  dff__relay_kept__field_indices_by_name,
+  1,  dff__relay_kept__number_ranges,
+  (ProtobufCMessageInit) dff__relay_kept__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_crash__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayCrash, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayCrash, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_crash__field_indices_by_name[] = {
+  0,   /* field[0] = content */
+  1,   /* field[1] = count */
+};
+static const ProtobufCIntRange dff__relay_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dff__relay_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayCrash",
+  "RelayCrash",
+  "Dff__RelayCrash",
+  "dff",
+  sizeof(Dff__RelayCrash),
+  2,
+  dff__relay_crash__field_descriptors,
+  dff__relay_crash__field_indices_by_name,
+  1,  dff__relay_crash__number_ranges,
+  (ProtobufCMessageInit) dff__relay_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[8] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_loads),
+    offsetof(Dff__RelayBeat, loads),
+    &dff__relay_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_kept),
+    offsetof(Dff__RelayBeat, kept),
+    &dff__relay_kept__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_crashes),
+    offsetof(Dff__RelayBeat, crashes),
+    &dff__relay_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Dff__RelayBeat, n_leaving),
+    offsetof(Dff__RelayBeat, leaving),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_beat__field_indices_by_name[] = {
+  6,   /* field[6] = crashes */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = kept */
+  7,   /* field[7] = leaving */
+  4,   /* field[4] = loads */
+  0,   /* field[0] = node */
+  2,   /* field[2] = sequence */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange dff__relay_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayBeat",
+  "RelayBeat",
+  "Dff__RelayBeat",
+  "dff",
+  sizeof(Dff__RelayBeat),
+  8,
+  dff__relay_beat__field_descriptors,
+  dff__relay_beat__field_indices_by_name,
+  1,  dff__relay_beat__number_ranges,
+  (ProtobufCMessageInit) dff__relay_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -43,6 +43,10 @@
 typedef struct Dff__Suspect Dff__Suspect;
 typedef struct Dff__Suspects Dff__Suspects;
 typedef struct Dff__Frame Dff__Frame;
+typedef struct Dff__RelayLoad Dff__RelayLoad;
+typedef struct Dff__RelayKept Dff__RelayKept;
+typedef struct Dff__RelayCrash Dff__RelayCrash;
+typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
 /* --- enums --- */
@@ -592,6 +596,93 @@
     , 0, (char *)protobuf_c_empty_string, 0, DFF__FRAME__BODY__NOT_SET, {0} }
 
 
+struct  Dff__RelayLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint32_t upstream;
+  /*
+   * sends under way
+   */
+  uint32_t running;
+  /*
+   * prompt tokens that still have to be read
+   */
+  uint32_t backlog;
+  /*
+   * tokens held
+   */
+  uint32_t memory;
+};
+#define DFF__RELAY_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_load__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Dff__RelayKept
+{
+  ProtobufCMessage base;
+  uint32_t upstream;
+  /*
+   * hash of the chain up to and with the part
+   */
+  uint64_t chain;
+  /*
+   * of that part
+   */
+  uint32_t tokens;
+};
+#define DFF__RELAY_KEPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_kept__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Dff__RelayCrash
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the request
+   */
+  uint64_t content;
+  /*
+   * upstreams that it broke
+   */
+  uint32_t count;
+};
+#define DFF__RELAY_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_crash__descriptor) \
+    , 0, 0 }
+
+
+struct  Dff__RelayBeat
+{
+  ProtobufCMessage base;
+  char *node;
+  uint64_t incarnation;
+  uint64_t sequence;
+  /*
+   * of the routing in force
+   */
+  uint64_t version;
+  size_t n_loads;
+  Dff__RelayLoad **loads;
+  size_t n_kept;
+  Dff__RelayKept **kept;
+  size_t n_crashes;
+  Dff__RelayCrash **crashes;
+  /*
+   * upstreams known to leave or be gone
+   */
+  size_t n_leaving;
+  uint32_t *leaving;
+};
+#define DFF__RELAY_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Dff__CatalogueEdit methods */
 void   dff__catalogue_edit__init
                      (Dff__CatalogueEdit         *message);
@@ -1124,6 +1215,82 @@
 void   dff__frame__free_unpacked
                      (Dff__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayLoad methods */
+void   dff__relay_load__init
+                     (Dff__RelayLoad         *message);
+size_t dff__relay_load__get_packed_size
+                     (const Dff__RelayLoad   *message);
+size_t dff__relay_load__pack
+                     (const Dff__RelayLoad   *message,
+                      uint8_t             *out);
+size_t dff__relay_load__pack_to_buffer
+                     (const Dff__RelayLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayLoad *
+       dff__relay_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_load__free_unpacked
+                     (Dff__RelayLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Dff__RelayKept methods */
+void   dff__relay_kept__init
+                     (Dff__RelayKept         *message);
+size_t dff__relay_kept__get_packed_size
+                     (const Dff__RelayKept   *message);
+size_t dff__relay_kept__pack
+                     (const Dff__RelayKept   *message,
+                      uint8_t             *out);
+size_t dff__relay_kept__pack_to_buffer
+                     (const Dff__RelayKept   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayKept *
+       dff__relay_kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_kept__free_unpacked
+                     (Dff__RelayKept *message,
+                      ProtobufCAllocator *allocator);
+/* Dff__RelayCrash methods */
+void   dff__relay_crash__init
+                     (Dff__RelayCrash         *message);
+size_t dff__relay_crash__get_packed_size
+                     (const Dff__RelayCrash   *message);
+size_t dff__relay_crash__pack
+                     (const Dff__RelayCrash   *message,
+                      uint8_t             *out);
+size_t dff__relay_crash__pack_to_buffer
+                     (const Dff__RelayCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayCrash *
+       dff__relay_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_crash__free_unpacked
+                     (Dff__RelayCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Dff__RelayBeat methods */
+void   dff__relay_beat__init
+                     (Dff__RelayBeat         *message);
+size_t dff__relay_beat__get_packed_size
+                     (const Dff__RelayBeat   *message);
+size_t dff__relay_beat__pack
+                     (const Dff__RelayBeat   *message,
+                      uint8_t             *out);
+size_t dff__relay_beat__pack_to_buffer
+                     (const Dff__RelayBeat   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayBeat *
+       dff__relay_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_beat__free_unpacked
+                     (Dff__RelayBeat *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Dff__CatalogueEdit_Closure)
@@ -1210,6 +1377,18 @@
 typedef void (*Dff__Frame_Closure)
                  (const Dff__Frame *message,
                   void *closure_data);
+typedef void (*Dff__RelayLoad_Closure)
+                 (const Dff__RelayLoad *message,
+                  void *closure_data);
+typedef void (*Dff__RelayKept_Closure)
+                 (const Dff__RelayKept *message,
+                  void *closure_data);
+typedef void (*Dff__RelayCrash_Closure)
+                 (const Dff__RelayCrash *message,
+                  void *closure_data);
+typedef void (*Dff__RelayBeat_Closure)
+                 (const Dff__RelayBeat *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1244,6 +1423,10 @@
 extern const ProtobufCMessageDescriptor dff__suspect__descriptor;
 extern const ProtobufCMessageDescriptor dff__suspects__descriptor;
 extern const ProtobufCMessageDescriptor dff__frame__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_load__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_kept__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_crash__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/source/relay/call.c
@@ -0,0 +1,190 @@
+#include <string.h>
+
+#include "relay/parts.h"
+
+/* When to come back while no routing is known: it is read within seconds. */
+#define RETRY_UNKNOWN (500 * DFF_MSEC)
+/* Bounds of the time that a caller is told to stay away. */
+#define RETRY_MIN (100 * DFF_MSEC)
+#define RETRY_MAX (5 * DFF_SEC)
+
+/* A final answer to a request that never became a call. */
+static void
+answer_open(step_t *step, const dff_relay_open_t *open, int status,
+    dff_time_t retry_after, const char *why)
+{
+	dff_relay_effect_t *fx = relay_add_fx(step, DFF_RELAY_FX_ANSWER);
+
+	fx->answer.call = open->call;
+	fx->answer.status = status;
+	fx->answer.retry_after = retry_after;
+	step->relay->counts[COUNT_REFUSED]++;
+	dff_log(step->ctx, DFF_LOG_INFO, "call",
+	    "request refused on arrival id=%s status=%d why=%s version=%"
+	    G_GUINT64_FORMAT " host=%s target=%.48s",
+	    open->id, status, why,
+	    step->relay->routing != NULL ? step->relay->routing->version : 0,
+	    open->host, open->target);
+}
+
+static call_t *
+new_call(step_t *step, const dff_relay_open_t *open, const dff_route_t *route)
+{
+	dff_relay_t *relay = step->relay;
+	dff_handle_t handle;
+	call_t *call = dff_table_take(relay->calls, &handle);
+	dff_time_t patience = route->timeout;
+
+	if (open->patience > 0)
+		patience = MIN(patience, open->patience);
+	call->self = handle;
+	call->number = open->call;
+	g_strlcpy(call->id, open->id, sizeof(call->id));
+	call->routing = dff_routing_keep(relay->routing);
+	call->route = route;
+	g_strlcpy(call->pool,
+	    dff_route_pool(route, dff_hash(open->id, strlen(open->id), 0)),
+	    sizeof(call->pool));
+	call->spec = dff_routing_pool(relay->routing, call->pool);
+	call->content = open->content;
+	call->prompt = open->prompt;
+	call->after_event = open->after_event;
+	call->arrived = step->now;
+	call->give_up = step->now + patience;
+	call->fate = DFF_FATE_UNSENT;
+	call->held = g_byte_array_new();
+	g_hash_table_insert(relay->by_number, &call->number, call);
+	dff_timers_set(relay->timers, DFF_TIMER_CALL_DEADLINE, handle,
+	    call->give_up);
+	return call;
+}
+
+void
+relay_call_open(step_t *step, const dff_relay_open_t *open)
+{
+	dff_relay_t *relay = step->relay;
+	const dff_route_t *route;
+	call_t *call;
+
+	relay->counts[COUNT_REQUESTS]++;
+	if (relay->routing == NULL) {
+		answer_open(step, open, 503, RETRY_UNKNOWN, "no_routing");
+		return;
+	}
+	route = dff_routing_match(relay->routing, open->host, open->target);
+	if (route == NULL) {
+		answer_open(step, open, 404, 0, "no_route");
+		return;
+	}
+	if (suspect_is_poison(relay, open->content, step->now)) {
+		relay->counts[COUNT_POISON]++;
+		answer_open(step, open, 503, RETRY_MAX, "breaks_upstreams");
+		return;
+	}
+	call = new_call(step, open, route);
+	budget_note_request(relay->budget, call->pool, step->now);
+	relay_send_place(step, call);
+}
+
+/* Memory that was made for the call and will not be taken. */
+static void
+free_handle(step_t *step, const call_t *call)
+{
+	const upstream_t *up;
+	dff_relay_effect_t *fx;
+
+	if (call->handle[0] == '\0')
+		return;
+	up = upstreams_get(step->relay->upstreams, call->prefilled_at);
+	if (up == NULL || !upstream_is_listed(up, step->now))
+		return;
+	fx = relay_add_fx(step, DFF_RELAY_FX_FREE);
+	g_strlcpy(fx->release.upstream, up->news.id,
+	    sizeof(fx->release.upstream));
+	g_strlcpy(fx->release.addr, call->source, sizeof(fx->release.addr));
+	g_strlcpy(
+	    fx->release.handle, call->handle, sizeof(fx->release.handle));
+}
+
+static void
+free_call(dff_relay_t *relay, call_t *call)
+{
+	(void)g_hash_table_remove(relay->by_number, &call->number);
+	dff_timers_cancel(relay->timers, DFF_TIMER_CALL_DEADLINE, call->self);
+	dff_timers_cancel(relay->timers, DFF_TIMER_TRY, call->self);
+	g_byte_array_unref(call->held);
+	dff_routing_drop(call->routing);
+	dff_table_give(relay->calls, call->self);
+}
+
+void
+relay_call_close(step_t *step, call_t *call)
+{
+	relay_send_cancel(step, call);
+	free_handle(step, call);
+	free_call(step->relay, call);
+}
+
+void
+relay_call_give_up(step_t *step, call_t *call, dff_trouble_t trouble,
+    dff_time_t retry_after, const char *why)
+{
+	int status = dff_relay_status(call->fate, trouble);
+	dff_relay_effect_t *fx;
+
+	relay_send_cancel(step, call);
+	if (status == 0) {
+		fx = relay_add_fx(step, DFF_RELAY_FX_BREAK);
+		fx->call = call->number;
+	} else {
+		fx = relay_add_fx(step, DFF_RELAY_FX_ANSWER);
+		fx->answer.call = call->number;
+		fx->answer.status = status;
+		if (status == 503)
+			fx->answer.retry_after =
+			    CLAMP(retry_after, RETRY_MIN, RETRY_MAX);
+	}
+	step->relay
+	    ->counts[status == 503 ? COUNT_REFUSED : COUNT_FAILED]++;
+	dff_log(step->ctx, DFF_LOG_INFO, "call",
+	    "request given up id=%s route=%s status=%d why=%s sends=%u "
+	    "runs=%u after_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT,
+	    call->id, call->route->name, status, why, call->sends, call->runs,
+	    (step->now - call->arrived) / DFF_MSEC,
+	    status == 503 ? fx->answer.retry_after / DFF_MSEC : 0);
+	relay_call_close(step, call);
+}
+
+void
+relay_call_gone(step_t *step, uint64_t number)
+{
+	call_t *call = g_hash_table_lookup(step->relay->by_number, &number);
+
+	if (call == NULL)
+		return;
+	step->relay->counts[COUNT_GONE]++;
+	dff_log(step->ctx, DFF_LOG_INFO, "call",
+	    "caller left id=%s route=%s upstream=%s after_ms=%" G_GINT64_FORMAT,
+	    call->id, call->route->name, call->send.id,
+	    (step->now - call->arrived) / DFF_MSEC);
+	relay_call_close(step, call);
+}
+
+void
+relay_call_deadline(step_t *step, dff_handle_t handle)
+{
+	call_t *call = dff_table_get(step->relay->calls, handle);
+
+	if (call != NULL)
+		relay_call_give_up(step, call, DFF_TROUBLE_TIME, RETRY_MIN, "time");
+}
+
+void
+relay_call_free_all(dff_relay_t *relay)
+{
+	call_t *call;
+
+	for (dff_handle_t h = 0;
+	     (h = dff_table_next(relay->calls, h, (void **)&call)) != 0;)
+		free_call(relay, call);
+}
--- /dev/null
+++ b/source/relay/metrics.c
@@ -0,0 +1,59 @@
+#include "relay/parts.h"
+
+static const char *const count_names[COUNT_COUNT] = {
+    [COUNT_REQUESTS] = "requests",
+    [COUNT_DONE] = "answered",
+    [COUNT_REFUSED] = "refused",
+    [COUNT_FAILED] = "failed",
+    [COUNT_GONE] = "callers_left",
+    [COUNT_SENDS] = "sends",
+    [COUNT_EXTRA_SENDS] = "sends_extra",
+    [COUNT_PREFILLS] = "prefills",
+    [COUNT_RESUMES] = "resumes",
+    [COUNT_REJECTED] = "sends_rejected",
+    [COUNT_BROKEN] = "sends_broken",
+    [COUNT_UNREACHABLE] = "sends_unreachable",
+    [COUNT_BUDGET_EMPTY] = "budget_empty",
+    [COUNT_POISON] = "refused_poison",
+    [COUNT_BEATS_IN] = "beats_in",
+    [COUNT_BEATS_OUT] = "beats_out",
+    [COUNT_BEATS_BAD] = "beats_bad",
+};
+
+static void
+add_hist(GString *text, const char *name, const dff_hist_t *hist)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.95, 0.99};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		g_string_append_printf(text,
+		    "dff_relay_%s_seconds{quantile=\"%.2f\"} %.6f\n", name,
+		    quantiles[i],
+		    (double)dff_hist_quantile(hist, quantiles[i]) / DFF_SEC);
+	g_string_append_printf(text, "dff_relay_%s_seconds_count %"
+	    G_GUINT64_FORMAT "\n", name, (guint64)dff_hist_count(hist));
+}
+
+char *
+dff_relay_metrics(const dff_relay_t *relay, dff_time_t now)
+{
+	GString *text = g_string_new(NULL);
+	const char *why;
+
+	for (int i = 0; i < COUNT_COUNT; i++)
+		g_string_append_printf(text, "dff_relay_%s_total %"
+		    G_GUINT64_FORMAT "\n", count_names[i],
+		    (guint64)relay->counts[i]);
+	add_hist(text, "first_byte", relay->first_byte);
+	add_hist(text, "whole", relay->whole);
+	add_hist(text, "prefill", relay->prefill);
+	g_string_append_printf(text,
+	    "dff_relay_ready %d\ndff_relay_calls %zu\ndff_relay_peers %u\n"
+	    "dff_relay_upstreams %zu\ndff_relay_routing_version %"
+	    G_GUINT64_FORMAT "\ndff_relay_source_age_seconds %.3f\n",
+	    dff_relay_ready(relay, now, &why), dff_relay_calls(relay),
+	    beat_peers_alive(relay, now), upstreams_count(relay->upstreams),
+	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
+	    (double)(now - relay->heard) / DFF_SEC);
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/source/relay/parts.h
@@ -0,0 +1,218 @@
+/*
+ * What the files of the relay share.
+ */
+#ifndef DFF_RELAY_PARTS_H
+#define DFF_RELAY_PARTS_H
+
+#include "dragonflyfall/hist.h"
+#include "dragonflyfall/timer.h"
+#include "relay/budget.h"
+#include "relay/place.h"
+
+/** enum relay_count - what a relay counts */
+typedef enum relay_count {
+	COUNT_REQUESTS,
+	COUNT_DONE,
+	COUNT_REFUSED,
+	COUNT_FAILED,
+	COUNT_GONE,
+	COUNT_SENDS,
+	COUNT_EXTRA_SENDS,
+	COUNT_PREFILLS,
+	COUNT_RESUMES,
+	COUNT_REJECTED,
+	COUNT_BROKEN,
+	COUNT_UNREACHABLE,
+	COUNT_BUDGET_EMPTY,
+	COUNT_POISON,
+	COUNT_BEATS_IN,
+	COUNT_BEATS_OUT,
+	COUNT_BEATS_BAD,
+	COUNT_COUNT,
+} relay_count_t;
+
+/** struct peer - another relay */
+typedef struct peer {
+	char *addr;
+	char *node; /* NULL before it was heard */
+	uint64_t incarnation;
+	uint64_t sequence;
+	uint64_t version;
+	dff_time_t heard; /* 0 never */
+	dff_time_t added;
+	dff_time_t told;
+	GArray *loads; /* peer_load_t, as last told */
+} peer_t;
+
+/** struct peer_load - what a peer has under way at one upstream */
+typedef struct peer_load {
+	uint32_t upstream; /* hash of its id */
+	uint32_t running;
+	uint32_t backlog;
+	uint32_t memory;
+} peer_load_t;
+
+/** struct told_part - a part that an engine was given to read lately */
+typedef struct told_part {
+	uint32_t upstream;
+	uint64_t chain;
+	uint32_t tokens;
+	dff_time_t at;
+} told_part_t;
+
+/** struct suspect - a request that broke upstreams */
+typedef struct suspect {
+	uint32_t count;
+	dff_time_t last;
+} suspect_t;
+
+/** struct broken_run - a run that broke off, and where */
+typedef struct broken_run {
+	uint64_t content;
+	dff_handle_t upstream;
+	dff_time_t at;
+} broken_run_t;
+
+/** struct send - a request under way at an upstream */
+typedef struct send {
+	uint64_t number; /* 0 for none */
+	dff_step_t step;
+	dff_handle_t upstream;
+	char id[DFF_NAME_MAX]; /* of the upstream, for logs */
+	char addr[DFF_ADDR_MAX];
+	dff_time_t at;
+	dff_time_t predicted;
+	uint32_t ahead; /* tokens that were to be read before it */
+	uint32_t uncached; /* tokens that it had to read */
+	uint32_t backlog; /* counted there until its first answer */
+	uint32_t memory; /* counted there until its end */
+	bool head_seen;
+	bool not_run; /* the upstream promised that it did not run it */
+	bool stamped; /* its answer bears the upstream's signature */
+	int status;
+} send_t;
+
+/** struct call - a caller's request until its final answer */
+typedef struct call {
+	dff_handle_t self;
+	uint64_t number; /* the shell's */
+	char id[DFF_NAME_MAX];
+	dff_routing_t *routing;
+	const dff_route_t *route;
+	char pool[DFF_NAME_MAX];
+	const dff_pool_t *spec;
+	uint64_t content;
+	dff_prompt_t prompt;
+	int64_t after_event; /* last event that the caller has, or -1 */
+	dff_time_t arrived;
+	dff_time_t give_up;
+	dff_fate_t fate;
+	uint32_t sends;
+	uint32_t runs; /* upstreams at which it may have run */
+	uint32_t arrivals; /* that count as sends of it */
+	bool prefill_taken; /* the one that does not count was accepted */
+	bool whole_only;
+	dff_handle_t prefilled_at;
+	char source[DFF_ADDR_MAX];
+	char handle[DFF_NAME_MAX];
+	uint32_t handle_tries;
+	dff_handle_t avoid[AVOID_MAX];
+	uint32_t avoid_count;
+	send_t send;
+	GByteArray *held; /* bytes that may not be passed on yet */
+	dff_time_t first_at; /* first byte passed on */
+} call_t;
+
+struct dff_relay {
+	dff_relay_config_t config;
+	dff_routing_t *routing;
+	upstreams_t *upstreams;
+	pace_t pace;
+	budget_t *budget;
+	dff_table_t *calls;
+	GHashTable *by_number; /* shell's number to call_t */
+	GHashTable *by_send; /* number of a send to call_t */
+	dff_timers_t *timers;
+	GPtrArray *peers; /* peer_t */
+	GArray *told_parts; /* told_part_t, newest last */
+	GHashTable *suspects; /* content hash, boxed, to suspect_t */
+	GArray *broken_runs; /* broken_run_t, not yet put down to a crash */
+	GByteArray *frame; /* the last frame made */
+	GByteArray *passing; /* bytes of the last DFF_RELAY_FX_PASS_DATA */
+	uint64_t next_send;
+	uint64_t sequence;
+	uint32_t nodes_most; /* most nodes ever seen at once */
+	dff_time_t started;
+	dff_time_t heard; /* the record source answered */
+	dff_time_t settled_at; /* missing records may return before this */
+	bool stopping;
+	uint64_t counts[COUNT_COUNT];
+	dff_hist_t *first_byte;
+	dff_hist_t *whole;
+	dff_hist_t *prefill;
+};
+
+/* One step's context, handed down. */
+typedef struct step {
+	dff_ctx_t *ctx;
+	dff_relay_t *relay;
+	dff_time_t now;
+	GArray *fx;
+} step_t;
+
+/** relay_add_fx() - add an effect of a type; fill in what it returns */
+dff_relay_effect_t *relay_add_fx(step_t *step, dff_relay_effect_type_t type);
+
+/* ---- call.c: requests ---- */
+
+void relay_call_open(step_t *step, const dff_relay_open_t *open);
+void relay_call_gone(step_t *step, uint64_t number);
+void relay_call_deadline(step_t *step, dff_handle_t handle);
+void relay_call_late(step_t *step, dff_handle_t handle);
+void relay_call_free_all(dff_relay_t *relay);
+
+/* ---- send.c: what becomes of sends ---- */
+
+/** relay_send_place() - place a call and send it, or give it up */
+void relay_send_place(step_t *step, call_t *call);
+void relay_send_cancel(step_t *step, call_t *call);
+void relay_send_head(step_t *step, const dff_relay_head_t *head);
+void relay_send_data(step_t *step, const dff_relay_data_t *data);
+void relay_send_end(step_t *step, const dff_relay_end_t *end);
+
+/** relay_call_give_up() - the final answer, at once */
+void relay_call_give_up(step_t *step, call_t *call, dff_trouble_t trouble,
+    dff_time_t retry_after, const char *why);
+
+/** relay_call_close() - the call is over; it is freed */
+void relay_call_close(step_t *step, call_t *call);
+
+/* ---- events.c: numbered events ---- */
+
+/** events_whole() - bytes up to the end of the last whole event;
+ *	@last is set to its number if it bears one */
+size_t events_whole(const GByteArray *bytes, int64_t *last);
+
+/* ---- beat.c: peers ---- */
+
+void beat_send(step_t *step);
+void beat_take(step_t *step, const dff_relay_beat_t *beat);
+void beat_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now);
+uint32_t beat_peers_alive(const dff_relay_t *relay, dff_time_t now);
+void beat_free_all(dff_relay_t *relay);
+void beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
+    uint32_t tokens, dff_time_t now);
+
+/* ---- suspect.c: requests that break upstreams ---- */
+
+/** suspect_note() - its run broke off */
+void suspect_note(step_t *step, const call_t *call);
+/** suspect_confirm() - an upstream crashed: whose runs broke off there? */
+void suspect_confirm(step_t *step, dff_handle_t upstream);
+void suspect_load(dff_relay_t *relay, uint64_t content, uint32_t count,
+    dff_time_t now);
+bool suspect_is_poison(
+    const dff_relay_t *relay, uint64_t content, dff_time_t now);
+void suspect_sweep(dff_relay_t *relay, dff_time_t now);
+
+#endif
--- /dev/null
+++ b/source/relay/place.c
@@ -0,0 +1,313 @@
+/*
+ * Load answered: long prompts that share most of their tokens come faster
+ * than the engines could read them anew, beside short ones that need little.
+ * A prompt goes where its reading ends first, kept parts counted; a part
+ * that nobody keeps has a home by hash, so that nodes that don't hear of
+ * each other in time send it to the same engine.
+ */
+#include "relay/place.h"
+
+#include <string.h>
+
+/* Speed before any is learned, in tokens a millisecond. */
+#define PACE_START 50.0
+/* Weight of the newest prefill. */
+#define PACE_WEIGHT 0.05
+#define SLOW_WEIGHT 0.2
+/* Bounds of a slowness that one prefill may show. */
+#define SLOW_MIN 0.5
+#define SLOW_MAX 8.0
+/* Prefills below this many tokens say more of the way than of the speed. */
+#define PACE_TOKENS_MIN 1000
+/* An engine that decodes reads prompts at half the speed. */
+#define DECODE_READ_SHARE 0.5
+/* A hand-over: one more request and the transfer's set-up. */
+#define HANDOVER_TIME (12 * DFF_MSEC)
+/* What one running request adds to the time of the next one's first token. */
+#define RUNNING_TIME (300 * DFF_USEC)
+/* Waiting for memory or a slot of a full engine. */
+#define FULL_TIME (400 * DFF_MSEC)
+/* Share of memory beyond which an engine counts as full. */
+#define FULL_SHARE 0.85
+/* Time that counts for each full share of failed sends. */
+#define ERROR_TIME (2 * DFF_SEC)
+/* Time of one plain request that is ahead, spread over the slots. */
+#define PLAIN_TIME (40 * DFF_MSEC)
+/* Advantage of a cold prompt's home. */
+#define HOME_BONUS (20 * DFF_MSEC)
+
+void
+pace_init(pace_t *pace)
+{
+	pace->tokens_per_ms = PACE_START;
+}
+
+void
+pace_learn(pace_t *pace, upstream_t *up, uint32_t tokens, dff_time_t took)
+{
+	double share = up->news.role == DFF_ROLE_DECODE ? DECODE_READ_SHARE : 1;
+	double predicted;
+	double seen;
+
+	if (tokens < PACE_TOKENS_MIN || took <= 0)
+		return;
+	predicted = tokens / (pace->tokens_per_ms * share) * DFF_MSEC;
+	seen = CLAMP((double)took / predicted, SLOW_MIN, SLOW_MAX);
+	up->slowness += (seen - up->slowness) * SLOW_WEIGHT;
+	if (up->news.role != DFF_ROLE_DECODE)
+		pace->tokens_per_ms +=
+		    (pace->tokens_per_ms / seen - pace->tokens_per_ms) *
+		    PACE_WEIGHT;
+}
+
+static dff_time_t
+read_time(const pace_t *pace, const upstream_t *up, double tokens)
+{
+	double speed = pace->tokens_per_ms;
+
+	if (up->news.role == DFF_ROLE_DECODE)
+		speed *= DECODE_READ_SHARE;
+	return (dff_time_t)(
+	    tokens * up->slowness / speed * (double)DFF_MSEC);
+}
+
+/* Wait for a slot and for memory, beside what is read before. */
+static dff_time_t
+room_time(const upstream_t *up, const place_ask_t *ask)
+{
+	uint32_t running = up->running + up->peer_running;
+	uint32_t slots = MAX(up->news.slots, 1);
+	dff_time_t wait = running * RUNNING_TIME;
+	double need;
+
+	if (running >= slots)
+		wait += FULL_TIME * (running - slots + 1) / slots + FULL_TIME;
+	if (ask->spec == NULL || ask->spec->kv_tokens == 0)
+		return wait;
+	need = (double)(up->memory + up->peer_memory) + ask->prompt->tokens +
+	    ask->prompt->tokens_out;
+	if (need > FULL_SHARE * (double)ask->spec->kv_tokens)
+		wait += FULL_TIME;
+	return wait;
+}
+
+static dff_time_t
+way_time(const upstream_t *up, const place_ask_t *ask)
+{
+	return strcmp(up->news.domain, ask->domain) == 0 ? 0 : 2 * ask->hop;
+}
+
+static dff_time_t
+error_time(const upstream_t *up)
+{
+	return (dff_time_t)(up->errors * ERROR_TIME);
+}
+
+/* Highest of a hash over part and engine: the home of a cold prompt. */
+static uint64_t
+home_score(const upstream_t *up, const dff_prompt_t *prompt)
+{
+	uint32_t shared = MAX(prompt->count, 2) - 1;
+	uint64_t chain = chain_hash(prompt, MIN(shared, prompt->count));
+
+	return dff_hash(&up->hash, sizeof(up->hash), chain);
+}
+
+static bool
+is_avoided(const place_ask_t *ask, dff_handle_t handle)
+{
+	for (uint32_t i = 0; i < ask->avoid_count; i++) {
+		if (ask->avoid[i] == handle)
+			return true;
+	}
+	return false;
+}
+
+/* The best upstream found so far. */
+typedef struct best {
+	dff_handle_t handle;
+	dff_time_t cost;
+	dff_time_t wait;
+	uint32_t uncached;
+	uint64_t tie;
+	bool shunned;
+} best_t;
+
+static void
+consider(best_t *best, const best_t *one)
+{
+	if (best->handle != 0) {
+		if (one->shunned != best->shunned) {
+			if (one->shunned)
+				return;
+		} else if (one->cost > best->cost ||
+		    (one->cost == best->cost && one->tie <= best->tie))
+			return;
+	}
+	*best = *one;
+}
+
+static bool
+is_candidate(const upstream_t *up, const place_ask_t *ask, dff_handle_t handle,
+    dff_time_t now)
+{
+	return upstream_is_listed(up, now) && !is_avoided(ask, handle) &&
+	    strcmp(up->news.pool, ask->pool) == 0;
+}
+
+static void
+place_plain(const upstreams_t *ups, const place_ask_t *ask, dff_time_t now,
+    best_t *best)
+{
+	upstream_t *up;
+
+	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+		best_t one = {.handle = h};
+		uint32_t running = up->running + up->peer_running;
+
+		if (!is_candidate(up, ask, h, now))
+			continue;
+		one.shunned = !upstream_takes_work(up, now);
+		one.wait = way_time(up, ask) +
+		    running * PLAIN_TIME / MAX(up->news.slots, 1);
+		one.cost = one.wait + error_time(up);
+		one.tie = home_score(up, ask->prompt);
+		consider(best, &one);
+	}
+}
+
+/* The engine of @role at which a prompt is read first. */
+static void
+place_read(const upstreams_t *ups, const pace_t *pace, const place_ask_t *ask,
+    bool decodes, dff_time_t now, best_t *best)
+{
+	upstream_t *up;
+	dff_handle_t home = 0;
+	uint64_t home_best = 0;
+
+	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+		best_t one = {.handle = h};
+
+		if (!is_candidate(up, ask, h, now) ||
+		    decodes != (up->news.role != DFF_ROLE_PREFILL))
+			continue;
+		one.shunned = !upstream_takes_work(up, now);
+		one.uncached = ask->prompt->tokens -
+		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
+		one.wait = way_time(up, ask) + room_time(up, ask) +
+		    read_time(pace, up,
+			(double)(up->backlog + up->peer_backlog) +
+			    one.uncached);
+		one.tie = home_score(up, ask->prompt);
+		if (home == 0 || one.tie > home_best) {
+			home = h;
+			home_best = one.tie;
+		}
+		one.cost = one.wait + error_time(up);
+		consider(best, &one);
+	}
+	if (home == 0 || home == best->handle)
+		return;
+	/* A prompt that nobody keeps goes to its home if that is near best. */
+	up = upstreams_get(ups, home);
+	if (best->uncached < ask->prompt->tokens ||
+	    !upstream_takes_work(up, now))
+		return;
+	best_t one = {.handle = home, .uncached = ask->prompt->tokens};
+	one.wait = way_time(up, ask) + room_time(up, ask) +
+	    read_time(pace, up,
+		(double)(up->backlog + up->peer_backlog) + one.uncached);
+	one.cost = one.wait + error_time(up) - HOME_BONUS;
+	one.tie = home_best;
+	consider(best, &one);
+}
+
+/* The engine that takes over memory made elsewhere. */
+static void
+place_decode(const upstreams_t *ups, const place_ask_t *ask,
+    dff_handle_t source, dff_time_t now, best_t *best)
+{
+	const upstream_t *from = upstreams_get(ups, source);
+	upstream_t *up;
+
+	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+		best_t one = {.handle = h};
+		double bytes = 0;
+		dff_time_t move = 0;
+
+		if (!is_candidate(up, ask, h, now) ||
+		    up->news.role == DFF_ROLE_PREFILL)
+			continue;
+		one.shunned = !upstream_takes_work(up, now);
+		one.uncached = ask->prompt->tokens -
+		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
+		if (ask->spec != NULL && ask->spec->link_mbps > 0)
+			bytes = (double)one.uncached *
+			    (double)ask->spec->token_bytes;
+		if (bytes > 0)
+			move = (dff_time_t)(
+			    bytes * 8 / ask->spec->link_mbps);
+		if (from != NULL &&
+		    strcmp(from->news.domain, up->news.domain) != 0)
+			move *= 2;
+		one.wait = way_time(up, ask) + room_time(up, ask) + move;
+		one.cost = one.wait + error_time(up);
+		one.tie = home_score(up, ask->prompt);
+		consider(best, &one);
+	}
+}
+
+static void
+set_place(place_t *place, const best_t *best, dff_step_t step)
+{
+	place->step = step;
+	place->upstream = best->handle;
+	place->wait = best->wait;
+	place->uncached = best->uncached;
+	place->shunned = best->shunned;
+}
+
+static void
+place_generation(const upstreams_t *ups, const pace_t *pace,
+    const place_ask_t *ask, dff_time_t now, place_t *place)
+{
+	best_t whole = {0};
+	best_t read = {0};
+	best_t decode = {0};
+
+	place_read(ups, pace, ask, true, now, &whole);
+	set_place(place, &whole, DFF_STEP_WHOLE);
+	if (ask->whole_only)
+		return;
+	place_read(ups, pace, ask, false, now, &read);
+	if (read.handle == 0)
+		return;
+	place_decode(ups, ask, read.handle, now, &decode);
+	if (decode.handle == 0)
+		return;
+	read.wait += decode.wait + HANDOVER_TIME;
+	if (whole.handle != 0 && whole.shunned == read.shunned &&
+	    whole.cost <= read.cost + decode.cost + HANDOVER_TIME)
+		return;
+	if (whole.handle != 0 && !whole.shunned && read.shunned)
+		return;
+	set_place(place, &read, DFF_STEP_PREFILL);
+}
+
+void
+place_request(const upstreams_t *ups, const pace_t *pace,
+    const place_ask_t *ask, dff_time_t now, place_t *place)
+{
+	best_t best = {0};
+
+	memset(place, 0, sizeof(*place));
+	if (ask->prefilled_at != 0) {
+		place_decode(ups, ask, ask->prefilled_at, now, &best);
+		set_place(place, &best, DFF_STEP_DECODE);
+	} else if (ask->prompt->count > 0)
+		place_generation(ups, pace, ask, now, place);
+	else {
+		place_plain(ups, ask, now, &best);
+		set_place(place, &best, DFF_STEP_WHOLE);
+	}
+}
--- /dev/null
+++ b/source/relay/relay.c
@@ -0,0 +1,323 @@
+#include <string.h>
+
+#include "relay/parts.h"
+
+/* Defaults for a small fleet. */
+#define BEAT_DEFAULT   (100 * DFF_MSEC)
+#define STALE_DEFAULT  (4 * DFF_SEC)
+#define WINDOW_DEFAULT (10 * DFF_SEC)
+#define RATIO_DEFAULT  0.2
+#define SLACK_DEFAULT  10.0
+#define HOP_DEFAULT    (5 * DFF_MSEC)
+/* Time between sweeps of what has lapsed. */
+#define SWEEP_EVERY DFF_SEC
+/* Silence of the record source that counts as an outage: some polls. */
+#define OUTAGE_AFTER (1500 * DFF_MSEC)
+/* After an outage records may be missing for so long though their
+ * upstreams live: the platform states about two seconds. */
+#define SETTLE_TIME (2200 * DFF_MSEC)
+
+void
+dff_relay_defaults(dff_relay_config_t *config)
+{
+	memset(config, 0, sizeof(*config));
+	config->beat = BEAT_DEFAULT;
+	config->stale_after = STALE_DEFAULT;
+	config->budget_window = WINDOW_DEFAULT;
+	config->budget_ratio = RATIO_DEFAULT;
+	config->budget_slack = SLACK_DEFAULT;
+	config->hop = HOP_DEFAULT;
+}
+
+dff_relay_t *
+dff_relay_new(dff_ctx_t *ctx, const dff_relay_config_t *config)
+{
+	dff_relay_t *relay = g_new0(dff_relay_t, 1);
+
+	(void)ctx;
+	relay->config = *config;
+	relay->upstreams = upstreams_new();
+	pace_init(&relay->pace);
+	relay->budget = budget_new();
+	relay->calls = dff_table_new(sizeof(call_t));
+	relay->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
+	relay->by_send = g_hash_table_new(g_int64_hash, g_int64_equal);
+	relay->timers = dff_timers_new();
+	relay->peers = g_ptr_array_new();
+	relay->told_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
+	relay->suspects = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, g_free);
+	relay->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
+	relay->frame = g_byte_array_new();
+	relay->passing = g_byte_array_new();
+	relay->first_byte = dff_hist_new();
+	relay->whole = dff_hist_new();
+	relay->prefill = dff_hist_new();
+	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_BEAT, 0, 0);
+	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, 0, 0);
+	return relay;
+}
+
+void
+dff_relay_drop(dff_relay_t *relay)
+{
+	if (relay == NULL)
+		return;
+	relay_call_free_all(relay);
+	beat_free_all(relay);
+	dff_routing_drop(relay->routing);
+	upstreams_drop(relay->upstreams);
+	budget_drop(relay->budget);
+	dff_table_drop(relay->calls);
+	g_hash_table_unref(relay->by_number);
+	g_hash_table_unref(relay->by_send);
+	dff_timers_drop(relay->timers);
+	g_array_unref(relay->told_parts);
+	g_hash_table_unref(relay->suspects);
+	g_array_unref(relay->broken_runs);
+	g_byte_array_unref(relay->frame);
+	g_byte_array_unref(relay->passing);
+	dff_hist_drop(relay->first_byte);
+	dff_hist_drop(relay->whole);
+	dff_hist_drop(relay->prefill);
+	g_free(relay);
+}
+
+void
+dff_relay_set(dff_relay_t *relay, const dff_relay_config_t *config)
+{
+	relay->config.beat = config->beat;
+	relay->config.stale_after = config->stale_after;
+	relay->config.budget_window = config->budget_window;
+	relay->config.budget_ratio = config->budget_ratio;
+	relay->config.budget_slack = config->budget_slack;
+	relay->config.hop = config->hop;
+}
+
+void
+dff_relay_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now)
+{
+	beat_add_peer(relay, addr, now);
+}
+
+dff_relay_effect_t *
+relay_add_fx(step_t *step, dff_relay_effect_type_t type)
+{
+	guint at = step->fx->len;
+	dff_relay_effect_t *fx;
+
+	g_array_set_size(step->fx, at + 1);
+	fx = &g_array_index(step->fx, dff_relay_effect_t, at);
+	memset(fx, 0, sizeof(*fx));
+	fx->type = type;
+	return fx;
+}
+
+/* ---- records ---- */
+
+static void
+take_routing(step_t *step, dff_routing_t *routing)
+{
+	dff_relay_t *relay = step->relay;
+	uint64_t old = relay->routing != NULL ? relay->routing->version : 0;
+
+	if (relay->routing != NULL && routing->version <= old)
+		return;
+	dff_routing_drop(relay->routing);
+	relay->routing = dff_routing_keep(routing);
+	dff_log(step->ctx, DFF_LOG_NOTICE, "routing",
+	    "routing in force version=%" G_GUINT64_FORMAT " before=%"
+	    G_GUINT64_FORMAT " routes=%u pools=%u",
+	    routing->version, old, routing->routes->len, routing->pools->len);
+}
+
+static void
+forget_connections(step_t *step, const char *id)
+{
+	dff_relay_effect_t *fx = relay_add_fx(step, DFF_RELAY_FX_FORGET);
+
+	g_strlcpy(fx->upstream, id, sizeof(fx->upstream));
+}
+
+static void
+take_upstream(step_t *step, const dff_upstream_news_t *news)
+{
+	dff_relay_t *relay = step->relay;
+	dff_handle_t handle;
+	news_effect_t effect;
+	const upstream_t *up;
+
+	effect = upstreams_load(
+	    relay->upstreams, news, relay->settled_at, step->now, &handle);
+	if (effect == NEWS_NOTHING || effect == NEWS_SAME)
+		return;
+	up = upstreams_get(relay->upstreams, handle);
+	dff_log(step->ctx, DFF_LOG_NOTICE, "upstream",
+	    "upstream %s id=%s pool=%s addr=%s domain=%s role=%s born=%"
+	    G_GUINT64_FORMAT " seq=%" G_GUINT64_FORMAT,
+	    news_effect_name(effect), up->news.id, up->news.pool, up->news.addr,
+	    up->news.domain, dff_role_name(up->news.role),
+	    (guint64)up->news.born, (guint64)up->news.seq);
+	if (effect != NEWS_ADDED)
+		forget_connections(step, up->news.id);
+	if (effect == NEWS_RESTARTED || effect == NEWS_GONE ||
+	    effect == NEWS_MISSING)
+		suspect_confirm(step, handle);
+}
+
+/* The record source answered; a long silence before that was an outage. */
+static void
+take_heard(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+	dff_time_t silence = step->now - relay->heard;
+
+	if (relay->heard != 0 && silence > OUTAGE_AFTER) {
+		relay->settled_at = step->now + SETTLE_TIME;
+		dff_log(step->ctx, DFF_LOG_NOTICE, "source",
+		    "record source is back silence_ms=%" G_GINT64_FORMAT,
+		    silence / DFF_MSEC);
+	}
+	relay->heard = step->now;
+}
+
+/* ---- time ---- */
+
+static void
+take_beat_timer(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+
+	beat_send(step);
+	budget_set(relay->budget, relay->config.budget_window,
+	    relay->config.budget_ratio, relay->config.budget_slack,
+	    relay->nodes_most);
+	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_BEAT, 0,
+	    step->now + relay->config.beat);
+}
+
+static void
+take_sweep_timer(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+
+	upstreams_sweep(relay->upstreams, step->now);
+	suspect_sweep(relay, step->now);
+	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, 0,
+	    step->now + SWEEP_EVERY);
+}
+
+static void
+run_timers(step_t *step)
+{
+	dff_timer_t due;
+
+	while (dff_timers_pop(step->relay->timers, step->now, &due)) {
+		switch (due.kind) {
+		case DFF_TIMER_CALL_DEADLINE:
+			relay_call_deadline(step, due.subject);
+			break;
+		case DFF_TIMER_TRY:
+			relay_call_late(step, due.subject);
+			break;
+		case DFF_TIMER_MEMBER_BEAT:
+			take_beat_timer(step);
+			break;
+		case DFF_TIMER_FLEET_TICK:
+			take_sweep_timer(step);
+			break;
+		case DFF_TIMER_NONE:
+		case DFF_TIMER_CALL_QUEUE:
+		case DFF_TIMER_CLAIM_FLUSH:
+		case DFF_TIMER_CLAIM_SWEEP:
+		case DFF_TIMER_AUTHORITY_TICK:
+		case DFF_TIMER_ROLE_TICK:
+		case DFF_TIMER_SNAPSHOT:
+		case DFF_TIMER_DRAIN:
+			break;
+		}
+	}
+}
+
+void
+dff_relay_step(dff_ctx_t *ctx, dff_relay_t *relay,
+    const dff_relay_event_t *event, dff_time_t now, GArray *fx)
+{
+	step_t step = {.ctx = ctx, .relay = relay, .now = now, .fx = fx};
+
+	if (relay->started == 0)
+		relay->started = now;
+	run_timers(&step);
+	switch (event->type) {
+	case DFF_RELAY_WAKE:
+		break;
+	case DFF_RELAY_ROUTING:
+		take_routing(&step, event->routing);
+		break;
+	case DFF_RELAY_UPSTREAM:
+		take_upstream(&step, &event->upstream);
+		break;
+	case DFF_RELAY_HEARD:
+		take_heard(&step);
+		break;
+	case DFF_RELAY_OPEN:
+		relay_call_open(&step, &event->open);
+		break;
+	case DFF_RELAY_GONE:
+		relay_call_gone(&step, event->gone);
+		break;
+	case DFF_RELAY_HEAD:
+		relay_send_head(&step, &event->head);
+		break;
+	case DFF_RELAY_DATA:
+		relay_send_data(&step, &event->data);
+		break;
+	case DFF_RELAY_END:
+		relay_send_end(&step, &event->end);
+		break;
+	case DFF_RELAY_BEAT:
+		beat_take(&step, &event->beat);
+		break;
+	case DFF_RELAY_STOP:
+		relay->stopping = true;
+		break;
+	}
+}
+
+dff_time_t
+dff_relay_wake(const dff_relay_t *relay)
+{
+	return dff_timers_next(relay->timers);
+}
+
+/* ---- what it is asked ---- */
+
+bool
+dff_relay_ready(const dff_relay_t *relay, dff_time_t now, const char **why)
+{
+	*why = "ready";
+	if (relay->stopping)
+		*why = "stopping";
+	else if (relay->routing == NULL)
+		*why = "no_routing";
+	else if (upstreams_count(relay->upstreams) == 0)
+		*why = "no_upstreams";
+	else if (now - relay->heard > relay->config.stale_after &&
+	    beat_peers_alive(relay, now) == 0)
+		*why = "stale";
+	else
+		return true;
+	return false;
+}
+
+size_t
+dff_relay_calls(const dff_relay_t *relay)
+{
+	return dff_table_count(relay->calls);
+}
+
+const dff_routing_t *
+dff_relay_routing(const dff_relay_t *relay)
+{
+	return relay->routing;
+}
--- /dev/null
+++ b/source/relay/upstream.h
@@ -0,0 +1,128 @@
+/*
+ * The upstreams that a relay knows: who they are, what this node and its
+ * peers have under way there, which prompt parts they are believed to keep
+ * and how well they did.
+ */
+#ifndef DFF_RELAY_UPSTREAM_H
+#define DFF_RELAY_UPSTREAM_H
+
+#include "dragonflyfall/relay.h"
+
+/**
+ * struct upstream - one upstream
+ * @news: the last record of it that counts
+ * @gone_at: moment at which its missing record is taken as its end;
+ *	DFF_TIME_NEVER while it is listed
+ * @running: own sends under way
+ * @backlog: prompt tokens that own sends still have to get read there
+ * @memory: tokens that own sends hold there
+ * @peer_running: the same, as peers tell it
+ * @peer_backlog: the same, as peers tell it
+ * @peer_memory: the same, as peers tell it
+ * @slowness: seen time over predicted time of prefills, 1 is as predicted
+ * @errors: share of own sends that failed, recent ones count most
+ * @failures: failures to connect in a row
+ * @shun_until: no new work before this moment
+ * @kept: chain hash (uint64_t) to kept part
+ * @kept_tokens: sum over @kept
+ */
+typedef struct upstream {
+	dff_upstream_news_t news;
+	uint32_t hash;
+	dff_time_t gone_at;
+	uint32_t running;
+	uint64_t backlog;
+	uint64_t memory;
+	uint32_t peer_running;
+	uint64_t peer_backlog;
+	uint64_t peer_memory;
+	double slowness;
+	double errors;
+	uint32_t failures;
+	dff_time_t shun_until;
+	GHashTable *kept;
+	uint64_t kept_tokens;
+} upstream_t;
+
+/** typedef upstreams_t - all of them */
+typedef struct upstreams upstreams_t;
+
+/** enum news_effect - what a record changed */
+typedef enum news_effect {
+	NEWS_NOTHING, /* older than what is known */
+	NEWS_SAME,
+	NEWS_ADDED,
+	NEWS_RESTARTED,
+	NEWS_LEAVING,
+	NEWS_GONE,
+	NEWS_MISSING, /* gone, if it stays so for a while */
+} news_effect_t;
+
+/** news_effect_name() - for logs */
+const char *news_effect_name(news_effect_t effect);
+
+/** upstreams_new() - none known; the caller drops it */
+upstreams_t *upstreams_new(void);
+
+/** upstreams_drop() - free all */
+void upstreams_drop(upstreams_t *upstreams);
+
+/**
+ * upstreams_load() - take one record
+ * @settled_at: records that are missing before this moment may return
+ * @changed: set to the handle of the upstream, or 0
+ */
+news_effect_t upstreams_load(upstreams_t *upstreams,
+    const dff_upstream_news_t *news, dff_time_t settled_at, dff_time_t now,
+    dff_handle_t *changed);
+
+/** upstreams_sweep() - forget those that are long gone */
+void upstreams_sweep(upstreams_t *upstreams, dff_time_t now);
+
+/** upstreams_get() - by handle; NULL if it is stale */
+upstream_t *upstreams_get(const upstreams_t *upstreams, dff_handle_t handle);
+
+/** upstreams_find() - by the hash of its id; NULL if unknown */
+upstream_t *upstreams_find(const upstreams_t *upstreams, uint32_t hash);
+
+/** upstreams_next() - walk; begin with 0, ends with 0 */
+dff_handle_t upstreams_next(
+    const upstreams_t *upstreams, dff_handle_t handle, upstream_t **row);
+
+/** upstreams_count() - listed ones */
+size_t upstreams_count(const upstreams_t *upstreams);
+
+/** upstream_takes_work() - listed, not leaving, not shunned */
+bool upstream_takes_work(const upstream_t *up, dff_time_t now);
+
+/** upstream_is_listed() - listed and not leaving */
+bool upstream_is_listed(const upstream_t *up, dff_time_t now);
+
+/** upstream_hash() - hash of an id, as peers tell it */
+uint32_t upstream_hash(const char *id);
+
+/* ---- kept parts ---- */
+
+/** chain_hash() - hash of the first @count parts of a prompt */
+uint64_t chain_hash(const dff_prompt_t *prompt, uint32_t count);
+
+/** upstream_cached() - tokens of a prompt believed to be kept */
+uint32_t upstream_cached(const upstream_t *up, const dff_prompt_t *prompt);
+
+/** upstream_keep() - it reads a prompt; @capacity bounds what is kept */
+void upstream_keep(upstream_t *up, const dff_prompt_t *prompt,
+    uint64_t capacity, dff_time_t now);
+
+/** upstream_keep_part() - a peer had it read one part */
+void upstream_keep_part(upstream_t *up, uint64_t chain, uint32_t tokens,
+    uint64_t capacity, dff_time_t now);
+
+/* ---- results ---- */
+
+/** upstream_note_result() - a send ended well or not */
+void upstream_note_result(upstream_t *up, bool good);
+
+/** upstream_note_unreachable() - no connection could be made */
+void upstream_note_unreachable(upstream_t *up, dff_time_t now);
+
+#endif
