Relay run: a caller that leaves as its time ends is answered once

Cause: timers run before the event in one step, so a call was given up, its answer freed the request, and the server freed it again.

--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -159,14 +159,18 @@
 start_send(dff_run_t *run, const dff_relay_send_t *fx)
 {
 	run_call_t *call = g_hash_table_lookup(run->calls, &fx->call);
-	const dff_h1_head_t *head = dff_h1d_head(call->req);
-	run_send_t *send = g_new0(run_send_t, 1);
 	dff_h1c_call_t http = {.addr = fx->addr,
 	    .peer = fx->upstream,
 	    .echo_name = run->wire.echo_field,
-	    .echo_value = dff_h1_field(head, run->wire.echo_field),
 	    .connect_time = fx->connect_time};
+	const dff_h1_head_t *head;
+	run_send_t *send;
 
+	if (call == NULL)
+		return;
+	head = dff_h1d_head(call->req);
+	http.echo_value = dff_h1_field(head, run->wire.echo_field);
+	send = g_new0(run_send_t, 1);
 	send->number = fx->send;
 	send->run = run;
 	send->step = fx->step;
@@ -242,63 +246,82 @@
 
 /* ---- callers ---- */
 
+/* Callers that left in this step are not found. */
+static dff_h1d_req_t *
+find_req(const dff_run_t *run, uint64_t number)
+{
+	const run_call_t *call = g_hash_table_lookup(run->calls, &number);
+
+	return call != NULL ? call->req : NULL;
+}
+
 static void
 end_call(dff_run_t *run, uint64_t number)
 {
 	(void)g_hash_table_remove(run->calls, &number);
 }
 
+/* The request of a call that gets its last answer now. */
+static dff_h1d_req_t *
+take_call(dff_run_t *run, uint64_t number)
+{
+	dff_h1d_req_t *req = find_req(run, number);
+
+	end_call(run, number);
+	return req;
+}
+
 static void
 answer_call(dff_run_t *run, const dff_relay_answer_t *answer)
 {
-	run_call_t *call = g_hash_table_lookup(run->calls, &answer->call);
-	dff_h1d_req_t *req = call->req;
+	dff_h1d_req_t *req = take_call(run, answer->call);
 	char fields[64] = "";
 
+	if (req == NULL)
+		return;
 	if (answer->retry_after > 0)
 		(void)g_snprintf(fields, sizeof(fields),
 		    "Retry-After: %.3f\r\n",
 		    (double)answer->retry_after / DFF_SEC);
-	end_call(run, answer->call);
 	dff_h1d_answer(req, answer->status, fields, "", 0);
 }
 
 static void
 pass_head(dff_run_t *run, const dff_relay_pass_t *pass)
 {
-	run_call_t *call = g_hash_table_lookup(run->calls, &pass->call);
+	dff_h1d_req_t *req = find_req(run, pass->call);
 	run_send_t *send = g_hash_table_lookup(run->sends, &pass->send);
 
-	dff_h1d_begin(
-	    call->req, send->status, send->fields->str, send->length);
+	if (req != NULL && send != NULL)
+		dff_h1d_begin(
+		    req, send->status, send->fields->str, send->length);
 }
 
 static void
 pass_data(dff_run_t *run, const dff_relay_pass_t *pass)
 {
-	run_call_t *call = g_hash_table_lookup(run->calls, &pass->call);
+	dff_h1d_req_t *req = find_req(run, pass->call);
 
-	dff_h1d_write(call->req, pass->bytes, pass->len);
+	if (req != NULL)
+		dff_h1d_write(req, pass->bytes, pass->len);
 }
 
 static void
 pass_end(dff_run_t *run, uint64_t number)
 {
-	run_call_t *call = g_hash_table_lookup(run->calls, &number);
-	dff_h1d_req_t *req = call->req;
+	dff_h1d_req_t *req = take_call(run, number);
 
-	end_call(run, number);
-	dff_h1d_end(req);
+	if (req != NULL)
+		dff_h1d_end(req);
 }
 
 static void
 break_call(dff_run_t *run, uint64_t number)
 {
-	run_call_t *call = g_hash_table_lookup(run->calls, &number);
-	dff_h1d_req_t *req = call->req;
+	dff_h1d_req_t *req = take_call(run, number);
 
-	end_call(run, number);
-	dff_h1d_abort(req);
+	if (req != NULL)
+		dff_h1d_abort(req);
 }
 
 static void
@@ -335,8 +358,10 @@
 	dff_relay_event_t event = {.type = DFF_RELAY_GONE};
 
 	event.gone = dff_h1d_data(req);
-	dff_run_feed(run, &event);
+	/* Timers may give the call up in this same step: it must not be
+	 * found any more. */
 	end_call(run, event.gone);
+	dff_run_feed(run, &event);
 }
 
 /* ---- health ---- */
