--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -33,6 +33,12 @@
 #define ERROR_TIME (2 * DFF_SEC)
 /* Time of one plain request that is ahead, spread over the slots. */
 #define PLAIN_TIME (40 * DFF_MSEC)
+/* Share of the prompts' time ahead that a hand-over waits at an engine that
+ * decodes: its reading goes on between the steps. */
+#define DECODE_AHEAD 0.3
+/* Reading takes an engine's time from all that come after: this weight of
+ * it is added to the time of the request itself. */
+#define REREAD_WEIGHT 1.0
 /* Advantage of a cold prompt's home. */
 #define HOME_BONUS (20 * DFF_MSEC)
 
@@ -128,6 +134,7 @@
 	dff_handle_t handle;
 	dff_time_t cost;
 	dff_time_t wait;
+	dff_time_t ahead;
 	uint32_t uncached;
 	uint64_t tie;
 	bool shunned;
@@ -176,56 +183,57 @@
 	}
 }
 
-/* The engine of @role at which a prompt is read first. */
+/* Reading a prompt at one engine. */
+static void
+rate_read(const pace_t *pace, const place_ask_t *ask, upstream_t *up,
+    dff_handle_t handle, dff_time_t now, best_t *one)
+{
+	uint32_t tokens = ask->prompt->tokens;
+	dff_time_t own;
+
+	memset(one, 0, sizeof(*one));
+	one->handle = handle;
+	one->shunned = !upstream_takes_work(up, now);
+	one->uncached = tokens - MIN(upstream_cached(up, ask->prompt), tokens);
+	one->ahead = room_time(up, ask) + read_time(pace, up,
+	    (double)(up->backlog + up->peer_backlog));
+	own = read_time(pace, up, one->uncached);
+	one->wait = way_time(up, ask) + one->ahead + own;
+	one->cost = one->wait + error_time(up) +
+	    (dff_time_t)(REREAD_WEIGHT * (double)own);
+	one->tie = home_score(up, ask->prompt);
+}
+
+/* The engine at which a prompt is read first. */
 static void
 place_read(const upstreams_t *ups, const pace_t *pace, const place_ask_t *ask,
     bool decodes, dff_time_t now, best_t *best)
 {
 	upstream_t *up;
-	dff_handle_t home = 0;
-	uint64_t home_best = 0;
+	best_t home = {0};
+	best_t one;
 
 	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
-		best_t one = {.handle = h};
-
 		if (!is_candidate(up, ask, h, now) ||
 		    decodes != (up->news.role != DFF_ROLE_PREFILL))
 			continue;
-		one.shunned = !upstream_takes_work(up, now);
-		one.uncached = ask->prompt->tokens -
-		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
-		one.wait = way_time(up, ask) + room_time(up, ask) +
-		    read_time(pace, up,
-			(double)(up->backlog + up->peer_backlog) +
-			    one.uncached);
-		one.tie = home_score(up, ask->prompt);
-		if (home == 0 || one.tie > home_best) {
-			home = h;
-			home_best = one.tie;
-		}
-		one.cost = one.wait + error_time(up);
+		rate_read(pace, ask, up, h, now, &one);
+		if (home.handle == 0 || one.tie > home.tie)
+			home = one;
 		consider(best, &one);
 	}
-	if (home == 0 || home == best->handle)
-		return;
 	/* A prompt that nobody keeps goes to its home if that is near best. */
-	up = upstreams_get(ups, home);
-	if (best->uncached < ask->prompt->tokens ||
-	    !upstream_takes_work(up, now))
-		return;
-	best_t one = {.handle = home, .uncached = ask->prompt->tokens};
-	one.wait = way_time(up, ask) + room_time(up, ask) +
-	    read_time(pace, up,
-		(double)(up->backlog + up->peer_backlog) + one.uncached);
-	one.cost = one.wait + error_time(up) - HOME_BONUS;
-	one.tie = home_best;
-	consider(best, &one);
+	if (home.handle != 0 && best->uncached == ask->prompt->tokens &&
+	    home.uncached == ask->prompt->tokens) {
+		home.cost -= HOME_BONUS;
+		consider(best, &home);
+	}
 }
 
 /* The engine that takes over memory made elsewhere. */
 static void
-place_decode(const upstreams_t *ups, const place_ask_t *ask,
-    dff_handle_t source, dff_time_t now, best_t *best)
+place_decode(const upstreams_t *ups, const pace_t *pace,
+    const place_ask_t *ask, dff_handle_t source, dff_time_t now, best_t *best)
 {
 	const upstream_t *from = upstreams_get(ups, source);
 	upstream_t *up;
@@ -250,7 +258,10 @@
 		if (from != NULL &&
 		    strcmp(from->news.domain, up->news.domain) != 0)
 			move *= 2;
-		one.wait = way_time(up, ask) + room_time(up, ask) + move;
+		one.ahead = room_time(up, ask) + (dff_time_t)(DECODE_AHEAD *
+		    (double)read_time(pace, up,
+			(double)(up->backlog + up->peer_backlog)));
+		one.wait = way_time(up, ask) + one.ahead + move;
 		one.cost = one.wait + error_time(up);
 		one.tie = home_score(up, ask->prompt);
 		consider(best, &one);
@@ -263,6 +274,7 @@
 	place->step = step;
 	place->upstream = best->handle;
 	place->wait = best->wait;
+	place->ahead = best->ahead;
 	place->uncached = best->uncached;
 	place->shunned = best->shunned;
 }
@@ -282,10 +294,11 @@
 	place_read(ups, pace, ask, false, now, &read);
 	if (read.handle == 0)
 		return;
-	place_decode(ups, ask, read.handle, now, &decode);
+	place_decode(ups, pace, ask, read.handle, now, &decode);
 	if (decode.handle == 0)
 		return;
 	read.wait += decode.wait + HANDOVER_TIME;
+	read.ahead += decode.ahead;
 	if (whole.handle != 0 && whole.shunned == read.shunned &&
 	    whole.cost <= read.cost + decode.cost + HANDOVER_TIME)
 		return;
@@ -302,7 +315,8 @@
 
 	memset(place, 0, sizeof(*place));
 	if (ask->prefilled_at != 0) {
-		place_decode(ups, ask, ask->prefilled_at, now, &best);
+		place_decode(
+		    ups, pace, ask, ask->prefilled_at, now, &best);
 		set_place(place, &best, DFF_STEP_DECODE);
 	} else if (ask->prompt->count > 0)
 		place_generation(ups, pace, ask, now, place);
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -39,6 +39,7 @@
  * @step: what the upstream is asked for
  * @upstream: upstream, 0 if there is none
  * @wait: predicted time to the answer's first byte
+ * @ahead: part of @wait that others' work ahead of it takes
  * @uncached: prompt tokens that it has to read
  * @shunned: the upstream failed lately; there was no other
  */
@@ -46,6 +47,7 @@
 	dff_step_t step;
 	dff_handle_t upstream;
 	dff_time_t wait;
+	dff_time_t ahead;
 	uint32_t uncached;
 	bool shunned;
 } place_t;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -26,6 +26,9 @@
 #define GAP_LEAVE	(2 * DFF_SEC)
 #define GAP_LEAVE_AIMS	4
 #define GAP_LEAVE_GAPS	8
+/* Share of its aim that a generation may wait for others' prompts: beyond,
+ * it would be late for certain and make those behind it late. */
+#define QUEUE_SHARE 0.6
 /* Times that a decode is tried with one handle. */
 #define HANDLE_TRIES 2
 
@@ -203,6 +206,16 @@
 	return (dff_time_t)(PATIENCE_SHARE * (double)limit);
 }
 
+/*
+ * Latest time that others' work may take ahead of it. What a long prompt
+ * takes by itself does not count, or long prompts would never be served.
+ */
+static dff_time_t
+queue_limit(const call_t *call)
+{
+	return (dff_time_t)(QUEUE_SHARE * (double)call->route->aim);
+}
+
 static void
 fill_ask(step_t *step, const call_t *call, place_ask_t *ask)
 {
@@ -255,6 +268,13 @@
 		    time_to_return(step, waited + place.wait - limit), "late");
 		return;
 	}
+	if (call->sends == 0 && call->prompt.count > 0 &&
+	    place.ahead > queue_limit(call)) {
+		relay_call_give_up(step, call, DFF_TROUBLE_BUSY,
+		    time_to_return(step, place.ahead - queue_limit(call)),
+		    "queue");
+		return;
+	}
 	if (call->arrivals > 0) {
 		if (!budget_take(relay->budget, call->pool, step->now)) {
 			relay->counts[COUNT_BUDGET_EMPTY]++;
