--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -318,6 +318,21 @@
 	}
 }
 
+/*
+ * libuv reports a reset that comes right behind data as an end of file; only
+ * the socket tells them apart.
+ */
+static bool
+is_reset(const conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 /* The server will send no more; some answers end this way. */
 static void
 take_eof(conn_t *conn)
@@ -326,6 +341,10 @@
 		close_conn(conn);
 		return;
 	}
+	if (is_reset(conn)) {
+		fail_conn(conn);
+		return;
+	}
 	(void)http_parser_execute(
 	    &conn->reader.parser, &parser_settings, NULL, 0);
 	if (conn->closing)
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -7,6 +7,9 @@
 /* Bounds of the time that a caller is told to stay away. */
 #define RETRY_MIN (100 * DFF_MSEC)
 #define RETRY_MAX (5 * DFF_SEC)
+/* From this time after a stop new requests are refused: they could be cut by
+ * the end of the process. Callers' new connections go elsewhere by then. */
+#define STOP_TAKES (3 * DFF_SEC)
 
 /* A final answer to a request that never became a call. */
 static void
@@ -67,6 +70,10 @@
 	call_t *call;
 
 	relay->counts[COUNT_REQUESTS]++;
+	if (relay->stop_at != 0 && step->now - relay->stop_at > STOP_TAKES) {
+		answer_open(step, open, 503, RETRY_MIN, "stopping");
+		return;
+	}
 	if (relay->routing == NULL) {
 		answer_open(step, open, 503, RETRY_UNKNOWN, "no_routing");
 		return;
@@ -129,9 +136,13 @@
 relay_call_give_up(step_t *step, call_t *call, dff_trouble_t trouble,
     dff_time_t retry_after, const char *why)
 {
-	int status = dff_relay_status(call->fate, trouble);
 	dff_relay_effect_t *fx;
+	int status;
 
+	/* What is under way may run, whether it is broken off or not. */
+	if (call->send.number != 0 && call->send.step != DFF_STEP_PREFILL)
+		call->fate = MAX(call->fate, DFF_FATE_OPEN);
+	status = dff_relay_status(call->fate, trouble);
 	relay_send_cancel(step, call);
 	if (status == 0) {
 		fx = relay_add_fx(step, DFF_RELAY_FX_BREAK);
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -145,7 +145,7 @@
 	dff_time_t started;
 	dff_time_t heard; /* the record source answered */
 	dff_time_t settled_at; /* missing records may return before this */
-	bool stopping;
+	dff_time_t stop_at; /* asked to stop; 0 while it runs */
 	uint64_t counts[COUNT_COUNT];
 	dff_hist_t *first_byte;
 	dff_hist_t *whole;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -279,7 +279,7 @@
 		beat_take(&step, &event->beat);
 		break;
 	case DFF_RELAY_STOP:
-		relay->stopping = true;
+		relay->stop_at = now;
 		break;
 	}
 }
@@ -296,7 +296,7 @@
 dff_relay_ready(const dff_relay_t *relay, dff_time_t now, const char **why)
 {
 	*why = "ready";
-	if (relay->stopping)
+	if (relay->stop_at != 0)
 		*why = "stopping";
 	else if (relay->routing == NULL)
 		*why = "no_routing";
