--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -176,6 +176,21 @@
 	uint32_t tokens_out;
 } dff_prompt_t;
 
+/* ---- feeds ---- */
+
+/**
+ * enum dff_feed - what is read from the source of records
+ *
+ * Records of a feed have offsets. A node that reads the source itself tells
+ * its peers the offset of the last record that changed something; the
+ * others fetch records from it when they are behind.
+ */
+typedef enum dff_feed {
+	DFF_FEED_ROUTING,
+	DFF_FEED_UPSTREAMS,
+	DFF_FEED_COUNT,
+} dff_feed_t;
+
 /* ---- events ---- */
 
 /**
@@ -302,6 +317,7 @@
  * @step: what it is to do
  * @source: with DFF_STEP_DECODE, address of the engine that prefilled
  * @handle: with DFF_STEP_DECODE, its handle
+ * @donor: address of an engine from which it is to fetch kept parts, or ""
  * @time_left: time that the upstream may take
  * @after_event: go on after this event; -1 for none
  * @rank: urgency, 0 first
@@ -315,6 +331,7 @@
 	dff_step_t step;
 	char source[DFF_ADDR_MAX];
 	char handle[DFF_NAME_MAX];
+	char donor[DFF_ADDR_MAX];
 	dff_time_t time_left;
 	int64_t after_event;
 	uint32_t rank;
@@ -355,6 +372,12 @@
 	size_t len;
 } dff_relay_frame_t;
 
+/** struct dff_relay_fetch - a peer has records that this node lacks */
+typedef struct dff_relay_fetch {
+	dff_feed_t feed;
+	char addr[DFF_ADDR_MAX]; /* where the peer serves records */
+} dff_relay_fetch_t;
+
 /** enum dff_relay_effect_type - tag of struct dff_relay_effect */
 typedef enum dff_relay_effect_type {
 	DFF_RELAY_FX_SEND,
@@ -367,6 +390,7 @@
 	DFF_RELAY_FX_FREE,
 	DFF_RELAY_FX_FORGET, /* close kept connections to an upstream */
 	DFF_RELAY_FX_FRAME,
+	DFF_RELAY_FX_FETCH, /* get a feed's records from a peer */
 } dff_relay_effect_type_t;
 
 /** struct dff_relay_effect - one effect */
@@ -381,6 +405,7 @@
 		dff_relay_free_t release;
 		char upstream[DFF_NAME_MAX]; /* DFF_RELAY_FX_FORGET */
 		dff_relay_frame_t frame;
+		dff_relay_fetch_t fetch;
 	};
 } dff_relay_effect_t;
 
@@ -391,6 +416,7 @@
  * @id: name of this VM
  * @domain: its failure domain
  * @addr: "ip:port" at which peers reach it
+ * @records: "ip:port" at which it serves records to peers
  * @incarnation: grows with each start of the process
  * @beat: time between frames to peers
  * @stale_after: silence of the record source and of all peers after which
@@ -404,6 +430,7 @@
 	char id[DFF_NAME_MAX];
 	char domain[DFF_NAME_MAX];
 	char addr[DFF_ADDR_MAX];
+	char records[DFF_ADDR_MAX];
 	uint64_t incarnation;
 	dff_time_t beat;
 	dff_time_t stale_after;
@@ -428,8 +455,27 @@
 /** dff_relay_set() - settings changed; id, domain and address stay */
 void dff_relay_set(dff_relay_t *relay, const dff_relay_config_t *config);
 
-/** dff_relay_add_peer() - an address at which a peer may be */
-void dff_relay_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now);
+/**
+ * dff_relay_add_peer() - an address at which a peer may be
+ * @domain: its failure domain, "" if not known
+ */
+void dff_relay_add_peer(dff_relay_t *relay, const char *addr,
+    const char *domain, dff_time_t now);
+
+/**
+ * dff_relay_reads() - whether this node is to read the record source
+ *
+ * A few nodes of those that hear each other do; the others are told.
+ */
+bool dff_relay_reads(const dff_relay_t *relay, dff_time_t now);
+
+/** dff_relay_set_mark() - a feed was read up to @offset; @changed: it said
+ *	something new */
+void dff_relay_set_mark(
+    dff_relay_t *relay, dff_feed_t feed, uint64_t offset, bool changed);
+
+/** dff_relay_changes() - grows with each record that changed a belief */
+uint64_t dff_relay_changes(const dff_relay_t *relay);
 
 /**
  * dff_relay_step() - take one event
--- a/include/dragonflyfall/relay_run.h
+++ b/include/dragonflyfall/relay_run.h
@@ -66,6 +66,10 @@
 int dff_run_new(dff_ctx_t *ctx, uv_loop_t *loop,
     const dff_run_config_t *config, const dff_wire_t *wire, dff_run_t **run);
 
+/** dff_run_on_fetch() - whom to ask to get a feed's records from a peer */
+void dff_run_on_fetch(dff_run_t *run,
+    void (*fetch)(void *arg, const dff_relay_fetch_t *fetch), void *arg);
+
 /** dff_run_drop() - close everything */
 void dff_run_drop(dff_run_t *run);
 
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -38,6 +38,8 @@
 	dff_time_t stop_at; /* 0 while it runs */
 	void (*done)(void *arg);
 	void *done_arg;
+	void (*fetch)(void *arg, const dff_relay_fetch_t *fetch);
+	void *fetch_arg;
 	bool ready; /* as last told */
 	char frame[65536];
 };
@@ -471,6 +473,10 @@
 	case DFF_RELAY_FX_FRAME:
 		send_frame(run, &fx->frame);
 		break;
+	case DFF_RELAY_FX_FETCH:
+		if (run->fetch != NULL)
+			run->fetch(run->fetch_arg, &fx->fetch);
+		break;
 	}
 }
 
@@ -629,6 +635,14 @@
 	uv_close((uv_handle_t *)&run->udp, on_udp_closed);
 }
 
+void
+dff_run_on_fetch(dff_run_t *run,
+    void (*fetch)(void *arg, const dff_relay_fetch_t *fetch), void *arg)
+{
+	run->fetch = fetch;
+	run->fetch_arg = arg;
+}
+
 dff_relay_t *
 dff_run_relay(dff_run_t *run)
 {
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -369,6 +369,7 @@
 	case DFF_TIMER_TRY:
 	case DFF_TIMER_FLEET_TICK:
 	case DFF_TIMER_NONE:
+	case DFF_TIMER_MEMBER_TELL:
 		return;
 	}
 }
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4293,7 +4293,7 @@
   (ProtobufCMessageInit) dff__relay_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[12] =
 {
   {
     "node",
@@ -4380,32 +4380,85 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    8,
+    "domain",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source_age_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, source_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "marks",
+    11,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Dff__RelayBeat, n_leaving),
-    offsetof(Dff__RelayBeat, leaving),
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Dff__RelayBeat, n_marks),
+    offsetof(Dff__RelayBeat, marks),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, records),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "summary",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, summary),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   6,   /* field[6] = crashes */
+  7,   /* field[7] = domain */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kept */
-  7,   /* field[7] = leaving */
   4,   /* field[4] = loads */
+  9,   /* field[9] = marks */
   0,   /* field[0] = node */
+  10,   /* field[10] = records */
   2,   /* field[2] = sequence */
+  8,   /* field[8] = source_age_ms */
+  11,   /* field[11] = summary */
   3,   /* field[3] = version */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 9, 7 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -4415,10 +4468,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  8,
+  12,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  1,  dff__relay_beat__number_ranges,
+  2,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -672,15 +672,28 @@
   Dff__RelayKept **kept;
   size_t n_crashes;
   Dff__RelayCrash **crashes;
+  char *domain;
+  /*
+   * since it read the record source itself
+   */
+  uint32_t source_age_ms;
+  /*
+   * by feed: offset of the last change it knows
+   */
+  size_t n_marks;
+  uint64_t *marks;
+  /*
+   * address at which it serves records
+   */
+  char *records;
   /*
-   * upstreams known to leave or be gone
+   * loads of a whole domain, told by its relay
    */
-  size_t n_leaving;
-  uint32_t *leaving;
+  protobuf_c_boolean summary;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Dff__CatalogueEdit methods */
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -1,187 +1,213 @@
 /*
  * Frames between relays. Each tells its own sends under way at upstreams,
- * the parts that it had read lately and the requests that crash upstreams,
- * and nothing of what it heard from others: old word is never passed on. A
- * lost frame is made good by the next one.
+ * the parts that it had read lately, the requests that crash upstreams and
+ * how far it knows the record source. In a large fleet frames stay within
+ * a failure domain; its relay tells the sum of its loads to the relays of
+ * the other domains, which hand it on unchanged. A lost frame is made good
+ * by the next one.
  */
 #include <string.h>
 
-#include "proto/dragonflyfall.pb-c.h"
-#include "relay/parts.h"
+#include "relay/peers.h"
 
-/* A peer that was silent for so many beats counts as gone. */
-#define SILENT_BEATS 8
+/* Sends that were begun within this time are told in one frame. */
+#define TELL_TOGETHER (15 * DFF_MSEC)
 /* Silent peers are told more rarely, until they are forgotten. */
 #define SILENT_TELL (2 * DFF_SEC)
-#define PEER_LIFE   (60 * DFF_SEC)
 /* A part is told for so long: some beats, as frames get lost. */
-#define PART_TELL (300 * DFF_MSEC)
-/* Rows of one frame; a frame stays below one packet. */
-#define LOADS_MAX   40
-#define PARTS_MAX   30
+#define PART_TELL (450 * DFF_MSEC)
+/* Rows of one frame. */
+#define LOADS_MAX   80
+#define PARTS_MAX   100
 #define CRASHES_MAX 10
 /* A crash is told for so long after it was noticed. */
 #define CRASH_TELL (2 * DFF_SEC)
-
+/* Nodes of another domain that are told the sum: its relay and the next. */
+#define RELAYS_TOLD 2
+/* Time between fetches of one feed: an answer takes some round trips. */
+#define FETCH_EVERY (150 * DFF_MSEC)
+/* A source age that says "never". */
+#define AGE_NEVER UINT32_MAX
+
+/* A part that is told already is not told again. */
 static void
-free_peer(peer_t *peer)
-{
-	g_free(peer->addr);
-	g_free(peer->node);
-	g_array_unref(peer->loads);
-	g_free(peer);
-}
-
-static peer_t *
-find_peer(const dff_relay_t *relay, const char *addr)
+add_told(GArray *parts, const told_part_t *part)
 {
-	for (guint i = 0; i < relay->peers->len; i++) {
-		peer_t *peer = relay->peers->pdata[i];
+	for (guint i = parts->len; i-- > 0;) {
+		const told_part_t *one = &g_array_index(parts, told_part_t, i);
 
-		if (strcmp(peer->addr, addr) == 0)
-			return peer;
+		if (one->chain == part->chain &&
+		    one->upstream == part->upstream)
+			return;
 	}
-	return NULL;
+	g_array_append_vals(parts, part, 1);
 }
 
-void
-beat_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now)
-{
-	peer_t *peer = find_peer(relay, addr);
-
-	if (strcmp(addr, relay->config.addr) == 0)
-		return;
-	if (peer == NULL) {
-		peer = g_new0(peer_t, 1);
-		peer->addr = g_strdup(addr);
-		peer->loads = g_array_new(FALSE, FALSE, sizeof(peer_load_t));
-		g_ptr_array_add(relay->peers, peer);
-	}
-	if (peer->heard == 0)
-		peer->added = now;
-}
+/* ---- taking ---- */
 
-static bool
-is_alive(const dff_relay_t *relay, const peer_t *peer, dff_time_t now)
+static void
+take_parts(step_t *step, const Dff__RelayBeat *beat)
 {
-	return peer->heard != 0 &&
-	    now - peer->heard < SILENT_BEATS * relay->config.beat;
-}
+	dff_relay_t *relay = step->relay;
 
-uint32_t
-beat_peers_alive(const dff_relay_t *relay, dff_time_t now)
-{
-	uint32_t alive = 0;
+	for (size_t i = 0; i < beat->n_kept; i++) {
+		const Dff__RelayKept *row = beat->kept[i];
+		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
+		const dff_pool_t *pool = NULL;
 
-	for (guint i = 0; i < relay->peers->len; i++) {
-		if (is_alive(relay, relay->peers->pdata[i], now))
-			alive++;
+		if (up == NULL)
+			continue;
+		if (relay->routing != NULL)
+			pool = dff_routing_pool(relay->routing, up->news.pool);
+		upstream_keep_part(up, row->chain, row->tokens,
+		    pool != NULL ? pool->kv_tokens : 0, step->now);
 	}
-	return alive;
 }
 
-/* ---- what peers have under way ---- */
-
+/* How far the peer knows the record source; fetch what is missing here. */
 static void
-take_out_loads(dff_relay_t *relay, peer_t *peer)
+take_marks(step_t *step, peer_t *peer, const Dff__RelayBeat *beat)
 {
-	for (guint i = 0; i < peer->loads->len; i++) {
-		const peer_load_t *load =
-		    &g_array_index(peer->loads, peer_load_t, i);
-		upstream_t *up =
-		    upstreams_find(relay->upstreams, load->upstream);
+	dff_relay_t *relay = step->relay;
 
-		if (up == NULL)
+	if (beat->source_age_ms != AGE_NEVER) {
+		peer->source_heard = step->now -
+		    (dff_time_t)beat->source_age_ms * DFF_MSEC;
+		relay_note_source(step, peer->source_heard);
+	}
+	g_strlcpy(peer->records, beat->records, sizeof(peer->records));
+	for (size_t i = 0; i < beat->n_marks && i < DFF_FEED_COUNT; i++) {
+		dff_relay_effect_t *fx;
+
+		peer->marks[i] = beat->marks[i];
+		if (beat->marks[i] <= relay->known[i] ||
+		    step->now - relay->fetched[i] < FETCH_EVERY)
 			continue;
-		up->peer_running -= MIN(up->peer_running, load->running);
-		up->peer_backlog -= MIN(up->peer_backlog, load->backlog);
-		up->peer_memory -= MIN(up->peer_memory, load->memory);
+		relay->fetched[i] = step->now;
+		fx = relay_add_fx(step, DFF_RELAY_FX_FETCH);
+		fx->fetch.feed = (dff_feed_t)i;
+		g_strlcpy(
+		    fx->fetch.addr, peer->records, sizeof(fx->fetch.addr));
 	}
-	g_array_set_size(peer->loads, 0);
 }
 
+/* Hand a domain's sum on to the nodes of this domain. */
 static void
-put_in_loads(dff_relay_t *relay, peer_t *peer, const Dff__RelayBeat *beat)
+hand_on(step_t *step, const dff_relay_beat_t *in)
 {
-	for (size_t i = 0; i < beat->n_loads; i++) {
-		const Dff__RelayLoad *row = beat->loads[i];
-		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
-		peer_load_t load = {.upstream = row->upstream,
-		    .running = row->running,
-		    .backlog = row->backlog,
-		    .memory = row->memory};
+	dff_relay_t *relay = step->relay;
 
-		if (up == NULL)
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+		dff_relay_effect_t *fx;
+
+		if (!peer_is_direct(relay, peer) ||
+		    !peer_is_alive(relay, peer, step->now))
 			continue;
-		up->peer_running += load.running;
-		up->peer_backlog += load.backlog;
-		up->peer_memory += load.memory;
-		g_array_append_val(peer->loads, load);
+		fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
+		g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
+		fx->frame.bytes = in->bytes;
+		fx->frame.len = in->len;
 	}
 }
 
+/* What this domain had read lately is told to the others in its sum. */
 static void
-take_parts(step_t *step, const Dff__RelayBeat *beat)
+keep_for_summary(step_t *step, const Dff__RelayBeat *beat)
 {
 	dff_relay_t *relay = step->relay;
 
+	if (!beat_is_large(relay) || !peers_is_relay(relay, step->now))
+		return;
 	for (size_t i = 0; i < beat->n_kept; i++) {
-		const Dff__RelayKept *row = beat->kept[i];
-		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
-		const dff_pool_t *pool = NULL;
+		told_part_t part = {.upstream = beat->kept[i]->upstream,
+		    .chain = beat->kept[i]->chain,
+		    .tokens = beat->kept[i]->tokens,
+		    .at = step->now};
 
-		if (up == NULL)
-			continue;
-		if (relay->routing != NULL)
-			pool = dff_routing_pool(relay->routing, up->news.pool);
-		upstream_keep_part(up, row->chain, row->tokens,
-		    pool != NULL ? pool->kv_tokens : 0, step->now);
+		add_told(relay->summary_parts, &part);
 	}
 }
 
-void
-beat_take(step_t *step, const dff_relay_beat_t *in)
+/* Frames may overtake each other, and come twice when handed on. */
+static bool
+is_new(const peer_t *peer, const Dff__RelayBeat *beat)
+{
+	return beat->incarnation != peer->incarnation ?
+	    beat->incarnation > peer->incarnation :
+	    beat->sequence > peer->sequence;
+}
+
+static void
+take_frame(step_t *step, const dff_relay_beat_t *in, const Dff__RelayBeat *beat)
 {
 	dff_relay_t *relay = step->relay;
-	Dff__RelayBeat *beat =
-	    dff__relay_beat__unpack(NULL, in->len, in->bytes);
 	peer_t *peer;
 
-	if (beat == NULL) {
-		relay->counts[COUNT_BEATS_BAD]++;
-		dff_log(step->ctx, DFF_LOG_WARNING, "peer",
-		    "frame cannot be read from=%s bytes=%zu", in->addr, in->len);
-		return;
+	if (beat->summary)
+		peer = peers_find_summary(relay, beat->node);
+	else {
+		beat_add_peer(relay, in->addr, beat->domain, step->now);
+		peer = peers_find(relay, in->addr);
 	}
-	beat_add_peer(relay, in->addr, step->now);
-	peer = find_peer(relay, in->addr);
-	/* Frames may overtake each other. */
-	if (peer == NULL || (beat->incarnation == peer->incarnation &&
-				beat->sequence <= peer->sequence)) {
-		dff__relay_beat__free_unpacked(beat, NULL);
+	if (peer == NULL || !is_new(peer, beat))
 		return;
-	}
 	relay->counts[COUNT_BEATS_IN]++;
-	if (!is_alive(relay, peer, step->now))
+	if (!peer_is_alive(relay, peer, step->now))
 		dff_log(step->ctx, DFF_LOG_NOTICE, "peer",
 		    "peer heard node=%s addr=%s version=%" G_GUINT64_FORMAT,
 		    beat->node, in->addr, (guint64)beat->version);
-	if (peer->node == NULL)
+	if (g_strcmp0(peer->node, beat->node) != 0) {
+		g_free(peer->node);
 		peer->node = g_strdup(beat->node);
+	}
 	peer->incarnation = beat->incarnation;
 	peer->sequence = beat->sequence;
 	peer->version = beat->version;
 	peer->heard = step->now;
-	take_out_loads(relay, peer);
-	put_in_loads(relay, peer, beat);
+	peer_load_frame(relay, peer, beat);
 	take_parts(step, beat);
 	for (size_t i = 0; i < beat->n_crashes; i++)
 		suspect_load(relay, beat->crashes[i]->content,
 		    beat->crashes[i]->count, step->now);
+	if (!beat->summary) {
+		take_marks(step, peer, beat);
+		keep_for_summary(step, beat);
+	} else if (peers_is_relay(relay, step->now))
+		hand_on(step, in);
+}
+
+void
+beat_take(step_t *step, const dff_relay_beat_t *in)
+{
+	dff_relay_t *relay = step->relay;
+	Dff__RelayBeat *beat =
+	    dff__relay_beat__unpack(NULL, in->len, in->bytes);
+
+	if (beat == NULL) {
+		relay->counts[COUNT_BEATS_BAD]++;
+		dff_log(step->ctx, DFF_LOG_WARNING, "peer",
+		    "frame cannot be read from=%s bytes=%zu", in->addr, in->len);
+		return;
+	}
+	if (!beat->summary || strcmp(beat->domain, relay->config.domain) != 0)
+		take_frame(step, in, beat);
 	dff__relay_beat__free_unpacked(beat, NULL);
 }
 
-/* ---- what this node tells ---- */
+/* ---- telling ---- */
+
+/* One frame while it is made. */
+typedef struct draft {
+	Dff__RelayBeat beat;
+	Dff__RelayLoad loads[LOADS_MAX];
+	Dff__RelayLoad *load_rows[LOADS_MAX];
+	Dff__RelayKept parts[PARTS_MAX];
+	Dff__RelayKept *part_rows[PARTS_MAX];
+	Dff__RelayCrash crashes[CRASHES_MAX];
+	Dff__RelayCrash *crash_rows[CRASHES_MAX];
+	char node[2 * DFF_NAME_MAX];
+} draft_t;
 
 void
 beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
@@ -192,155 +218,266 @@
 	    .tokens = tokens,
 	    .at = now};
 
-	g_array_append_val(relay->told_parts, part);
+	add_told(relay->told_parts, &part);
+	if (beat_is_large(relay) && peers_is_relay(relay, now))
+		add_told(relay->summary_parts, &part);
 }
 
 static void
-forget_old_parts(dff_relay_t *relay, dff_time_t now)
+forget_old_parts(GArray *parts, dff_time_t now)
 {
 	guint old = 0;
 
-	while (old < relay->told_parts->len &&
-	    now - g_array_index(relay->told_parts, told_part_t, old).at >
-		PART_TELL)
+	while (old < parts->len &&
+	    now - g_array_index(parts, told_part_t, old).at > PART_TELL)
 		old++;
 	if (old > 0)
-		g_array_remove_range(relay->told_parts, 0, old);
+		g_array_remove_range(parts, 0, old);
 }
 
-static size_t
-fill_loads(const dff_relay_t *relay, Dff__RelayLoad *rows)
+static void
+init_draft(const dff_relay_t *relay, draft_t *draft)
 {
-	size_t count = 0;
-	upstream_t *up;
-
-	for (dff_handle_t h = 0;
-	     (h = upstreams_next(relay->upstreams, h, &up)) != 0 &&
-	     count < LOADS_MAX;) {
-		if (up->running == 0)
-			continue;
-		dff__relay_load__init(&rows[count]);
-		rows[count].upstream = up->hash;
-		rows[count].running = up->running;
-		rows[count].backlog = (uint32_t)up->backlog;
-		rows[count].memory = (uint32_t)up->memory;
-		count++;
-	}
-	return count;
+	dff__relay_beat__init(&draft->beat);
+	for (size_t i = 0; i < LOADS_MAX; i++)
+		draft->load_rows[i] = &draft->loads[i];
+	for (size_t i = 0; i < PARTS_MAX; i++)
+		draft->part_rows[i] = &draft->parts[i];
+	for (size_t i = 0; i < CRASHES_MAX; i++)
+		draft->crash_rows[i] = &draft->crashes[i];
+	draft->beat.loads = draft->load_rows;
+	draft->beat.kept = draft->part_rows;
+	draft->beat.crashes = draft->crash_rows;
+	draft->beat.incarnation = relay->config.incarnation;
+	draft->beat.domain = (char *)(uintptr_t)relay->config.domain;
+	draft->beat.source_age_ms = AGE_NEVER;
 }
 
-static size_t
-fill_parts(const dff_relay_t *relay, Dff__RelayKept *rows)
+static void
+add_load(draft_t *draft, const upstream_t *up, uint32_t running,
+    uint64_t backlog, uint64_t memory)
 {
-	const GArray *parts = relay->told_parts;
-	size_t count = 0;
+	Dff__RelayLoad *row;
+
+	if (running == 0 || draft->beat.n_loads == LOADS_MAX)
+		return;
+	row = &draft->loads[draft->beat.n_loads++];
+	dff__relay_load__init(row);
+	row->upstream = up->hash;
+	row->running = running;
+	row->backlog = (uint32_t)MIN(backlog, UINT32_MAX);
+	row->memory = (uint32_t)MIN(memory, UINT32_MAX);
+}
 
+static void
+add_parts(const GArray *parts, draft_t *draft)
+{
 	/* The newest first: older ones were told before. */
-	for (guint i = parts->len; i-- > 0 && count < PARTS_MAX;) {
+	for (guint i = parts->len; i-- > 0 && draft->beat.n_kept < PARTS_MAX;) {
 		const told_part_t *part = &g_array_index(parts, told_part_t, i);
+		Dff__RelayKept *row = &draft->parts[draft->beat.n_kept++];
 
-		dff__relay_kept__init(&rows[count]);
-		rows[count].upstream = part->upstream;
-		rows[count].chain = part->chain;
-		rows[count].tokens = part->tokens;
-		count++;
+		dff__relay_kept__init(row);
+		row->upstream = part->upstream;
+		row->chain = part->chain;
+		row->tokens = part->tokens;
 	}
-	return count;
 }
 
-static size_t
-fill_crashes(const dff_relay_t *relay, dff_time_t now, Dff__RelayCrash *rows)
+static void
+add_crashes(const dff_relay_t *relay, draft_t *draft, dff_time_t now)
 {
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
-	size_t count = 0;
 
 	g_hash_table_iter_init(&iter, relay->suspects);
-	while (count < CRASHES_MAX &&
+	while (draft->beat.n_crashes < CRASHES_MAX &&
 	    g_hash_table_iter_next(&iter, &key, &value)) {
 		const suspect_t *suspect = value;
+		Dff__RelayCrash *row;
 
 		if (now - suspect->last > CRASH_TELL)
 			continue;
-		dff__relay_crash__init(&rows[count]);
-		rows[count].content = *(uint64_t *)key;
-		rows[count].count = suspect->count;
-		count++;
+		row = &draft->crashes[draft->beat.n_crashes++];
+		dff__relay_crash__init(row);
+		row->content = *(uint64_t *)key;
+		row->count = suspect->count;
 	}
-	return count;
 }
 
 static void
-make_frame(step_t *step)
+pack(dff_relay_t *relay, draft_t *draft, GByteArray *frame)
+{
+	draft->beat.sequence = ++relay->sequence;
+	g_byte_array_set_size(
+	    frame, (guint)dff__relay_beat__get_packed_size(&draft->beat));
+	(void)dff__relay_beat__pack(&draft->beat, frame->data);
+}
+
+/* What this node itself has under way and knows. */
+static void
+make_own_frame(step_t *step)
 {
 	dff_relay_t *relay = step->relay;
-	Dff__RelayBeat beat = DFF__RELAY_BEAT__INIT;
-	Dff__RelayLoad loads[LOADS_MAX];
-	Dff__RelayLoad *load_rows[LOADS_MAX];
-	Dff__RelayKept parts[PARTS_MAX];
-	Dff__RelayKept *part_rows[PARTS_MAX];
-	Dff__RelayCrash crashes[CRASHES_MAX];
-	Dff__RelayCrash *crash_rows[CRASHES_MAX];
+	draft_t draft;
+	upstream_t *up;
 
-	for (size_t i = 0; i < LOADS_MAX; i++)
-		load_rows[i] = &loads[i];
-	for (size_t i = 0; i < PARTS_MAX; i++)
-		part_rows[i] = &parts[i];
-	for (size_t i = 0; i < CRASHES_MAX; i++)
-		crash_rows[i] = &crashes[i];
-	forget_old_parts(relay, step->now);
-	beat.node = relay->config.id;
-	beat.incarnation = relay->config.incarnation;
-	beat.sequence = ++relay->sequence;
-	beat.version = relay->routing != NULL ? relay->routing->version : 0;
-	beat.n_loads = fill_loads(relay, loads);
-	beat.loads = load_rows;
-	beat.n_kept = fill_parts(relay, parts);
-	beat.kept = part_rows;
-	beat.n_crashes = fill_crashes(relay, step->now, crashes);
-	beat.crashes = crash_rows;
-	g_byte_array_set_size(
-	    relay->frame, (guint)dff__relay_beat__get_packed_size(&beat));
-	(void)dff__relay_beat__pack(&beat, relay->frame->data);
+	init_draft(relay, &draft);
+	draft.beat.node = relay->config.id;
+	draft.beat.records = relay->config.records;
+	draft.beat.version =
+	    relay->routing != NULL ? relay->routing->version : 0;
+	if (relay->source_heard != 0)
+		draft.beat.source_age_ms = (uint32_t)MIN(
+		    (step->now - relay->source_heard) / DFF_MSEC,
+		    AGE_NEVER - 1);
+	draft.beat.n_marks = DFF_FEED_COUNT;
+	draft.beat.marks = relay->marks;
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;)
+		add_load(&draft, up, up->running, up->backlog, up->memory);
+	forget_old_parts(relay->told_parts, step->now);
+	add_parts(relay->told_parts, &draft);
+	add_crashes(relay, &draft, step->now);
+	pack(relay, &draft, relay->frame);
 }
 
-void
-beat_send(step_t *step)
+/* Sums over the nodes of this domain; sums of other domains stay out. */
+static void
+make_summary(step_t *step)
 {
 	dff_relay_t *relay = step->relay;
-	uint32_t alive = beat_peers_alive(relay, step->now);
+	draft_t draft;
+	upstream_t *up;
 
-	relay->nodes_most = MAX(relay->nodes_most, alive + 1);
-	make_frame(step);
-	for (guint i = relay->peers->len; i-- > 0;) {
-		peer_t *peer = relay->peers->pdata[i];
-		dff_time_t last = MAX(peer->heard, peer->added);
-		dff_relay_effect_t *fx;
+	init_draft(relay, &draft);
+	(void)g_snprintf(draft.node, sizeof(draft.node), "domain %s",
+	    relay->config.domain);
+	draft.beat.node = draft.node;
+	draft.beat.summary = true;
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
+		uint32_t running = up->running + up->peer_running;
+		uint64_t backlog = up->backlog + up->peer_backlog;
+		uint64_t memory = up->memory + up->peer_memory;
+
+		for (guint i = 0; i < relay->peers->len; i++) {
+			const peer_t *peer = relay->peers->pdata[i];
 
-		if (!is_alive(relay, peer, step->now)) {
-			take_out_loads(relay, peer);
-			if (step->now - last > PEER_LIFE) {
-				g_ptr_array_remove_index_fast(relay->peers, i);
-				free_peer(peer);
+			if (*peer->addr != '\0')
 				continue;
+			for (guint k = 0; k < peer->loads->len; k++) {
+				const peer_load_t *load = &g_array_index(
+				    peer->loads, peer_load_t, k);
+
+				if (load->upstream != up->hash)
+					continue;
+				running -= MIN(running, load->running);
+				backlog -= MIN(backlog, load->backlog);
+				memory -= MIN(memory, load->memory);
 			}
-			if (step->now - peer->told < SILENT_TELL)
-				continue;
 		}
+		add_load(&draft, up, running, backlog, memory);
+	}
+	forget_old_parts(relay->summary_parts, step->now);
+	add_parts(relay->summary_parts, &draft);
+	add_crashes(relay, &draft, step->now);
+	pack(relay, &draft, relay->summary);
+}
+
+static void
+tell(step_t *step, peer_t *peer, const GByteArray *frame)
+{
+	dff_relay_effect_t *fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
+
+	step->relay->counts[COUNT_BEATS_OUT]++;
+	g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
+	fx->frame.bytes = frame->data;
+	fx->frame.len = frame->len;
+}
+
+/* How many nodes of a peer's domain rank before it. */
+static uint32_t
+count_before(const dff_relay_t *relay, const peer_t *peer)
+{
+	uint64_t own = peer_rank(peer->addr);
+	uint32_t before = 0;
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *other = relay->peers->pdata[i];
+
+		if (*other->addr != '\0' &&
+		    strcmp(other->domain, peer->domain) == 0 &&
+		    peer_rank(other->addr) > own)
+			before++;
+	}
+	return before;
+}
+
+/* Tell the sum of this domain to some nodes of each other domain. */
+static void
+tell_domains(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+
+	make_summary(step);
+	for (guint i = 0; i < relay->peers->len; i++) {
+		peer_t *peer = relay->peers->pdata[i];
+
+		if (*peer->addr == '\0' || peer_is_direct(relay, peer) ||
+		    count_before(relay, peer) >= RELAYS_TOLD)
+			continue;
+		tell(step, peer, relay->summary);
+	}
+}
+
+/* Tell this node's own frame to peers; silent ones not at each time. */
+static void
+tell_own(step_t *step, bool also_silent)
+{
+	dff_relay_t *relay = step->relay;
+
+	make_own_frame(step);
+	for (guint i = 0; i < relay->peers->len; i++) {
+		peer_t *peer = relay->peers->pdata[i];
+
+		if (!peer_is_direct(relay, peer))
+			continue;
+		if (!peer_is_alive(relay, peer, step->now) &&
+		    (!also_silent || step->now - peer->told < SILENT_TELL))
+			continue;
 		peer->told = step->now;
-		relay->counts[COUNT_BEATS_OUT]++;
-		fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
-		g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
-		fx->frame.bytes = relay->frame->data;
-		fx->frame.len = relay->frame->len;
+		tell(step, peer, relay->frame);
 	}
 }
 
 void
-beat_free_all(dff_relay_t *relay)
+beat_note_send(step_t *step)
 {
-	for (guint i = 0; i < relay->peers->len; i++)
-		free_peer(relay->peers->pdata[i]);
-	g_ptr_array_unref(relay->peers);
+	dff_relay_t *relay = step->relay;
+
+	if (relay->tell_at != 0)
+		return;
+	relay->tell_at = step->now + TELL_TOGETHER;
+	dff_timers_set(
+	    relay->timers, DFF_TIMER_MEMBER_TELL, 0, relay->tell_at);
+}
+
+void
+beat_tell_sends(step_t *step)
+{
+	step->relay->tell_at = 0;
+	tell_own(step, false);
+}
+
+void
+beat_send(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+
+	peers_sweep(relay, step->now);
+	tell_own(step, true);
+	if (beat_is_large(relay) && peers_is_relay(relay, step->now))
+		tell_domains(step);
 }
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -31,13 +31,17 @@
 	COUNT_COUNT,
 } relay_count_t;
 
-/** struct peer - another relay */
+/** struct peer - another relay, or what a relay tells of its domain */
 typedef struct peer {
-	char *addr;
+	char *addr; /* "" for a domain's summary */
 	char *node; /* NULL before it was heard */
+	char domain[DFF_NAME_MAX]; /* "" if not known */
+	char records[DFF_ADDR_MAX];
 	uint64_t incarnation;
 	uint64_t sequence;
 	uint64_t version;
+	uint64_t marks[DFF_FEED_COUNT];
+	dff_time_t source_heard; /* when it read the record source; 0 never */
 	dff_time_t heard; /* 0 never */
 	dff_time_t added;
 	dff_time_t told;
@@ -135,15 +139,22 @@
 	dff_timers_t *timers;
 	GPtrArray *peers; /* peer_t */
 	GArray *told_parts; /* told_part_t, newest last */
+	GArray *summary_parts; /* those of the whole domain, at its relay */
 	GHashTable *suspects; /* content hash, boxed, to suspect_t */
 	GArray *broken_runs; /* broken_run_t, not yet put down to a crash */
 	GByteArray *frame; /* the last frame made */
+	GByteArray *summary; /* the last sum of this domain's loads */
 	GByteArray *passing; /* bytes of the last DFF_RELAY_FX_PASS_DATA */
 	uint64_t next_send;
 	uint64_t sequence;
-	uint32_t nodes_most; /* most nodes ever seen at once */
+	dff_time_t tell_at; /* sends are told then; 0 if none is new */
 	dff_time_t started;
-	dff_time_t heard; /* the record source answered */
+	dff_time_t heard; /* the record source answered, here or at a peer */
+	dff_time_t source_heard; /* it answered this node */
+	uint64_t marks[DFF_FEED_COUNT]; /* last change that this node knows */
+	uint64_t known[DFF_FEED_COUNT]; /* read up to here */
+	dff_time_t fetched[DFF_FEED_COUNT]; /* last asked of a peer */
+	uint64_t changes;
 	dff_time_t settled_at; /* missing records may return before this */
 	dff_time_t stop_at; /* asked to stop; 0 while it runs */
 	uint64_t counts[COUNT_COUNT];
@@ -163,6 +174,10 @@
 /** relay_add_fx() - add an effect of a type; fill in what it returns */
 dff_relay_effect_t *relay_add_fx(step_t *step, dff_relay_effect_type_t type);
 
+/** relay_note_source() - the record source answered at @at, to this node or
+ *	a peer; a long silence before that was an outage */
+void relay_note_source(step_t *step, dff_time_t at);
+
 /* ---- call.c: requests ---- */
 
 void relay_call_open(step_t *step, const dff_relay_open_t *open);
@@ -195,10 +210,17 @@
 
 /* ---- beat.c: peers ---- */
 
+/** beat_send() - tell peers, at each beat */
 void beat_send(step_t *step);
+/** beat_note_send() - a send with a prompt was begun: peers are told soon */
+void beat_note_send(step_t *step);
+void beat_tell_sends(step_t *step);
 void beat_take(step_t *step, const dff_relay_beat_t *beat);
-void beat_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now);
+void beat_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
+    dff_time_t now);
 uint32_t beat_peers_alive(const dff_relay_t *relay, dff_time_t now);
+bool beat_is_large(const dff_relay_t *relay);
+dff_time_t beat_interval(const dff_relay_t *relay);
 void beat_free_all(dff_relay_t *relay);
 void beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
     uint32_t tokens, dff_time_t now);
--- /dev/null
+++ b/source/relay/peers.c
@@ -0,0 +1,227 @@
+#include <string.h>
+
+#include "relay/peers.h"
+
+/* A peer that was silent for so many beats counts as gone. */
+#define SILENT_BEATS 8
+/* Silence after which a peer is forgotten; a live one announces itself
+ * within a minute. */
+#define PEER_LIFE (150 * DFF_SEC)
+/* With more peers, frames go to the own domain only, and relays tell the
+ * other domains: a full mesh grows with the square. */
+#define MESH_MAX 12
+/* Frames are rarer in a large fleet. */
+#define LARGE_BEATS 2
+/* Nodes, of those that hear each other, that read the record source: one
+ * more than needed, so that one may fail. */
+#define READERS 2
+/* A reader that did not read for so long does not count. */
+#define READER_FRESH DFF_SEC
+
+static void
+free_peer(peer_t *peer)
+{
+	g_free(peer->addr);
+	g_free(peer->node);
+	g_array_unref(peer->loads);
+	g_free(peer);
+}
+
+static peer_t *
+add_peer(dff_relay_t *relay, const char *addr)
+{
+	peer_t *peer = g_new0(peer_t, 1);
+
+	peer->addr = g_strdup(addr);
+	peer->loads = g_array_new(FALSE, FALSE, sizeof(peer_load_t));
+	g_ptr_array_add(relay->peers, peer);
+	return peer;
+}
+
+peer_t *
+peers_find(const dff_relay_t *relay, const char *addr)
+{
+	for (guint i = 0; i < relay->peers->len; i++) {
+		peer_t *peer = relay->peers->pdata[i];
+
+		if (strcmp(peer->addr, addr) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+peer_t *
+peers_find_summary(dff_relay_t *relay, const char *node)
+{
+	peer_t *peer;
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		peer = relay->peers->pdata[i];
+		if (*peer->addr == '\0' && strcmp(peer->node, node) == 0)
+			return peer;
+	}
+	peer = add_peer(relay, "");
+	peer->node = g_strdup(node);
+	return peer;
+}
+
+void
+beat_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
+    dff_time_t now)
+{
+	peer_t *peer = peers_find(relay, addr);
+
+	if (strcmp(addr, relay->config.addr) == 0)
+		return;
+	if (peer == NULL)
+		peer = add_peer(relay, addr);
+	if (*domain != '\0')
+		g_strlcpy(peer->domain, domain, sizeof(peer->domain));
+	peer->added = now;
+}
+
+bool
+beat_is_large(const dff_relay_t *relay)
+{
+	return relay->peers->len > MESH_MAX;
+}
+
+dff_time_t
+beat_interval(const dff_relay_t *relay)
+{
+	return relay->config.beat * (beat_is_large(relay) ? LARGE_BEATS : 1);
+}
+
+bool
+peer_is_alive(const dff_relay_t *relay, const peer_t *peer, dff_time_t now)
+{
+	return peer->heard != 0 &&
+	    now - peer->heard < SILENT_BEATS * beat_interval(relay);
+}
+
+bool
+peer_is_direct(const dff_relay_t *relay, const peer_t *peer)
+{
+	if (*peer->addr == '\0')
+		return false;
+	return !beat_is_large(relay) || *peer->domain == '\0' ||
+	    strcmp(peer->domain, relay->config.domain) == 0;
+}
+
+uint32_t
+beat_peers_alive(const dff_relay_t *relay, dff_time_t now)
+{
+	uint32_t alive = 0;
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		if (peer_is_alive(relay, relay->peers->pdata[i], now))
+			alive++;
+	}
+	return alive;
+}
+
+uint64_t
+peer_rank(const char *addr)
+{
+	return dff_hash(addr, strlen(addr), 0);
+}
+
+bool
+peers_is_relay(const dff_relay_t *relay, dff_time_t now)
+{
+	uint64_t own = peer_rank(relay->config.addr);
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+
+		if (peer_is_direct(relay, peer) &&
+		    peer_is_alive(relay, peer, now) &&
+		    peer_rank(peer->addr) > own)
+			return false;
+	}
+	return true;
+}
+
+bool
+dff_relay_reads(const dff_relay_t *relay, dff_time_t now)
+{
+	uint64_t own = peer_rank(relay->config.addr);
+	uint32_t before = 0;
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+
+		if (peer_is_direct(relay, peer) &&
+		    peer_is_alive(relay, peer, now) &&
+		    peer->source_heard != 0 &&
+		    now - peer->source_heard < READER_FRESH &&
+		    peer_rank(peer->addr) > own)
+			before++;
+	}
+	return before < READERS;
+}
+
+/* ---- loads ---- */
+
+static void
+take_out_loads(dff_relay_t *relay, peer_t *peer)
+{
+	for (guint i = 0; i < peer->loads->len; i++) {
+		const peer_load_t *load =
+		    &g_array_index(peer->loads, peer_load_t, i);
+		upstream_t *up =
+		    upstreams_find(relay->upstreams, load->upstream);
+
+		if (up == NULL)
+			continue;
+		up->peer_running -= MIN(up->peer_running, load->running);
+		up->peer_backlog -= MIN(up->peer_backlog, load->backlog);
+		up->peer_memory -= MIN(up->peer_memory, load->memory);
+	}
+	g_array_set_size(peer->loads, 0);
+}
+
+void
+peer_load_frame(dff_relay_t *relay, peer_t *peer, const Dff__RelayBeat *beat)
+{
+	take_out_loads(relay, peer);
+	for (size_t i = 0; i < beat->n_loads; i++) {
+		const Dff__RelayLoad *row = beat->loads[i];
+		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
+		peer_load_t load = {.upstream = row->upstream,
+		    .running = row->running,
+		    .backlog = row->backlog,
+		    .memory = row->memory};
+
+		if (up == NULL)
+			continue;
+		up->peer_running += load.running;
+		up->peer_backlog += load.backlog;
+		up->peer_memory += load.memory;
+		g_array_append_val(peer->loads, load);
+	}
+}
+
+void
+peers_sweep(dff_relay_t *relay, dff_time_t now)
+{
+	for (guint i = relay->peers->len; i-- > 0;) {
+		peer_t *peer = relay->peers->pdata[i];
+
+		if (peer_is_alive(relay, peer, now))
+			continue;
+		take_out_loads(relay, peer);
+		if (now - MAX(peer->heard, peer->added) <= PEER_LIFE)
+			continue;
+		g_ptr_array_remove_index_fast(relay->peers, i);
+		free_peer(peer);
+	}
+}
+
+void
+beat_free_all(dff_relay_t *relay)
+{
+	for (guint i = 0; i < relay->peers->len; i++)
+		free_peer(relay->peers->pdata[i]);
+	g_ptr_array_unref(relay->peers);
+}
--- /dev/null
+++ b/source/relay/peers.h
@@ -0,0 +1,36 @@
+/*
+ * The peers of a relay and what they have under way.
+ */
+#ifndef DFF_RELAY_PEERS_H
+#define DFF_RELAY_PEERS_H
+
+#include "proto/dragonflyfall.pb-c.h"
+#include "relay/parts.h"
+
+/** peers_find() - by address; NULL if unknown */
+peer_t *peers_find(const dff_relay_t *relay, const char *addr);
+
+/** peers_find_summary() - what is told of a domain, made if unknown */
+peer_t *peers_find_summary(dff_relay_t *relay, const char *node);
+
+/** peer_is_alive() - heard lately */
+bool peer_is_alive(
+    const dff_relay_t *relay, const peer_t *peer, dff_time_t now);
+
+/** peer_is_direct() - it gets this node's own frames */
+bool peer_is_direct(const dff_relay_t *relay, const peer_t *peer);
+
+/** peer_rank() - order among nodes by their addresses, the same everywhere */
+uint64_t peer_rank(const char *addr);
+
+/** peers_is_relay() - this node speaks for its domain */
+bool peers_is_relay(const dff_relay_t *relay, dff_time_t now);
+
+/** peers_sweep() - forget silent peers, and their loads at once */
+void peers_sweep(dff_relay_t *relay, dff_time_t now);
+
+/** peer_load_frame() - take what a frame tells of upstreams */
+void peer_load_frame(
+    dff_relay_t *relay, peer_t *peer, const Dff__RelayBeat *beat);
+
+#endif
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -39,6 +39,13 @@
 /* Reading takes an engine's time from all that come after: this weight of
  * it is added to the time of the request itself. */
 #define REREAD_WEIGHT 1.0
+/* Fewer tokens than this are read sooner than fetched. */
+#define FETCH_TOKENS_MIN 400
+/* Set-up of a transfer between engines. */
+#define FETCH_TIME (6 * DFF_MSEC)
+/* Transfers take the links of two engines: this many times their time is
+ * added to the time of the request itself. */
+#define FETCH_WEIGHT 1
 /* Advantage of a cold prompt's home. */
 #define HOME_BONUS (20 * DFF_MSEC)
 
@@ -103,10 +110,15 @@
 	return strcmp(up->news.domain, ask->domain) == 0 ? 0 : 2 * ask->hop;
 }
 
+/* What speaks against an upstream beside the time it takes. */
 static dff_time_t
-error_time(const upstream_t *up)
+error_time(const upstream_t *up, const place_ask_t *ask)
 {
-	return (dff_time_t)(up->errors * ERROR_TIME);
+	dff_time_t time = (dff_time_t)(up->errors * ERROR_TIME);
+
+	if (strcmp(up->news.domain, ask->domain) != 0)
+		time += ask->far;
+	return time;
 }
 
 /* Highest of a hash over part and engine: the home of a cold prompt. */
@@ -136,10 +148,18 @@
 	dff_time_t wait;
 	dff_time_t ahead;
 	uint32_t uncached;
+	dff_handle_t donor;
 	uint64_t tie;
 	bool shunned;
 } best_t;
 
+/* The engine that is believed to keep most of a prompt. */
+typedef struct donor {
+	dff_handle_t handle;
+	const upstream_t *up;
+	uint32_t tokens;
+} donor_t;
+
 static void
 consider(best_t *best, const best_t *one)
 {
@@ -177,30 +197,81 @@
 		one.shunned = !upstream_takes_work(up, now);
 		one.wait = way_time(up, ask) +
 		    running * PLAIN_TIME / MAX(up->news.slots, 1);
-		one.cost = one.wait + error_time(up);
+		one.cost = one.wait + error_time(up, ask);
 		one.tie = home_score(up, ask->prompt);
 		consider(best, &one);
 	}
 }
 
+/* Time to move @tokens of memory between two engines. */
+static dff_time_t
+move_time(const place_ask_t *ask, const upstream_t *from,
+    const upstream_t *to, uint32_t tokens)
+{
+	double bits;
+	dff_time_t time;
+
+	if (ask->spec == NULL || ask->spec->link_mbps <= 0)
+		return 0;
+	bits = (double)tokens * (double)ask->spec->token_bytes * 8;
+	time = (dff_time_t)(bits / ask->spec->link_mbps);
+	return strcmp(from->news.domain, to->news.domain) == 0 ? time : 2 * time;
+}
+
+/* Ties go to the engine that is nearest, then to the one with less work. */
+static void
+find_donor(const upstreams_t *ups, const place_ask_t *ask, dff_time_t now,
+    donor_t *donor)
+{
+	upstream_t *up;
+
+	memset(donor, 0, sizeof(*donor));
+	if (ask->spec == NULL || ask->spec->link_mbps <= 0)
+		return;
+	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+		uint32_t tokens;
+
+		if (!is_candidate(up, ask, h, now) ||
+		    !upstream_takes_work(up, now))
+			continue;
+		tokens = upstream_cached(up, ask->prompt);
+		if (tokens < donor->tokens || tokens == 0)
+			continue;
+		if (tokens == donor->tokens &&
+		    strcmp(up->news.domain, ask->domain) != 0)
+			continue;
+		donor->handle = h;
+		donor->up = up;
+		donor->tokens = tokens;
+	}
+}
+
 /* Reading a prompt at one engine. */
 static void
 rate_read(const pace_t *pace, const place_ask_t *ask, upstream_t *up,
-    dff_handle_t handle, dff_time_t now, best_t *one)
+    dff_handle_t handle, const donor_t *donor, dff_time_t now, best_t *one)
 {
 	uint32_t tokens = ask->prompt->tokens;
+	uint32_t cached = MIN(upstream_cached(up, ask->prompt), tokens);
+	dff_time_t fetch = 0;
 	dff_time_t own;
 
 	memset(one, 0, sizeof(*one));
 	one->handle = handle;
 	one->shunned = !upstream_takes_work(up, now);
-	one->uncached = tokens - MIN(upstream_cached(up, ask->prompt), tokens);
+	if (donor->tokens >= cached + FETCH_TOKENS_MIN) {
+		one->donor = donor->handle;
+		fetch = FETCH_TIME +
+		    move_time(ask, donor->up, up, donor->tokens - cached);
+		cached = MIN(donor->tokens, tokens);
+	}
+	one->uncached = tokens - cached;
 	one->ahead = room_time(up, ask) + read_time(pace, up,
 	    (double)(up->backlog + up->peer_backlog));
 	own = read_time(pace, up, one->uncached);
-	one->wait = way_time(up, ask) + one->ahead + own;
-	one->cost = one->wait + error_time(up) +
-	    (dff_time_t)(REREAD_WEIGHT * (double)own);
+	one->wait = way_time(up, ask) + one->ahead + own + fetch;
+	one->cost = one->wait + error_time(up, ask) +
+	    (dff_time_t)(REREAD_WEIGHT * (double)own) + FETCH_WEIGHT * fetch;
 	one->tie = home_score(up, ask->prompt);
 }
 
@@ -211,13 +282,15 @@
 {
 	upstream_t *up;
 	best_t home = {0};
+	donor_t donor;
 	best_t one;
 
+	find_donor(ups, ask, now, &donor);
 	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
 		if (!is_candidate(up, ask, h, now) ||
 		    decodes != (up->news.role != DFF_ROLE_PREFILL))
 			continue;
-		rate_read(pace, ask, up, h, now, &one);
+		rate_read(pace, ask, up, h, &donor, now, &one);
 		if (home.handle == 0 || one.tie > home.tie)
 			home = one;
 		consider(best, &one);
@@ -240,7 +313,6 @@
 
 	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
 		best_t one = {.handle = h};
-		double bytes = 0;
 		dff_time_t move = 0;
 
 		if (!is_candidate(up, ask, h, now) ||
@@ -249,20 +321,13 @@
 		one.shunned = !upstream_takes_work(up, now);
 		one.uncached = ask->prompt->tokens -
 		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
-		if (ask->spec != NULL && ask->spec->link_mbps > 0)
-			bytes = (double)one.uncached *
-			    (double)ask->spec->token_bytes;
-		if (bytes > 0)
-			move = (dff_time_t)(
-			    bytes * 8 / ask->spec->link_mbps);
-		if (from != NULL &&
-		    strcmp(from->news.domain, up->news.domain) != 0)
-			move *= 2;
+		if (from != NULL)
+			move = move_time(ask, from, up, one.uncached);
 		one.ahead = room_time(up, ask) + (dff_time_t)(DECODE_AHEAD *
 		    (double)read_time(pace, up,
 			(double)(up->backlog + up->peer_backlog)));
 		one.wait = way_time(up, ask) + one.ahead + move;
-		one.cost = one.wait + error_time(up);
+		one.cost = one.wait + error_time(up, ask);
 		one.tie = home_score(up, ask->prompt);
 		consider(best, &one);
 	}
@@ -276,6 +341,7 @@
 	place->wait = best->wait;
 	place->ahead = best->ahead;
 	place->uncached = best->uncached;
+	place->donor = best->donor;
 	place->shunned = best->shunned;
 }
 
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -16,6 +16,7 @@
  * @spec: what the operators say of the pool, or NULL
  * @prompt: prompt; a count of 0 for a plain request
  * @hop: one-way time to another failure domain
+ * @far: by how much an upstream of another domain must look better
  * @avoid: handles of upstreams that are not to get it
  * @avoid_count: how many
  * @whole_only: no prefill elsewhere
@@ -28,6 +29,7 @@
 	const dff_pool_t *spec;
 	const dff_prompt_t *prompt;
 	dff_time_t hop;
+	dff_time_t far;
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
 	bool whole_only;
@@ -41,6 +43,7 @@
  * @wait: predicted time to the answer's first byte
  * @ahead: part of @wait that others' work ahead of it takes
  * @uncached: prompt tokens that it has to read
+ * @donor: engine that keeps parts which the upstream lacks, or 0
  * @shunned: the upstream failed lately; there was no other
  */
 typedef struct place {
@@ -49,6 +52,7 @@
 	dff_time_t wait;
 	dff_time_t ahead;
 	uint32_t uncached;
+	dff_handle_t donor;
 	bool shunned;
 } place_t;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -45,10 +45,12 @@
 	relay->timers = dff_timers_new();
 	relay->peers = g_ptr_array_new();
 	relay->told_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
+	relay->summary_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
 	relay->suspects = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, g_free);
 	relay->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
 	relay->frame = g_byte_array_new();
+	relay->summary = g_byte_array_new();
 	relay->passing = g_byte_array_new();
 	relay->first_byte = dff_hist_new();
 	relay->whole = dff_hist_new();
@@ -73,9 +75,11 @@
 	g_hash_table_unref(relay->by_send);
 	dff_timers_drop(relay->timers);
 	g_array_unref(relay->told_parts);
+	g_array_unref(relay->summary_parts);
 	g_hash_table_unref(relay->suspects);
 	g_array_unref(relay->broken_runs);
 	g_byte_array_unref(relay->frame);
+	g_byte_array_unref(relay->summary);
 	g_byte_array_unref(relay->passing);
 	dff_hist_drop(relay->first_byte);
 	dff_hist_drop(relay->whole);
@@ -95,9 +99,25 @@
 }
 
 void
-dff_relay_add_peer(dff_relay_t *relay, const char *addr, dff_time_t now)
+dff_relay_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
+    dff_time_t now)
 {
-	beat_add_peer(relay, addr, now);
+	beat_add_peer(relay, addr, domain, now);
+}
+
+void
+dff_relay_set_mark(
+    dff_relay_t *relay, dff_feed_t feed, uint64_t offset, bool changed)
+{
+	relay->known[feed] = MAX(relay->known[feed], offset);
+	if (changed)
+		relay->marks[feed] = MAX(relay->marks[feed], offset);
+}
+
+uint64_t
+dff_relay_changes(const dff_relay_t *relay)
+{
+	return relay->changes;
 }
 
 dff_relay_effect_t *
@@ -125,6 +145,7 @@
 		return;
 	dff_routing_drop(relay->routing);
 	relay->routing = dff_routing_keep(routing);
+	relay->changes++;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "routing",
 	    "routing in force version=%" G_GUINT64_FORMAT " before=%"
 	    G_GUINT64_FORMAT " routes=%u pools=%u",
@@ -151,6 +172,7 @@
 	    relay->upstreams, news, relay->settled_at, step->now, &handle);
 	if (effect == NEWS_NOTHING || effect == NEWS_SAME)
 		return;
+	relay->changes++;
 	up = upstreams_get(relay->upstreams, handle);
 	dff_log(step->ctx, DFF_LOG_NOTICE, "upstream",
 	    "upstream %s id=%s pool=%s addr=%s domain=%s role=%s born=%"
@@ -165,20 +187,21 @@
 		suspect_confirm(step, handle);
 }
 
-/* The record source answered; a long silence before that was an outage. */
-static void
-take_heard(step_t *step)
+void
+relay_note_source(step_t *step, dff_time_t at)
 {
 	dff_relay_t *relay = step->relay;
-	dff_time_t silence = step->now - relay->heard;
+	dff_time_t silence = at - relay->heard;
 
+	if (silence <= 0)
+		return;
 	if (relay->heard != 0 && silence > OUTAGE_AFTER) {
 		relay->settled_at = step->now + SETTLE_TIME;
 		dff_log(step->ctx, DFF_LOG_NOTICE, "source",
 		    "record source is back silence_ms=%" G_GINT64_FORMAT,
 		    silence / DFF_MSEC);
 	}
-	relay->heard = step->now;
+	relay->heard = at;
 }
 
 /* ---- time ---- */
@@ -191,9 +214,9 @@
 	beat_send(step);
 	budget_set(relay->budget, relay->config.budget_window,
 	    relay->config.budget_ratio, relay->config.budget_slack,
-	    relay->nodes_most);
+	    relay->peers->len + 1);
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_BEAT, 0,
-	    step->now + relay->config.beat);
+	    step->now + beat_interval(relay));
 }
 
 static void
@@ -223,6 +246,9 @@
 		case DFF_TIMER_MEMBER_BEAT:
 			take_beat_timer(step);
 			break;
+		case DFF_TIMER_MEMBER_TELL:
+			beat_tell_sends(step);
+			break;
 		case DFF_TIMER_FLEET_TICK:
 			take_sweep_timer(step);
 			break;
@@ -258,7 +284,8 @@
 		take_upstream(&step, &event->upstream);
 		break;
 	case DFF_RELAY_HEARD:
-		take_heard(&step);
+		relay->source_heard = now;
+		relay_note_source(&step, now);
 		break;
 	case DFF_RELAY_OPEN:
 		relay_call_open(&step, &event->open);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -29,6 +29,9 @@
 /* Share of its aim that a generation may wait for others' prompts: beyond,
  * it would be late for certain and make those behind it late. */
 #define QUEUE_SHARE 0.6
+/* In a large fleet the load of other failure domains is known late: their
+ * upstreams must look better by this much. */
+#define FAR_TIME (80 * DFF_MSEC)
 /* Times that a decode is tried with one handle. */
 #define HANDLE_TRIES 2
 
@@ -53,6 +56,7 @@
 	for (uint32_t i = 0; i < call->prompt.count; i++)
 		beat_note_part(step->relay, up, chain_hash(&call->prompt, i + 1),
 		    call->prompt.parts[i].tokens, step->now);
+	beat_note_send(step);
 	upstream_keep(up, &call->prompt,
 	    call->spec != NULL ? call->spec->kv_tokens : 0, step->now);
 }
@@ -144,6 +148,7 @@
 	dff_relay_t *relay = step->relay;
 	upstream_t *up = upstreams_get(relay->upstreams, place->upstream);
 	dff_relay_effect_t *fx = relay_add_fx(step, DFF_RELAY_FX_SEND);
+	const upstream_t *donor;
 	send_t *send = &call->send;
 
 	memset(send, 0, sizeof(*send));
@@ -175,6 +180,10 @@
 		g_strlcpy(fx->send.handle, call->handle,
 		    sizeof(fx->send.handle));
 	}
+	donor = upstreams_get(relay->upstreams, place->donor);
+	if (donor != NULL)
+		g_strlcpy(fx->send.donor, donor->news.addr,
+		    sizeof(fx->send.donor));
 	fx->send.time_left = call->give_up - step->now - WAY_BACK;
 	fx->send.after_event = call->after_event;
 	fx->send.rank = call->route->rank;
@@ -183,10 +192,12 @@
 	dff_log(step->ctx, DFF_LOG_INFO, "place",
 	    "request sent id=%s route=%s version=%" G_GUINT64_FORMAT
 	    " upstream=%s step=%d send=%u wait_ms=%" G_GINT64_FORMAT
-	    " uncached=%u tokens=%u ahead=%u running=%u peers=%u errors=%.2f",
+	    " uncached=%u tokens=%u donor=%s ahead=%u running=%u peers=%u "
+	    "errors=%.2f",
 	    call->id, call->route->name, call->routing->version, up->news.id,
 	    (int)place->step, call->sends, place->wait / DFF_MSEC,
-	    place->uncached, call->prompt.tokens, send->ahead, up->running,
+	    place->uncached, call->prompt.tokens,
+	    donor != NULL ? donor->news.id : "-", send->ahead, up->running,
 	    up->peer_running, up->errors);
 }
 
@@ -225,6 +236,7 @@
 	ask->spec = call->spec;
 	ask->prompt = &call->prompt;
 	ask->hop = step->relay->config.hop;
+	ask->far = beat_is_large(step->relay) ? FAR_TIME : 0;
 	memcpy(ask->avoid, call->avoid, sizeof(ask->avoid));
 	ask->avoid_count = call->avoid_count;
 	ask->whole_only = call->whole_only || call->after_event >= 0;
