Relay: sums of other domains arrive; fast links speak for a domain

Frames now live until the next step. Sums of sends to other domains' engines are told there within 30 ms, relays are the nodes with the fastest links, a part is told once in three seconds.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -418,6 +418,7 @@
  * @addr: "ip:port" at which peers reach it
  * @records: "ip:port" at which it serves records to peers
  * @incarnation: grows with each start of the process
+ * @link_mbps: speed of its link; nodes with fast ones speak for others
  * @beat: time between frames to peers
  * @stale_after: silence of the record source and of all peers after which
  *	the relay is not ready
@@ -432,6 +433,7 @@
 	char addr[DFF_ADDR_MAX];
 	char records[DFF_ADDR_MAX];
 	uint64_t incarnation;
+	uint32_t link_mbps;
 	dff_time_t beat;
 	dff_time_t stale_after;
 	dff_time_t budget_window;
@@ -458,9 +460,10 @@
 /**
  * dff_relay_add_peer() - an address at which a peer may be
  * @domain: its failure domain, "" if not known
+ * @link_mbps: speed of its link, 0 if not known
  */
 void dff_relay_add_peer(dff_relay_t *relay, const char *addr,
-    const char *domain, dff_time_t now);
+    const char *domain, uint32_t link_mbps, dff_time_t now);
 
 /**
  * dff_relay_reads() - whether this node is to read the record source
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4293,7 +4293,7 @@
   (ProtobufCMessageInit) dff__relay_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[13] =
 {
   {
     "node",
@@ -4439,12 +4439,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbps",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   6,   /* field[6] = crashes */
   7,   /* field[7] = domain */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kept */
+  12,   /* field[12] = link_mbps */
   4,   /* field[4] = loads */
   9,   /* field[9] = marks */
   0,   /* field[0] = node */
@@ -4458,7 +4471,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -4468,7 +4481,7 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  12,
+  13,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
   2,  dff__relay_beat__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -690,10 +690,14 @@
    * loads of a whole domain, told by its relay
    */
   protobuf_c_boolean summary;
+  /*
+   * of the node
+   */
+  uint32_t link_mbps;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /* Dff__CatalogueEdit methods */
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -16,6 +16,10 @@
 #define SILENT_TELL (2 * DFF_SEC)
 /* A part is told for so long: some beats, as frames get lost. */
 #define PART_TELL (450 * DFF_MSEC)
+/* A part that was told is not told again for so long. */
+#define PART_AGAIN (3 * DFF_SEC)
+/* Sends to other domains' upstreams are summed for so long. */
+#define TELL_FAR_TOGETHER (30 * DFF_MSEC)
 /* Rows of one frame. */
 #define LOADS_MAX   80
 #define PARTS_MAX   100
@@ -26,6 +30,9 @@
 #define RELAYS_TOLD 2
 /* Time between fetches of one feed: an answer takes some round trips. */
 #define FETCH_EVERY (150 * DFF_MSEC)
+/* Subjects of the timer that tells sends. */
+#define TELL_OWN 0
+#define TELL_FAR 1
 /* A source age that says "never". */
 #define AGE_NEVER UINT32_MAX
 
@@ -43,6 +50,12 @@
 	g_array_append_vals(parts, part, 1);
 }
 
+static bool
+is_far(const dff_relay_t *relay, const upstream_t *up)
+{
+	return strcmp(up->news.domain, relay->config.domain) != 0;
+}
+
 /* ---- taking ---- */
 
 static void
@@ -129,6 +142,28 @@
 	}
 }
 
+/* Sends to other domains' upstreams are told there soon. */
+static void
+note_far_loads(step_t *step, const peer_t *peer)
+{
+	dff_relay_t *relay = step->relay;
+
+	if (relay->tell_far_at != 0 || !beat_is_large(relay) ||
+	    !peers_is_relay(relay, step->now))
+		return;
+	for (guint i = 0; i < peer->loads->len; i++) {
+		const upstream_t *up = upstreams_find(relay->upstreams,
+		    g_array_index(peer->loads, peer_load_t, i).upstream);
+
+		if (up == NULL || !is_far(relay, up))
+			continue;
+		relay->tell_far_at = step->now + TELL_FAR_TOGETHER;
+		dff_timers_set(relay->timers, DFF_TIMER_MEMBER_TELL, TELL_FAR,
+		    relay->tell_far_at);
+		return;
+	}
+}
+
 /* Frames may overtake each other, and come twice when handed on. */
 static bool
 is_new(const peer_t *peer, const Dff__RelayBeat *beat)
@@ -147,7 +182,8 @@
 	if (beat->summary)
 		peer = peers_find_summary(relay, beat->node);
 	else {
-		beat_add_peer(relay, in->addr, beat->domain, step->now);
+		beat_add_peer(relay, in->addr, beat->domain, beat->link_mbps,
+		    step->now);
 		peer = peers_find(relay, in->addr);
 	}
 	if (peer == NULL || !is_new(peer, beat))
@@ -173,6 +209,7 @@
 	if (!beat->summary) {
 		take_marks(step, peer, beat);
 		keep_for_summary(step, beat);
+		note_far_loads(step, peer);
 	} else if (peers_is_relay(relay, step->now))
 		hand_on(step, in);
 }
@@ -229,7 +266,7 @@
 	guint old = 0;
 
 	while (old < parts->len &&
-	    now - g_array_index(parts, told_part_t, old).at > PART_TELL)
+	    now - g_array_index(parts, told_part_t, old).at > PART_AGAIN)
 		old++;
 	if (old > 0)
 		g_array_remove_range(parts, 0, old);
@@ -270,13 +307,16 @@
 }
 
 static void
-add_parts(const GArray *parts, draft_t *draft)
+add_parts(const GArray *parts, draft_t *draft, dff_time_t now)
 {
 	/* The newest first: older ones were told before. */
 	for (guint i = parts->len; i-- > 0 && draft->beat.n_kept < PARTS_MAX;) {
 		const told_part_t *part = &g_array_index(parts, told_part_t, i);
-		Dff__RelayKept *row = &draft->parts[draft->beat.n_kept++];
+		Dff__RelayKept *row;
 
+		if (now - part->at > PART_TELL)
+			break;
+		row = &draft->parts[draft->beat.n_kept++];
 		dff__relay_kept__init(row);
 		row->upstream = part->upstream;
 		row->chain = part->chain;
@@ -306,17 +346,22 @@
 	}
 }
 
-static void
-pack(dff_relay_t *relay, draft_t *draft, GByteArray *frame)
+/* The frame lives until the next step. */
+static GByteArray *
+pack(dff_relay_t *relay, draft_t *draft)
 {
+	GByteArray *frame = g_byte_array_new();
+
+	g_ptr_array_add(relay->frames, frame);
 	draft->beat.sequence = ++relay->sequence;
 	g_byte_array_set_size(
 	    frame, (guint)dff__relay_beat__get_packed_size(&draft->beat));
 	(void)dff__relay_beat__pack(&draft->beat, frame->data);
+	return frame;
 }
 
 /* What this node itself has under way and knows. */
-static void
+static GByteArray *
 make_own_frame(step_t *step)
 {
 	dff_relay_t *relay = step->relay;
@@ -326,6 +371,7 @@
 	init_draft(relay, &draft);
 	draft.beat.node = relay->config.id;
 	draft.beat.records = relay->config.records;
+	draft.beat.link_mbps = relay->config.link_mbps;
 	draft.beat.version =
 	    relay->routing != NULL ? relay->routing->version : 0;
 	if (relay->source_heard != 0)
@@ -338,52 +384,68 @@
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;)
 		add_load(&draft, up, up->running, up->backlog, up->memory);
 	forget_old_parts(relay->told_parts, step->now);
-	add_parts(relay->told_parts, &draft);
+	add_parts(relay->told_parts, &draft, step->now);
 	add_crashes(relay, &draft, step->now);
-	pack(relay, &draft, relay->frame);
+	return pack(relay, &draft);
 }
 
-/* Sums over the nodes of this domain; sums of other domains stay out. */
+/* Take what other domains told of an upstream out of its sums. */
 static void
-make_summary(step_t *step)
+take_out_domains(const dff_relay_t *relay, const upstream_t *up,
+    peer_load_t *sum)
+{
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+
+		if (*peer->addr != '\0')
+			continue;
+		for (guint k = 0; k < peer->loads->len; k++) {
+			const peer_load_t *load =
+			    &g_array_index(peer->loads, peer_load_t, k);
+
+			if (load->upstream != up->hash)
+				continue;
+			sum->running -= MIN(sum->running, load->running);
+			sum->backlog -= MIN(sum->backlog, load->backlog);
+			sum->memory -= MIN(sum->memory, load->memory);
+		}
+	}
+}
+
+/*
+ * Sums over the nodes of this domain, apart for upstreams here and those in
+ * other domains: the latter are what the nodes there cannot know, and are
+ * told at once.
+ */
+static GByteArray *
+make_summary(step_t *step, bool far)
 {
 	dff_relay_t *relay = step->relay;
 	draft_t draft;
 	upstream_t *up;
 
 	init_draft(relay, &draft);
-	(void)g_snprintf(draft.node, sizeof(draft.node), "domain %s",
-	    relay->config.domain);
+	(void)g_snprintf(draft.node, sizeof(draft.node), "domain %s %s",
+	    relay->config.domain, far ? "far" : "near");
 	draft.beat.node = draft.node;
 	draft.beat.summary = true;
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
-		uint32_t running = up->running + up->peer_running;
-		uint64_t backlog = up->backlog + up->peer_backlog;
-		uint64_t memory = up->memory + up->peer_memory;
+		peer_load_t sum = {.running = up->running + up->peer_running,
+		    .backlog = (uint32_t)(up->backlog + up->peer_backlog),
+		    .memory = (uint32_t)(up->memory + up->peer_memory)};
 
-		for (guint i = 0; i < relay->peers->len; i++) {
-			const peer_t *peer = relay->peers->pdata[i];
-
-			if (*peer->addr != '\0')
-				continue;
-			for (guint k = 0; k < peer->loads->len; k++) {
-				const peer_load_t *load = &g_array_index(
-				    peer->loads, peer_load_t, k);
-
-				if (load->upstream != up->hash)
-					continue;
-				running -= MIN(running, load->running);
-				backlog -= MIN(backlog, load->backlog);
-				memory -= MIN(memory, load->memory);
-			}
-		}
-		add_load(&draft, up, running, backlog, memory);
+		if (is_far(relay, up) != far || sum.running == 0)
+			continue;
+		take_out_domains(relay, up, &sum);
+		add_load(&draft, up, sum.running, sum.backlog, sum.memory);
 	}
-	forget_old_parts(relay->summary_parts, step->now);
-	add_parts(relay->summary_parts, &draft);
-	add_crashes(relay, &draft, step->now);
-	pack(relay, &draft, relay->summary);
+	if (!far) {
+		forget_old_parts(relay->summary_parts, step->now);
+		add_parts(relay->summary_parts, &draft, step->now);
+		add_crashes(relay, &draft, step->now);
+	}
+	return pack(relay, &draft);
 }
 
 static void
@@ -401,7 +463,7 @@
 static uint32_t
 count_before(const dff_relay_t *relay, const peer_t *peer)
 {
-	uint64_t own = peer_rank(peer->addr);
+	uint64_t own = peer_rank(peer->addr, peer->link_mbps);
 	uint32_t before = 0;
 
 	for (guint i = 0; i < relay->peers->len; i++) {
@@ -409,7 +471,7 @@
 
 		if (*other->addr != '\0' &&
 		    strcmp(other->domain, peer->domain) == 0 &&
-		    peer_rank(other->addr) > own)
+		    peer_rank(other->addr, other->link_mbps) > own)
 			before++;
 	}
 	return before;
@@ -417,18 +479,18 @@
 
 /* Tell the sum of this domain to some nodes of each other domain. */
 static void
-tell_domains(step_t *step)
+tell_domains(step_t *step, bool far)
 {
 	dff_relay_t *relay = step->relay;
+	GByteArray *frame = make_summary(step, far);
 
-	make_summary(step);
 	for (guint i = 0; i < relay->peers->len; i++) {
 		peer_t *peer = relay->peers->pdata[i];
 
 		if (*peer->addr == '\0' || peer_is_direct(relay, peer) ||
 		    count_before(relay, peer) >= RELAYS_TOLD)
 			continue;
-		tell(step, peer, relay->summary);
+		tell(step, peer, frame);
 	}
 }
 
@@ -437,8 +499,8 @@
 tell_own(step_t *step, bool also_silent)
 {
 	dff_relay_t *relay = step->relay;
+	GByteArray *frame = make_own_frame(step);
 
-	make_own_frame(step);
 	for (guint i = 0; i < relay->peers->len; i++) {
 		peer_t *peer = relay->peers->pdata[i];
 
@@ -448,7 +510,7 @@
 		    (!also_silent || step->now - peer->told < SILENT_TELL))
 			continue;
 		peer->told = step->now;
-		tell(step, peer, relay->frame);
+		tell(step, peer, frame);
 	}
 }
 
@@ -461,13 +523,20 @@
 		return;
 	relay->tell_at = step->now + TELL_TOGETHER;
 	dff_timers_set(
-	    relay->timers, DFF_TIMER_MEMBER_TELL, 0, relay->tell_at);
+	    relay->timers, DFF_TIMER_MEMBER_TELL, TELL_OWN, relay->tell_at);
 }
 
 void
-beat_tell_sends(step_t *step)
+beat_tell_sends(step_t *step, uint64_t what)
 {
-	step->relay->tell_at = 0;
+	dff_relay_t *relay = step->relay;
+
+	if (what == TELL_FAR) {
+		relay->tell_far_at = 0;
+		tell_domains(step, true);
+		return;
+	}
+	relay->tell_at = 0;
 	tell_own(step, false);
 }
 
@@ -478,6 +547,8 @@
 
 	peers_sweep(relay, step->now);
 	tell_own(step, true);
-	if (beat_is_large(relay) && peers_is_relay(relay, step->now))
-		tell_domains(step);
+	if (!beat_is_large(relay) || !peers_is_relay(relay, step->now))
+		return;
+	tell_domains(step, false);
+	tell_domains(step, true);
 }
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -37,6 +37,7 @@
 	char *node; /* NULL before it was heard */
 	char domain[DFF_NAME_MAX]; /* "" if not known */
 	char records[DFF_ADDR_MAX];
+	uint32_t link_mbps; /* 0 if not known */
 	uint64_t incarnation;
 	uint64_t sequence;
 	uint64_t version;
@@ -142,12 +143,12 @@
 	GArray *summary_parts; /* those of the whole domain, at its relay */
 	GHashTable *suspects; /* content hash, boxed, to suspect_t */
 	GArray *broken_runs; /* broken_run_t, not yet put down to a crash */
-	GByteArray *frame; /* the last frame made */
-	GByteArray *summary; /* the last sum of this domain's loads */
+	GPtrArray *frames; /* GByteArray, those made in this step */
 	GByteArray *passing; /* bytes of the last DFF_RELAY_FX_PASS_DATA */
 	uint64_t next_send;
 	uint64_t sequence;
 	dff_time_t tell_at; /* sends are told then; 0 if none is new */
+	dff_time_t tell_far_at; /* the same of this domain's, elsewhere */
 	dff_time_t started;
 	dff_time_t heard; /* the record source answered, here or at a peer */
 	dff_time_t source_heard; /* it answered this node */
@@ -214,10 +215,10 @@
 void beat_send(step_t *step);
 /** beat_note_send() - a send with a prompt was begun: peers are told soon */
 void beat_note_send(step_t *step);
-void beat_tell_sends(step_t *step);
+void beat_tell_sends(step_t *step, uint64_t what);
 void beat_take(step_t *step, const dff_relay_beat_t *beat);
 void beat_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
-    dff_time_t now);
+    uint32_t link_mbps, dff_time_t now);
 uint32_t beat_peers_alive(const dff_relay_t *relay, dff_time_t now);
 bool beat_is_large(const dff_relay_t *relay);
 dff_time_t beat_interval(const dff_relay_t *relay);
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -67,7 +67,7 @@
 
 void
 beat_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
-    dff_time_t now)
+    uint32_t link_mbps, dff_time_t now)
 {
 	peer_t *peer = peers_find(relay, addr);
 
@@ -77,6 +77,8 @@
 		peer = add_peer(relay, addr);
 	if (*domain != '\0')
 		g_strlcpy(peer->domain, domain, sizeof(peer->domain));
+	if (link_mbps > 0)
+		peer->link_mbps = link_mbps;
 	peer->added = now;
 }
 
@@ -121,22 +123,23 @@
 }
 
 uint64_t
-peer_rank(const char *addr)
+peer_rank(const char *addr, uint32_t link_mbps)
 {
-	return dff_hash(addr, strlen(addr), 0);
+	return (uint64_t)link_mbps << 32 |
+	    (dff_hash(addr, strlen(addr), 0) & UINT32_MAX);
 }
 
 bool
 peers_is_relay(const dff_relay_t *relay, dff_time_t now)
 {
-	uint64_t own = peer_rank(relay->config.addr);
+	uint64_t own = peer_rank(relay->config.addr, relay->config.link_mbps);
 
 	for (guint i = 0; i < relay->peers->len; i++) {
 		const peer_t *peer = relay->peers->pdata[i];
 
 		if (peer_is_direct(relay, peer) &&
 		    peer_is_alive(relay, peer, now) &&
-		    peer_rank(peer->addr) > own)
+		    peer_rank(peer->addr, peer->link_mbps) > own)
 			return false;
 	}
 	return true;
@@ -145,7 +148,7 @@
 bool
 dff_relay_reads(const dff_relay_t *relay, dff_time_t now)
 {
-	uint64_t own = peer_rank(relay->config.addr);
+	uint64_t own = peer_rank(relay->config.addr, relay->config.link_mbps);
 	uint32_t before = 0;
 
 	for (guint i = 0; i < relay->peers->len; i++) {
@@ -155,7 +158,7 @@
 		    peer_is_alive(relay, peer, now) &&
 		    peer->source_heard != 0 &&
 		    now - peer->source_heard < READER_FRESH &&
-		    peer_rank(peer->addr) > own)
+		    peer_rank(peer->addr, peer->link_mbps) > own)
 			before++;
 	}
 	return before < READERS;
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -20,8 +20,8 @@
 /** peer_is_direct() - it gets this node's own frames */
 bool peer_is_direct(const dff_relay_t *relay, const peer_t *peer);
 
-/** peer_rank() - order among nodes by their addresses, the same everywhere */
-uint64_t peer_rank(const char *addr);
+/** peer_rank() - order among nodes, the same everywhere: fast links first */
+uint64_t peer_rank(const char *addr, uint32_t link_mbps);
 
 /** peers_is_relay() - this node speaks for its domain */
 bool peers_is_relay(const dff_relay_t *relay, dff_time_t now);
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -40,14 +40,18 @@
  * it is added to the time of the request itself. */
 #define REREAD_WEIGHT 1.0
 /* Fewer tokens than this are read sooner than fetched. */
-#define FETCH_TOKENS_MIN 400
+#define FETCH_TOKENS_MIN 150
 /* Set-up of a transfer between engines. */
 #define FETCH_TIME (6 * DFF_MSEC)
 /* Transfers take the links of two engines: this many times their time is
  * added to the time of the request itself. */
 #define FETCH_WEIGHT 1
-/* Advantage of a cold prompt's home. */
-#define HOME_BONUS (20 * DFF_MSEC)
+/* The same for what a hand-over moves; it also takes memory from what is
+ * kept there. */
+#define MOVE_WEIGHT 3
+/* Advantage of the home of a prompt that nobody is known to keep: share of
+ * the time that reading its shared parts would take. */
+#define HOME_SHARE 1.0
 
 void
 pace_init(pace_t *pace)
@@ -131,6 +135,17 @@
 	return dff_hash(&up->hash, sizeof(up->hash), chain);
 }
 
+/* Tokens of the parts that other requests may have, too. */
+static uint32_t
+shared_tokens(const dff_prompt_t *prompt)
+{
+	uint32_t tokens = 0;
+
+	for (uint32_t i = 0; i + 1 < prompt->count; i++)
+		tokens += prompt->parts[i].tokens;
+	return tokens;
+}
+
 static bool
 is_avoided(const place_ask_t *ask, dff_handle_t handle)
 {
@@ -295,10 +310,11 @@
 			home = one;
 		consider(best, &one);
 	}
-	/* A prompt that nobody keeps goes to its home if that is near best. */
-	if (home.handle != 0 && best->uncached == ask->prompt->tokens &&
-	    home.uncached == ask->prompt->tokens) {
-		home.cost -= HOME_BONUS;
+	/* Another node may have had it read at its home already. */
+	if (home.handle != 0 && donor.tokens == 0) {
+		up = upstreams_get(ups, home.handle);
+		home.cost -= (dff_time_t)(HOME_SHARE *
+		    (double)read_time(pace, up, shared_tokens(ask->prompt)));
 		consider(best, &home);
 	}
 }
@@ -327,7 +343,7 @@
 		    (double)read_time(pace, up,
 			(double)(up->backlog + up->peer_backlog)));
 		one.wait = way_time(up, ask) + one.ahead + move;
-		one.cost = one.wait + error_time(up, ask);
+		one.cost = one.wait + error_time(up, ask) + MOVE_WEIGHT * move;
 		one.tie = home_score(up, ask->prompt);
 		consider(best, &one);
 	}
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -49,8 +49,8 @@
 	relay->suspects = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, g_free);
 	relay->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
-	relay->frame = g_byte_array_new();
-	relay->summary = g_byte_array_new();
+	relay->frames = g_ptr_array_new_with_free_func(
+	    (GDestroyNotify)g_byte_array_unref);
 	relay->passing = g_byte_array_new();
 	relay->first_byte = dff_hist_new();
 	relay->whole = dff_hist_new();
@@ -78,8 +78,7 @@
 	g_array_unref(relay->summary_parts);
 	g_hash_table_unref(relay->suspects);
 	g_array_unref(relay->broken_runs);
-	g_byte_array_unref(relay->frame);
-	g_byte_array_unref(relay->summary);
+	g_ptr_array_unref(relay->frames);
 	g_byte_array_unref(relay->passing);
 	dff_hist_drop(relay->first_byte);
 	dff_hist_drop(relay->whole);
@@ -100,9 +99,9 @@
 
 void
 dff_relay_add_peer(dff_relay_t *relay, const char *addr, const char *domain,
-    dff_time_t now)
+    uint32_t link_mbps, dff_time_t now)
 {
-	beat_add_peer(relay, addr, domain, now);
+	beat_add_peer(relay, addr, domain, link_mbps, now);
 }
 
 void
@@ -247,7 +246,7 @@
 			take_beat_timer(step);
 			break;
 		case DFF_TIMER_MEMBER_TELL:
-			beat_tell_sends(step);
+			beat_tell_sends(step, due.subject);
 			break;
 		case DFF_TIMER_FLEET_TICK:
 			take_sweep_timer(step);
@@ -273,6 +272,7 @@
 
 	if (relay->started == 0)
 		relay->started = now;
+	g_ptr_array_set_size(relay->frames, 0);
 	run_timers(&step);
 	switch (event->type) {
 	case DFF_RELAY_WAKE:
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -53,7 +53,8 @@
 	    (send->step == DFF_STEP_PREFILL ? 0 : call->prompt.tokens_out);
 	up->backlog += send->backlog;
 	up->memory += send->memory;
-	for (uint32_t i = 0; i < call->prompt.count; i++)
+	/* The last part is the request's own; no other will ask for it. */
+	for (uint32_t i = 0; i + 1 < call->prompt.count; i++)
 		beat_note_part(step->relay, up, chain_hash(&call->prompt, i + 1),
 		    call->prompt.parts[i].tokens, step->now);
 	beat_note_send(step);
