--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -30,6 +30,8 @@
 #define RELAYS_TOLD 2
 /* Time between fetches of one feed: an answer takes some round trips. */
 #define FETCH_EVERY (150 * DFF_MSEC)
+/* Beats of silence after which another speaks for a node or a domain. */
+#define SUCCEED_BEATS 3
 /* Subjects of the timer that tells sends. */
 #define TELL_OWN 0
 #define TELL_FAR 1
@@ -164,13 +166,21 @@
 	}
 }
 
-/* Frames may overtake each other, and come twice when handed on. */
+/*
+ * Frames may overtake each other, and come twice when handed on. Another
+ * start of a node, or another relay of a domain, is heard once the one
+ * before has fallen silent: incarnations follow the time of day, which may
+ * jump, and two relays may speak at once while nodes find each other.
+ */
 static bool
-is_new(const peer_t *peer, const Dff__RelayBeat *beat)
+is_new(const dff_relay_t *relay, const peer_t *peer,
+    const Dff__RelayBeat *beat, dff_time_t now)
 {
-	return beat->incarnation != peer->incarnation ?
-	    beat->incarnation > peer->incarnation :
-	    beat->sequence > peer->sequence;
+	if (beat->incarnation == peer->incarnation)
+		return beat->sequence > peer->sequence;
+	if (!beat->summary && beat->incarnation > peer->incarnation)
+		return true;
+	return now - peer->heard > SUCCEED_BEATS * beat_interval(relay);
 }
 
 static void
@@ -186,7 +196,7 @@
 		    step->now);
 		peer = peers_find(relay, in->addr);
 	}
-	if (peer == NULL || !is_new(peer, beat))
+	if (peer == NULL || !is_new(relay, peer, beat, step->now))
 		return;
 	relay->counts[COUNT_BEATS_IN]++;
 	if (!peer_is_alive(relay, peer, step->now))
