--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -11,15 +11,15 @@
 #include "relay/peers.h"
 
 /* Sends that were begun within this time are told in one frame. */
-#define TELL_TOGETHER (15 * DFF_MSEC)
+#define TELL_TOGETHER (3 * DFF_MSEC)
 /* Silent peers are told more rarely, until they are forgotten. */
-#define SILENT_TELL (2 * DFF_SEC)
+#define SILENT_TELL (500 * DFF_MSEC)
 /* A part is told for so long: some beats, as frames get lost. */
 #define PART_TELL (450 * DFF_MSEC)
 /* A part that was told is not told again for so long. */
 #define PART_AGAIN (3 * DFF_SEC)
 /* Sends to other domains' upstreams are summed for so long. */
-#define TELL_FAR_TOGETHER (30 * DFF_MSEC)
+#define TELL_FAR_TOGETHER (12 * DFF_MSEC)
 /* Rows of one frame. */
 #define LOADS_MAX   80
 #define PARTS_MAX   100
--- /dev/null
+++ b/test/test_relay_events.c
@@ -0,0 +1,78 @@
+/*
+ * Whole events of a stream, wherever its bytes are cut.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay/parts.h"
+
+static size_t
+whole_of(const char *text, size_t len, int64_t *last)
+{
+	GByteArray *bytes = g_byte_array_new();
+	size_t whole;
+
+	g_byte_array_append(bytes, (const guint8 *)text, (guint)len);
+	whole = events_whole(bytes, last);
+	g_byte_array_unref(bytes);
+	return whole;
+}
+
+START_TEST(every_cut_gives_whole_events_only)
+{
+	const char *text = "x-weight-versions: 2\nid: 1\ndata: a\n\n"
+			   "id: 22\ndata: id: 7\n\n";
+	const size_t first = strlen("x-weight-versions: 2\nid: 1\ndata: a\n\n");
+	const size_t all = strlen(text);
+
+	for (size_t len = 0; len <= all; len++) {
+		int64_t last = -1;
+		size_t whole = whole_of(text, len, &last);
+		size_t want = len < first ? 0 : len < all ? first : all;
+
+		ck_assert_uint_eq(whole, want);
+		ck_assert_int_eq(
+		    last, want == 0 ? -1 : want == first ? 1 : 22);
+	}
+}
+END_TEST
+
+START_TEST(carriage_returns_end_events_too)
+{
+	const char *text = "id: 3\r\ndata: a\r\n\r\nid: 4\r\n";
+	int64_t last = -1;
+
+	ck_assert_uint_eq(whole_of(text, strlen(text), &last),
+	    strlen("id: 3\r\ndata: a\r\n\r\n"));
+	ck_assert_int_eq(last, 3);
+}
+END_TEST
+
+START_TEST(event_without_number_keeps_the_last)
+{
+	int64_t last = 5;
+
+	ck_assert_uint_eq(whole_of(": beat\n\n", 8, &last), 8);
+	ck_assert_int_eq(last, 5);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("relay_events");
+	TCase *tcase = tcase_create("relay_events");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, every_cut_gives_whole_events_only);
+	tcase_add_test(tcase, carriage_returns_end_events_too);
+	tcase_add_test(tcase, event_without_number_keeps_the_last);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
