Relay: long prompts find room; HTTP and load tests

test_relay_load found it: at twice the load that engines can read, long prompts were served 0.45 times as often as all.

--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -21,8 +21,9 @@
 #define PACE_TOKENS_MIN 1000
 /* An engine that decodes reads prompts at half the speed. */
 #define DECODE_READ_SHARE 0.5
-/* A hand-over: one more request and the transfer's set-up. */
-#define HANDOVER_TIME (12 * DFF_MSEC)
+/* A hand-over: one more request and the transfer's set-up, and some more, so
+ * that short prompts leave the engines that prefill to long ones. */
+#define HANDOVER_TIME (45 * DFF_MSEC)
 /* What one running request adds to the time of the next one's first token. */
 #define RUNNING_TIME (300 * DFF_USEC)
 /* Waiting for memory or a slot of a full engine. */
@@ -175,18 +176,21 @@
 	uint32_t tokens;
 } donor_t;
 
+static bool
+is_better(const best_t *one, const best_t *other)
+{
+	if (one->shunned != other->shunned)
+		return other->shunned;
+	if (one->cost != other->cost)
+		return one->cost < other->cost;
+	return one->tie > other->tie;
+}
+
 static void
 consider(best_t *best, const best_t *one)
 {
-	if (best->handle != 0) {
-		if (one->shunned != best->shunned) {
-			if (one->shunned)
-				return;
-		} else if (one->cost > best->cost ||
-		    (one->cost == best->cost && one->tie <= best->tie))
-			return;
-	}
-	*best = *one;
+	if (best->handle == 0 || is_better(one, best))
+		*best = *one;
 }
 
 static bool
@@ -381,10 +385,9 @@
 		return;
 	read.wait += decode.wait + HANDOVER_TIME;
 	read.ahead += decode.ahead;
-	if (whole.handle != 0 && whole.shunned == read.shunned &&
-	    whole.cost <= read.cost + decode.cost + HANDOVER_TIME)
-		return;
-	if (whole.handle != 0 && !whole.shunned && read.shunned)
+	read.cost += decode.cost + HANDOVER_TIME;
+	read.shunned |= decode.shunned;
+	if (whole.handle != 0 && !is_better(&read, &whole))
 		return;
 	set_place(place, &read, DFF_STEP_PREFILL);
 }
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -219,8 +219,8 @@
 }
 
 /*
- * Latest time that others' work may take ahead of it. What a long prompt
- * takes by itself does not count, or long prompts would never be served.
+ * Longest time that others' work may take ahead of it. What a long prompt
+ * takes by itself does not count, or it would never be served.
  */
 static dff_time_t
 queue_limit(const call_t *call)
@@ -284,7 +284,8 @@
 	if (call->sends == 0 && call->prompt.count > 0 &&
 	    place.ahead > queue_limit(call)) {
 		relay_call_give_up(step, call, DFF_TROUBLE_BUSY,
-		    time_to_return(step, place.ahead - queue_limit(call)),
+		    time_to_return(
+			step, place.ahead - queue_limit(call)),
 		    "queue");
 		return;
 	}
--- /dev/null
+++ b/test/test_process_h1.c
@@ -0,0 +1,582 @@
+/*
+ * HTTP/1.1 passed through: answers that are torn, extra, late, without
+ * length or early, and requests that are cut, doubled or smuggled.
+ */
+#include <check.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dragonflyfall/h1.h"
+#include "dragonflyfall/program.h"
+
+#define SERVER_PORT 18731
+#define SERVER_ADDR "127.0.0.1:18731"
+#define STUB_PORT   18732
+#define STUB_ADDR   "127.0.0.1:18732"
+
+static dff_ctx_t *ctx;
+static uv_loop_t loop;
+
+/* ---- a server that answers as told ---- */
+
+typedef enum stub_end { STUB_STAYS, STUB_CLOSES, STUB_RESETS } stub_end_t;
+
+typedef struct stub {
+	uv_tcp_t listener;
+	uv_tcp_t conns[8];
+	const char *answers[8]; /* one for each read, NULL for none */
+	stub_end_t end;
+	int count;
+	int reads;
+} stub_t;
+
+static stub_t stub;
+
+static void
+stub_write(uv_stream_t *stream, const char *text)
+{
+	uv_buf_t buf =
+	    uv_buf_init((char *)(uintptr_t)text, (unsigned)strlen(text));
+
+	ck_assert_int_eq(
+	    uv_try_write(stream, &buf, 1), (int)strlen(text));
+}
+
+static void
+stub_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	static char bytes[65536];
+
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+stub_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+	const char *answer;
+
+	(void)buf;
+	if (got < 0) {
+		if (!uv_is_closing((uv_handle_t *)stream))
+			uv_close((uv_handle_t *)stream, NULL);
+		return;
+	}
+	answer = stub.answers[stub.reads++];
+	if (answer == NULL)
+		return;
+	stub_write(stream, answer);
+	switch (stub.end) {
+	case STUB_STAYS:
+		break;
+	case STUB_CLOSES:
+		uv_close((uv_handle_t *)stream, NULL);
+		break;
+	case STUB_RESETS:
+		(void)uv_tcp_close_reset((uv_tcp_t *)stream, NULL);
+		break;
+	}
+}
+
+static void
+stub_connection(uv_stream_t *listener, int status)
+{
+	uv_tcp_t *tcp = &stub.conns[stub.count++];
+
+	ck_assert_int_eq(status, 0);
+	(void)uv_tcp_init(&loop, tcp);
+	ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)tcp), 0);
+	(void)uv_read_start((uv_stream_t *)tcp, stub_alloc, stub_read);
+}
+
+static void
+stub_start(stub_end_t end, const char *first, const char *second)
+{
+	struct sockaddr_in sa;
+
+	memset(&stub, 0, sizeof(stub));
+	stub.answers[0] = first;
+	stub.answers[1] = second;
+	stub.end = end;
+	(void)uv_tcp_init(&loop, &stub.listener);
+	(void)uv_ip4_addr("127.0.0.1", STUB_PORT, &sa);
+	ck_assert_int_eq(
+	    uv_tcp_bind(&stub.listener, (struct sockaddr *)&sa, 0), 0);
+	ck_assert_int_eq(uv_listen((uv_stream_t *)&stub.listener, 8,
+			     stub_connection), 0);
+}
+
+/* ---- the client under test ---- */
+
+typedef struct seen {
+	int status;
+	GString *body;
+	dff_h1c_end_t end;
+	bool ended;
+} seen_t;
+
+static void
+on_head(void *arg, const dff_h1_head_t *head)
+{
+	((seen_t *)arg)->status = head->status;
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+	g_string_append_len(((seen_t *)arg)->body, data, (gssize)len);
+}
+
+static void
+on_end(void *arg, dff_h1c_end_t end)
+{
+	seen_t *seen = arg;
+
+	ck_assert(!seen->ended);
+	seen->end = end;
+	seen->ended = true;
+}
+
+static const dff_h1c_handlers_t client_handlers = {on_head, on_data, on_end};
+
+static void
+run_until(const bool *done, dff_time_t time)
+{
+	dff_time_t end = dff_program_now() + time;
+
+	while (!*done && dff_program_now() < end) {
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(500);
+	}
+}
+
+static void
+ask(dff_h1c_t *client, const char *text, seen_t *seen)
+{
+	dff_h1c_call_t call = {.addr = STUB_ADDR,
+	    .peer = "stub",
+	    .echo_name = "X-Id",
+	    .echo_value = "7",
+	    .connect_time = 300 * DFF_MSEC};
+
+	memset(seen, 0, sizeof(*seen));
+	seen->body = g_string_new(NULL);
+	call.bytes = g_byte_array_new();
+	g_byte_array_append(
+	    call.bytes, (const guint8 *)text, (guint)strlen(text));
+	ck_assert_ptr_nonnull(
+	    dff_h1c_start(client, &call, &client_handlers, seen));
+	run_until(&seen->ended, DFF_SEC);
+}
+
+#define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static void
+expect(const char *answer, stub_end_t stub_end, dff_h1c_end_t end,
+    const char *body)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(stub_end, answer, NULL);
+	ask(client, REQUEST, &seen);
+	ck_assert(seen.ended);
+	ck_assert_int_eq(seen.end, end);
+	ck_assert_str_eq(seen.body->str, body);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+
+START_TEST(whole_answers_are_done)
+{
+	expect("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", STUB_STAYS,
+	    DFF_H1C_DONE, "ab");
+}
+END_TEST
+
+START_TEST(chunked_answers_are_done)
+{
+	expect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	       "2\r\nab\r\n0\r\n\r\n", STUB_STAYS, DFF_H1C_DONE, "ab");
+}
+END_TEST
+
+START_TEST(answer_without_length_ends_with_its_connection)
+{
+	expect("HTTP/1.1 200 OK\r\n\r\nab", STUB_CLOSES, DFF_H1C_DONE, "ab");
+}
+END_TEST
+
+START_TEST(answer_without_length_that_is_reset_is_broken)
+{
+	expect("HTTP/1.1 200 OK\r\n\r\nab", STUB_RESETS, DFF_H1C_BROKEN, "ab");
+}
+END_TEST
+
+START_TEST(torn_answers_are_broken)
+{
+	expect("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", STUB_CLOSES,
+	    DFF_H1C_BROKEN, "ab");
+}
+END_TEST
+
+START_TEST(torn_chunks_are_broken)
+{
+	expect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	       "9\r\nab", STUB_CLOSES, DFF_H1C_BROKEN, "ab");
+}
+END_TEST
+
+START_TEST(bytes_that_are_no_answer_are_broken)
+{
+	expect("\x01\x02garbage\r\n\r\n", STUB_STAYS, DFF_H1C_BROKEN, "");
+}
+END_TEST
+
+START_TEST(refused_connection_is_unsent)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	ask(client, REQUEST, &seen);
+	ck_assert(seen.ended);
+	ck_assert_int_eq(seen.end, DFF_H1C_UNSENT);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(answer_to_an_earlier_request_is_passed_over)
+{
+	expect("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold"
+	       "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nnew",
+	    STUB_STAYS, DFF_H1C_DONE, "new");
+}
+END_TEST
+
+START_TEST(kept_connection_is_used_again)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+	for (int i = 0; i < 2; i++) {
+		ask(client, REQUEST, &seen);
+		ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+		(void)g_string_free(seen.body, TRUE);
+	}
+	ck_assert_int_eq(stub.count, 1);
+	ck_assert_uint_eq(dff_h1c_opened(client), 1);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(connection_with_extra_bytes_is_not_used_again)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(STUB_STAYS,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+	for (int i = 0; i < 2; i++) {
+		ask(client, REQUEST, &seen);
+		ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+		ck_assert_str_eq(seen.body->str, i == 0 ? "a" : "b");
+		(void)g_string_free(seen.body, TRUE);
+	}
+	ck_assert_int_eq(stub.count, 2);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(connection_said_to_close_is_not_used_again)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(STUB_STAYS,
+	    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+	for (int i = 0; i < 2; i++) {
+		ask(client, REQUEST, &seen);
+		(void)g_string_free(seen.body, TRUE);
+	}
+	ck_assert_int_eq(stub.count, 2);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(cancelled_request_calls_nobody)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	dff_h1c_call_t call = {
+	    .addr = STUB_ADDR, .peer = "stub", .connect_time = DFF_SEC};
+	seen_t seen = {.body = g_string_new(NULL)};
+	dff_h1c_req_t *req;
+
+	stub_start(STUB_STAYS, NULL, NULL);
+	call.bytes = g_byte_array_new();
+	g_byte_array_append(
+	    call.bytes, (const guint8 *)REQUEST, sizeof(REQUEST) - 1);
+	req = dff_h1c_start(client, &call, &client_handlers, &seen);
+	run_until(&seen.ended, 50 * DFF_MSEC);
+	dff_h1c_cancel(req);
+	run_until(&seen.ended, 50 * DFF_MSEC);
+	ck_assert(!seen.ended);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+/* ---- the server under test ---- */
+
+typedef struct served {
+	dff_h1d_t *server;
+	dff_h1d_req_t *waiting;
+	int requests;
+	int gone;
+	bool hold; /* answer later */
+	char target[64];
+	guint body;
+} served_t;
+
+static served_t served;
+
+static void
+on_request(void *arg, dff_h1d_req_t *req)
+{
+	(void)arg;
+	served.requests++;
+	g_strlcpy(served.target, dff_h1d_head(req)->target,
+	    sizeof(served.target));
+	served.body = dff_h1d_body(req)->len;
+	if (served.hold)
+		served.waiting = req;
+	else
+		dff_h1d_answer(req, 200, "X-A: b\r\n", "ok", 2);
+}
+
+static void
+on_gone(void *arg, dff_h1d_req_t *req)
+{
+	(void)arg;
+	ck_assert_ptr_eq(req, served.waiting);
+	served.waiting = NULL;
+	served.gone++;
+}
+
+static void
+serve(void)
+{
+	static const dff_h1d_handlers_t handlers = {on_request, on_gone};
+	const dff_h1d_limits_t limits = {1024, 1000, 65536, 10 * DFF_SEC};
+
+	memset(&served, 0, sizeof(served));
+	ck_assert_int_eq(dff_h1d_new(ctx, &loop, SERVER_ADDR, &limits,
+			     &handlers, NULL, &served.server), 0);
+}
+
+/* Send bytes to the server; what comes back, until it closes or is quiet. */
+static void
+talk(const char *text, GString *back)
+{
+	struct sockaddr_in sa;
+	char bytes[4096];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	dff_time_t end;
+
+	(void)uv_ip4_addr("127.0.0.1", SERVER_PORT, &sa);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	ck_assert_int_eq(
+	    (int)send(fd, text, strlen(text), MSG_NOSIGNAL), (int)strlen(text));
+	end = dff_program_now() + 100 * DFF_MSEC;
+	while (dff_program_now() < end) {
+		ssize_t got;
+
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		got = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (got > 0)
+			g_string_append_len(back, bytes, got);
+		if (got == 0)
+			break;
+		g_usleep(500);
+	}
+	(void)close(fd);
+	for (int i = 0; i < 20; i++) {
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(500);
+	}
+}
+
+static int
+count_of(const GString *text, const char *word)
+{
+	int count = 0;
+
+	for (const char *at = text->str; (at = strstr(at, word)) != NULL; at++)
+		count++;
+	return count;
+}
+
+/* @requests reach the handler, and the answers begin with @first. */
+static void
+expect_served(const char *text, int requests, const char *first)
+{
+	GString *back = g_string_new(NULL);
+
+	serve();
+	talk(text, back);
+	ck_assert_int_eq(served.requests, requests);
+	ck_assert_msg(g_str_has_prefix(back->str, first), "%s", back->str);
+	dff_h1d_drop(served.server);
+	(void)g_string_free(back, TRUE);
+}
+
+START_TEST(target_and_body_come_byte_for_byte)
+{
+	expect_served("POST /a%2Fb//c?x=%20&y HTTP/1.1\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n", 1, "HTTP/1.1 200 ");
+	ck_assert_str_eq(served.target, "/a%2Fb//c?x=%20&y");
+	ck_assert_uint_eq(served.body, 4);
+}
+END_TEST
+
+START_TEST(pipelined_requests_are_answered_in_turn)
+{
+	expect_served(REQUEST REQUEST, 2, "HTTP/1.1 200 ");
+}
+END_TEST
+
+START_TEST(two_lengths_are_refused)
+{
+	expect_served("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+		      "Content-Length: 30\r\n\r\nab", 0, "HTTP/1.1 400 ");
+}
+END_TEST
+
+START_TEST(length_and_chunks_are_refused)
+{
+	expect_served("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" REQUEST,
+	    0, "HTTP/1.1 400 ");
+}
+END_TEST
+
+START_TEST(smuggled_request_is_a_body)
+{
+	expect_served("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 27\r\n\r\n"
+		      REQUEST, 1, "HTTP/1.1 200 ");
+}
+END_TEST
+
+START_TEST(limits_are_kept)
+{
+	GString *text = g_string_new("GET / HTTP/1.1\r\nHost: h\r\nX: ");
+
+	for (int i = 0; i < 2000; i++)
+		g_string_append_c(text, 'x');
+	g_string_append(text, "\r\n\r\n");
+	expect_served(text->str, 0, "HTTP/1.1 431 ");
+	(void)g_string_free(text, TRUE);
+	expect_served("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n"
+		      "\r\n", 0, "HTTP/1.1 413 ");
+}
+END_TEST
+
+START_TEST(caller_that_hangs_up_is_noticed)
+{
+	GString *back = g_string_new(NULL);
+
+	serve();
+	served.hold = true;
+	talk(REQUEST, back);
+	ck_assert_int_eq(served.requests, 1);
+	ck_assert_int_eq(served.gone, 1);
+	dff_h1d_drop(served.server);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
+START_TEST(leaving_server_closes_after_the_answer)
+{
+	GString *back = g_string_new(NULL);
+
+	serve();
+	dff_h1d_leave(served.server);
+	talk(REQUEST, back);
+	ck_assert_int_eq(count_of(back, "Connection: close"), 1);
+	ck_assert_int_eq(count_of(back, "ok"), 1);
+	dff_h1d_drop(served.server);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
+static void
+setup(void)
+{
+	ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
+	(void)uv_loop_init(&loop);
+}
+
+static void
+on_walk(uv_handle_t *handle, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void
+teardown(void)
+{
+	bool never = false;
+
+	uv_walk(&loop, on_walk, NULL);
+	run_until(&never, 20 * DFF_MSEC);
+	(void)uv_loop_close(&loop);
+	dff_ctx_drop(ctx);
+}
+
+int
+main(void)
+{
+	Suite *suite = suite_create("process_h1");
+	TCase *tcase = tcase_create("process_h1");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, whole_answers_are_done);
+	tcase_add_test(tcase, chunked_answers_are_done);
+	tcase_add_test(tcase, answer_without_length_ends_with_its_connection);
+	tcase_add_test(tcase, answer_without_length_that_is_reset_is_broken);
+	tcase_add_test(tcase, torn_answers_are_broken);
+	tcase_add_test(tcase, torn_chunks_are_broken);
+	tcase_add_test(tcase, bytes_that_are_no_answer_are_broken);
+	tcase_add_test(tcase, refused_connection_is_unsent);
+	tcase_add_test(tcase, answer_to_an_earlier_request_is_passed_over);
+	tcase_add_test(tcase, kept_connection_is_used_again);
+	tcase_add_test(tcase, connection_with_extra_bytes_is_not_used_again);
+	tcase_add_test(tcase, connection_said_to_close_is_not_used_again);
+	tcase_add_test(tcase, cancelled_request_calls_nobody);
+	tcase_add_test(tcase, target_and_body_come_byte_for_byte);
+	tcase_add_test(tcase, pipelined_requests_are_answered_in_turn);
+	tcase_add_test(tcase, two_lengths_are_refused);
+	tcase_add_test(tcase, length_and_chunks_are_refused);
+	tcase_add_test(tcase, smuggled_request_is_a_body);
+	tcase_add_test(tcase, limits_are_kept);
+	tcase_add_test(tcase, caller_that_hangs_up_is_noticed);
+	tcase_add_test(tcase, leaving_server_closes_after_the_answer);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/test/test_relay_load.c
@@ -0,0 +1,493 @@
+/*
+ * The relay under load: four relays before six engines that read prompts
+ * one after the other, in virtual time. Checked is what callers get.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake/relay_bench.h"
+
+#define RELAYS	4
+#define ENGINES 6
+#define PREFILL 2 /* the first engines; the others decode */
+#define CALLS	8192
+#define TICK	(2 * DFF_MSEC)
+/* Tokens that a prefill engine reads in one tick; others read half. */
+#define TICK_TOKENS 100.0
+/* Time from the first byte to the end of an answer. */
+#define ANSWER_TIME (200 * DFF_MSEC)
+#define AIM	    (300 * DFF_MSEC)
+/* Tokens of the shared part of each prompt. */
+#define SHARED 8000
+
+/* What an engine has to do for a send. */
+typedef struct job {
+	int relay;
+	uint64_t send;
+	dff_step_t step;
+	double tokens; /* still to be read */
+	dff_time_t ends; /* of its answer, once it began */
+} job_t;
+
+typedef struct engine {
+	GQueue queue; /* job_t that wait or are read */
+	GQueue answers; /* job_t whose answer has begun */
+	GHashTable *kept; /* shared parts */
+} engine_t;
+
+/* One request of a caller. */
+typedef struct asked {
+	dff_time_t at;
+	dff_time_t first; /* of its first byte; 0 before */
+	dff_time_t answered; /* by the relay itself; 0 if not */
+	int status;
+	uint64_t shared;
+	uint32_t own;
+} asked_t;
+
+typedef struct frame {
+	int from;
+	char addr[DFF_ADDR_MAX];
+	GByteArray *bytes;
+} frame_t;
+
+static relay_bench_t *relays[RELAYS];
+static engine_t engines[ENGINES];
+static asked_t asked[RELAYS][CALLS];
+static GQueue frames = G_QUEUE_INIT;
+static dff_time_t now;
+static GRand *dice;
+static double tokens_read;
+static double shared_read;
+
+static void take_effects(int relay);
+
+static int
+engine_of(const char *id)
+{
+	return atoi(id + 1);
+}
+
+static void
+setup(void)
+{
+	char addr[RELAYS][32];
+
+	memset(asked, 0, sizeof(asked));
+	now = 1000 * DFF_SEC;
+	dice = g_rand_new_with_seed(1);
+	tokens_read = 0;
+	shared_read = 0;
+	for (int i = 0; i < RELAYS; i++) {
+		(void)g_snprintf(addr[i], sizeof(addr[i]), "10.0.0.%d:7000", i);
+		relays[i] = relay_bench_new_as(addr[i], "a", addr[i], 100);
+		relay_bench_load_route(relays[i], 1);
+		for (int e = 0; e < ENGINES; e++) {
+			char id[8];
+
+			(void)g_snprintf(id, sizeof(id), "e%d", e);
+			relay_bench_upstream(relays[i], id, "llm",
+			    e < PREFILL ? DFF_ROLE_PREFILL : DFF_ROLE_DECODE,
+			    "a", 1);
+		}
+	}
+	for (int i = 0; i < RELAYS; i++) {
+		for (int k = 0; k < RELAYS; k++)
+			dff_relay_add_peer(
+			    relays[i]->relay, addr[k], "a", 100, now);
+	}
+	for (int e = 0; e < ENGINES; e++) {
+		g_queue_init(&engines[e].queue);
+		g_queue_init(&engines[e].answers);
+		engines[e].kept =
+		    g_hash_table_new(g_direct_hash, g_direct_equal);
+	}
+}
+
+static void
+free_frame(void *data)
+{
+	frame_t *frame = data;
+
+	g_byte_array_unref(frame->bytes);
+	g_free(frame);
+}
+
+static void
+teardown(void)
+{
+	for (int i = 0; i < RELAYS; i++)
+		relay_bench_drop(relays[i]);
+	for (int e = 0; e < ENGINES; e++) {
+		g_queue_clear_full(&engines[e].queue, g_free);
+		g_queue_clear_full(&engines[e].answers, g_free);
+		g_hash_table_unref(engines[e].kept);
+	}
+	g_queue_clear_full(&frames, free_frame);
+	g_rand_free(dice);
+}
+
+/* ---- engines ---- */
+
+static void
+enqueue(int relay, const dff_relay_send_t *send)
+{
+	const asked_t *call = &asked[relay][send->call];
+	engine_t *engine = &engines[engine_of(send->upstream)];
+	gpointer part = GUINT_TO_POINTER((guint)call->shared);
+	job_t *job = g_new0(job_t, 1);
+	bool kept = g_hash_table_contains(engine->kept, part);
+
+	for (int e = 0; e < ENGINES && send->donor[0] != '\0'; e++) {
+		char addr[DFF_ADDR_MAX];
+
+		(void)g_snprintf(addr, sizeof(addr), "10.9.0.%u:80", '0' + e);
+		if (strcmp(addr, send->donor) == 0)
+			kept |= g_hash_table_contains(engines[e].kept, part);
+	}
+	job->relay = relay;
+	job->send = send->send;
+	job->step = send->step;
+	if (send->step != DFF_STEP_DECODE) {
+		job->tokens = call->own + (kept ? 0 : SHARED);
+		tokens_read += job->tokens;
+		shared_read += kept ? 0 : SHARED;
+	}
+	(void)g_hash_table_add(engine->kept, part);
+	g_queue_push_tail(&engine->queue, job);
+}
+
+static void
+forget_job(GQueue *queue, int relay, uint64_t send)
+{
+	for (GList *link = queue->head; link != NULL; link = link->next) {
+		job_t *job = link->data;
+
+		if (job->relay != relay || job->send != send)
+			continue;
+		g_queue_delete_link(queue, link);
+		g_free(job);
+		return;
+	}
+}
+
+/* A job's prompt was read. */
+static void
+begin_answer(engine_t *engine, job_t *job)
+{
+	int relay = job->relay;
+	uint64_t send = job->send;
+	char handle[32];
+
+	if (job->step == DFF_STEP_PREFILL) {
+		g_free(job);
+		(void)g_snprintf(handle, sizeof(handle),
+		    "h%" G_GUINT64_FORMAT, send);
+		relay_bench_head(relays[relay], send, 200, false);
+		take_effects(relay);
+		relay_bench_end(relays[relay], send, DFF_SEND_DONE, handle);
+	} else {
+		job->ends = now + ANSWER_TIME;
+		g_queue_push_tail(&engine->answers, job);
+		relay_bench_head(relays[relay], send, 200, false);
+	}
+	take_effects(relay);
+}
+
+static void
+run_engine(int e)
+{
+	engine_t *engine = &engines[e];
+	double left = e < PREFILL ? TICK_TOKENS : TICK_TOKENS / 2;
+	job_t *job;
+
+	while ((job = g_queue_peek_head(&engine->queue)) != NULL) {
+		double part = MIN(left, job->tokens);
+
+		job->tokens -= part;
+		left -= part;
+		if (job->tokens > 0)
+			break;
+		(void)g_queue_pop_head(&engine->queue);
+		begin_answer(engine, job);
+	}
+	while ((job = g_queue_peek_head(&engine->answers)) != NULL &&
+	    job->ends <= now) {
+		int relay = job->relay;
+		uint64_t send = job->send;
+
+		(void)g_queue_pop_head(&engine->answers);
+		g_free(job);
+		relay_bench_end(relays[relay], send, DFF_SEND_DONE, NULL);
+		take_effects(relay);
+	}
+}
+
+/* ---- relays ---- */
+
+static void
+keep_frame(int relay, const dff_relay_frame_t *fx)
+{
+	frame_t *frame = g_new0(frame_t, 1);
+
+	frame->from = relay;
+	g_strlcpy(frame->addr, fx->addr, sizeof(frame->addr));
+	frame->bytes = g_byte_array_new();
+	g_byte_array_append(frame->bytes, fx->bytes, (guint)fx->len);
+	g_queue_push_tail(&frames, frame);
+}
+
+static void
+take_effect(int relay, const dff_relay_effect_t *fx)
+{
+	switch (fx->type) {
+	case DFF_RELAY_FX_SEND:
+		enqueue(relay, &fx->send);
+		break;
+	case DFF_RELAY_FX_CANCEL:
+		for (int e = 0; e < ENGINES; e++) {
+			forget_job(&engines[e].queue, relay, fx->cancel);
+			forget_job(&engines[e].answers, relay, fx->cancel);
+		}
+		break;
+	case DFF_RELAY_FX_ANSWER:
+		asked[relay][fx->answer.call].answered = now;
+		asked[relay][fx->answer.call].status = fx->answer.status;
+		break;
+	case DFF_RELAY_FX_PASS_HEAD:
+		asked[relay][fx->pass.call].first = now;
+		break;
+	case DFF_RELAY_FX_FRAME:
+		keep_frame(relay, &fx->frame);
+		break;
+	case DFF_RELAY_FX_PASS_DATA:
+	case DFF_RELAY_FX_PASS_END:
+	case DFF_RELAY_FX_BREAK:
+	case DFF_RELAY_FX_FREE:
+	case DFF_RELAY_FX_FORGET:
+	case DFF_RELAY_FX_FETCH:
+		break;
+	}
+}
+
+static void
+take_effects(int relay)
+{
+	GArray *fx = relays[relay]->fx;
+
+	relays[relay]->fx =
+	    g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
+	for (guint i = 0; i < fx->len; i++)
+		take_effect(relay, &g_array_index(fx, dff_relay_effect_t, i));
+	g_array_unref(fx);
+}
+
+static void
+deliver_frames(void)
+{
+	frame_t *frame;
+
+	while ((frame = g_queue_pop_head(&frames)) != NULL) {
+		int to = atoi(frame->addr + strlen("10.0.0."));
+		dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
+		char addr[32];
+
+		(void)g_snprintf(
+		    addr, sizeof(addr), "10.0.0.%d:7000", frame->from);
+		event.beat.addr = addr;
+		event.beat.bytes = frame->bytes->data;
+		event.beat.len = frame->bytes->len;
+		relay_bench_step(relays[to], &event);
+		take_effects(to);
+		free_frame(frame);
+	}
+}
+
+static void
+tick(void)
+{
+	const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
+
+	now += TICK;
+	for (int i = 0; i < RELAYS; i++) {
+		relays[i]->now = now;
+		if (dff_relay_wake(relays[i]->relay) > now)
+			continue;
+		relay_bench_step(relays[i], &wake);
+		take_effects(i);
+	}
+	deliver_frames();
+	for (int e = 0; e < ENGINES; e++)
+		run_engine(e);
+}
+
+static void
+ask(int relay, uint64_t shared, uint32_t own)
+{
+	uint64_t call = relays[relay]->next_call + 1;
+	asked_t *one = &asked[relay][call];
+
+	ck_assert_uint_lt(call, CALLS);
+	one->at = now;
+	one->shared = shared;
+	one->own = own;
+	(void)relay_bench_open_prompt(relays[relay], "/talk/x", shared, SHARED,
+	    1000000 + call * RELAYS + (uint64_t)relay, own);
+	take_effects(relay);
+}
+
+/*
+ * Requests for some time: @per_s in all, for one of @parts shared parts;
+ * most own parts have 500 tokens, one in ten 6,000.
+ */
+static void
+load(dff_time_t time, double per_s, int parts)
+{
+	dff_time_t end = now + time;
+
+	while (now < end) {
+		double chance = per_s * (double)TICK / DFF_SEC;
+
+		while (g_rand_double(dice) < chance) {
+			uint32_t own =
+			    g_rand_int_range(dice, 0, 10) == 0 ? 6000 : 500;
+
+			ask(g_rand_int_range(dice, 0, RELAYS),
+			    (uint64_t)g_rand_int_range(dice, 1, parts + 1),
+			    own);
+			chance -= 1;
+		}
+		tick();
+	}
+}
+
+typedef struct tally {
+	int asked;
+	int in_aim;
+	int late;
+	int refused;
+	int failed;
+	int long_asked;
+	int long_served;
+} tally_t;
+
+static void
+count(tally_t *tally)
+{
+	memset(tally, 0, sizeof(*tally));
+	for (int i = 0; i < RELAYS; i++) {
+		for (uint64_t c = 1; c <= relays[i]->next_call; c++) {
+			const asked_t *one = &asked[i][c];
+			bool served = one->first != 0;
+
+			tally->asked++;
+			tally->long_asked += one->own > 1000;
+			tally->long_served += served && one->own > 1000;
+			if (served && one->first - one->at <= AIM)
+				tally->in_aim++;
+			else if (served)
+				tally->late++;
+			else if (one->status == 503)
+				tally->refused++;
+			else
+				tally->failed++;
+		}
+	}
+}
+
+/* Load answered: shared parts that would take more time than there is if
+ * each request had them read. */
+START_TEST(shared_parts_are_read_about_once)
+{
+	tally_t tally;
+
+	load(20 * DFF_SEC, 60, 40);
+	load(2 * DFF_SEC, 0, 40);
+	count(&tally);
+	/* 40 parts; a few more where two nodes ask in the same moment. */
+	ck_assert_msg(shared_read <= 60.0 * SHARED, "read %.0f times",
+	    shared_read / SHARED);
+	ck_assert_msg(tally.in_aim >= 0.9 * tally.asked,
+	    "in aim %d of %d, late %d, refused %d", tally.in_aim, tally.asked,
+	    tally.late, tally.refused);
+	ck_assert_int_eq(tally.failed, 0);
+}
+END_TEST
+
+/* Load answered: twice what the engines can read. Who is let in is served,
+ * nearly always in time; who is not hears it at once. */
+START_TEST(overload_serves_in_time_what_it_lets_in)
+{
+	double capacity = (PREFILL + (ENGINES - PREFILL) / 2.0) * TICK_TOKENS *
+	    DFF_SEC / TICK;
+	double per_s = 2 * capacity / (0.9 * 500 + 0.1 * 6000);
+	tally_t tally;
+
+	load(3 * DFF_SEC, 60, 20);
+	load(8 * DFF_SEC, per_s, 20);
+	load(2 * DFF_SEC, 0, 20);
+	count(&tally);
+	ck_assert_int_eq(tally.failed, 0);
+	ck_assert_msg(tally.late <= 0.25 * tally.asked,
+	    "late %d of %d, in aim %d", tally.late, tally.asked, tally.in_aim);
+	ck_assert_msg(tally.in_aim >= 0.3 * tally.asked,
+	    "in aim %d of %d, late %d, refused %d", tally.in_aim, tally.asked,
+	    tally.late, tally.refused);
+	for (int i = 0; i < RELAYS; i++) {
+		for (uint64_t c = 1; c <= relays[i]->next_call; c++) {
+			const asked_t *one = &asked[i][c];
+
+			if (one->status == 503)
+				ck_assert_int_le(one->answered - one->at, TICK);
+		}
+	}
+	/* Long prompts are not starved. */
+	ck_assert_msg(2 * tally.long_served * tally.asked >=
+		(tally.in_aim + tally.late) * tally.long_asked,
+	    "long %d of %d, all %d of %d", tally.long_served, tally.long_asked,
+	    tally.in_aim + tally.late, tally.asked);
+}
+END_TEST
+
+/* Load answered: many requests at one moment, at several nodes. */
+START_TEST(burst_is_spread_over_the_engines)
+{
+	tally_t tally;
+	size_t longest = 0;
+
+	load(3 * DFF_SEC, 40, 4);
+	for (int i = 0; i < 24; i++) {
+		ask(i % RELAYS, (uint64_t)(i % 4 + 1), 500);
+		tick();
+	}
+	for (int e = 0; e < ENGINES; e++)
+		longest = MAX(longest, engines[e].queue.length);
+	ck_assert_uint_le(longest, 8);
+	load(2 * DFF_SEC, 0, 4);
+	count(&tally);
+	ck_assert_msg(tally.in_aim >= 0.95 * tally.asked, "in aim %d of %d",
+	    tally.in_aim, tally.asked);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("relay_load");
+	TCase *tcase = tcase_create("relay_load");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 300);
+	tcase_add_test(tcase, shared_parts_are_read_about_once);
+	tcase_add_test(tcase, overload_serves_in_time_what_it_lets_in);
+	tcase_add_test(tcase, burst_is_spread_over_the_engines);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
