--- a/include/dragonflyfall/relay_run.h
+++ b/include/dragonflyfall/relay_run.h
@@ -63,8 +63,8 @@
  * Return: 0 with @run set, which the caller drops, or a negative error
  * number.
  */
-int dff_run_new(dff_ctx_t *ctx, uv_loop_t *loop,
-    const dff_run_config_t *config, const dff_wire_t *wire, dff_run_t **run);
+int dff_run_new(dff_ctx_t *ctx, uv_loop_t *loop, const dff_run_config_t *config,
+    const dff_wire_t *wire, dff_run_t **run);
 
 /** dff_run_on_fetch() - whom to ask to get a feed's records from a peer */
 void dff_run_on_fetch(dff_run_t *run,
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -507,8 +507,8 @@
 	req->handlers = *handlers;
 	req->arg = arg;
 	req->bytes = call->bytes;
-	req->head_only = call->bytes->len > 5 &&
-	    memcmp(call->bytes->data, "HEAD ", 5) == 0;
+	req->head_only =
+	    call->bytes->len > 5 && memcmp(call->bytes->data, "HEAD ", 5) == 0;
 	req->echo_name = g_strdup(call->echo_name);
 	req->echo_value = g_strdup(call->echo_value);
 	h1c->handles++;
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -117,7 +117,8 @@
 	g_free(write);
 	if (conn->closing)
 		return;
-	if (status < 0 || (conn->last && conn->req == NULL && conn->unread == 0))
+	if (status < 0 ||
+	    (conn->last && conn->req == NULL && conn->unread == 0))
 		close_conn(conn);
 }
 
@@ -153,7 +154,8 @@
 static bool
 bears_no_body(int status)
 {
-	return status == 204 || status == 304 || (status >= 100 && status < 200);
+	return status == 204 || status == 304 ||
+	    (status >= 100 && status < 200);
 }
 
 void
@@ -166,11 +168,11 @@
 	if (conn->h1d->leaving)
 		conn->last = true;
 	req->begun = true;
-	req->no_body = bears_no_body(status) ||
-	    conn->reader.parser.method == HTTP_HEAD;
+	req->no_body =
+	    bears_no_body(status) || conn->reader.parser.method == HTTP_HEAD;
 	req->chunked = length < 0 && !req->no_body;
-	g_string_append_printf(
-	    head, "HTTP/1.1 %d %s\r\n%s", status, dff_h1_reason(status), fields);
+	g_string_append_printf(head, "HTTP/1.1 %d %s\r\n%s", status,
+	    dff_h1_reason(status), fields);
 	if (length >= 0 && !bears_no_body(status))
 		g_string_append_printf(
 		    head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
--- a/source/net/log_out.c
+++ b/source/net/log_out.c
@@ -69,8 +69,8 @@
 }
 
 static void
-add_line(dff_log_out_t *out, dff_level_t level, const char *part,
-    const char *text)
+add_line(
+    dff_log_out_t *out, dff_level_t level, const char *part, const char *text)
 {
 	static const char *const names[] = {[DFF_LOG_ERR] = "err",
 	    [DFF_LOG_WARNING] = "warning",
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -85,8 +85,7 @@
 
 	send->status = head->status;
 	send->fields = g_string_new(NULL);
-	send->length =
-	    length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
+	send->length = length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
 	for (guint i = 0; i < head->fields->len; i++) {
 		const dff_h1_field_t *field =
 		    &g_array_index(head->fields, dff_h1_field_t, i);
@@ -145,7 +144,8 @@
 		send->body->len, &event.end) < 0)
 		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
 		    "answer of a prefill cannot be read send=%" G_GUINT64_FORMAT
-		    " bytes=%u", number, send->body->len);
+		    " bytes=%u",
+		    number, send->body->len);
 	event.end.send = number;
 	dff_run_feed(run, &event);
 	(void)g_hash_table_remove(run->sends, &number);
@@ -402,8 +402,7 @@
 	if (dff_address_parse(frame->addr, &sa) < 0)
 		return;
 	/* A frame that cannot be sent now is made good by the next one. */
-	(void)uv_udp_try_send(
-	    &run->udp, &buf, 1, (const struct sockaddr *)&sa);
+	(void)uv_udp_try_send(&run->udp, &buf, 1, (const struct sockaddr *)&sa);
 }
 
 static void
@@ -429,8 +428,7 @@
 	if (got <= 0 || sa == NULL || sa->sa_family != AF_INET)
 		return;
 	(void)uv_ip4_name(in, ip, sizeof(ip));
-	(void)g_snprintf(
-	    addr, sizeof(addr), "%s:%d", ip, ntohs(in->sin_port));
+	(void)g_snprintf(addr, sizeof(addr), "%s:%d", ip, ntohs(in->sin_port));
 	event.beat.addr = addr;
 	event.beat.bytes = (const uint8_t *)buf->base;
 	event.beat.len = (size_t)got;
@@ -583,8 +581,8 @@
 	run->client = dff_h1c_new(ctx, loop);
 	run->calls =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	run->sends = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_send);
+	run->sends =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_send);
 	run->udp.data = run;
 	run->timer.data = run;
 	run->drain.data = run;
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -67,7 +67,8 @@
 
 	for (size_t i = 0; i < beat->n_kept; i++) {
 		const Dff__RelayKept *row = beat->kept[i];
-		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
+		upstream_t *up =
+		    upstreams_find(relay->upstreams, row->upstream);
 		const dff_pool_t *pool = NULL;
 
 		if (up == NULL)
@@ -86,8 +87,8 @@
 	dff_relay_t *relay = step->relay;
 
 	if (beat->source_age_ms != AGE_NEVER) {
-		peer->source_heard = step->now -
-		    (dff_time_t)beat->source_age_ms * DFF_MSEC;
+		peer->source_heard =
+		    step->now - (dff_time_t)beat->source_age_ms * DFF_MSEC;
 		relay_note_source(step, peer->source_heard);
 	}
 	g_strlcpy(peer->records, beat->records, sizeof(peer->records));
@@ -173,8 +174,8 @@
  * jump, and two relays may speak at once while nodes find each other.
  */
 static bool
-is_new(const dff_relay_t *relay, const peer_t *peer,
-    const Dff__RelayBeat *beat, dff_time_t now)
+is_new(const dff_relay_t *relay, const peer_t *peer, const Dff__RelayBeat *beat,
+    dff_time_t now)
 {
 	if (beat->incarnation == peer->incarnation)
 		return beat->sequence > peer->sequence;
@@ -192,8 +193,8 @@
 	if (beat->summary)
 		peer = peers_find_summary(relay, beat->node);
 	else {
-		beat_add_peer(relay, in->addr, beat->domain, beat->link_mbps,
-		    step->now);
+		beat_add_peer(
+		    relay, in->addr, beat->domain, beat->link_mbps, step->now);
 		peer = peers_find(relay, in->addr);
 	}
 	if (peer == NULL || !is_new(relay, peer, beat, step->now))
@@ -234,7 +235,8 @@
 	if (beat == NULL) {
 		relay->counts[COUNT_BEATS_BAD]++;
 		dff_log(step->ctx, DFF_LOG_WARNING, "peer",
-		    "frame cannot be read from=%s bytes=%zu", in->addr, in->len);
+		    "frame cannot be read from=%s bytes=%zu", in->addr,
+		    in->len);
 		return;
 	}
 	if (!beat->summary || strcmp(beat->domain, relay->config.domain) != 0)
@@ -260,10 +262,8 @@
 beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
     uint32_t tokens, dff_time_t now)
 {
-	told_part_t part = {.upstream = up->hash,
-	    .chain = chain,
-	    .tokens = tokens,
-	    .at = now};
+	told_part_t part = {
+	    .upstream = up->hash, .chain = chain, .tokens = tokens, .at = now};
 
 	add_told(relay->told_parts, &part);
 	if (beat_is_large(relay) && peers_is_relay(relay, now))
@@ -385,9 +385,9 @@
 	draft.beat.version =
 	    relay->routing != NULL ? relay->routing->version : 0;
 	if (relay->source_heard != 0)
-		draft.beat.source_age_ms = (uint32_t)MIN(
-		    (step->now - relay->source_heard) / DFF_MSEC,
-		    AGE_NEVER - 1);
+		draft.beat.source_age_ms =
+		    (uint32_t)MIN((step->now - relay->source_heard) / DFF_MSEC,
+			AGE_NEVER - 1);
 	draft.beat.n_marks = DFF_FEED_COUNT;
 	draft.beat.marks = relay->marks;
 	for (dff_handle_t h = 0;
@@ -401,8 +401,8 @@
 
 /* Take what other domains told of an upstream out of its sums. */
 static void
-take_out_domains(const dff_relay_t *relay, const upstream_t *up,
-    peer_load_t *sum)
+take_out_domains(
+    const dff_relay_t *relay, const upstream_t *up, peer_load_t *sum)
 {
 	for (guint i = 0; i < relay->peers->len; i++) {
 		const peer_t *peer = relay->peers->pdata[i];
--- a/source/relay/budget.h
+++ b/source/relay/budget.h
@@ -19,8 +19,8 @@
 void budget_drop(budget_t *budget);
 
 /** budget_set() - figures in force; @nodes share the slack */
-void budget_set(budget_t *budget, dff_time_t window, double ratio,
-    double slack, uint32_t nodes);
+void budget_set(budget_t *budget, dff_time_t window, double ratio, double slack,
+    uint32_t nodes);
 
 /** budget_note_request() - a caller's request for a pool arrived */
 void budget_note_request(budget_t *budget, const char *pool, dff_time_t now);
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -23,8 +23,8 @@
 	fx->answer.retry_after = retry_after;
 	step->relay->counts[COUNT_REFUSED]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
-	    "request refused on arrival id=%s status=%d why=%s version=%"
-	    G_GUINT64_FORMAT " host=%s target=%.48s",
+	    "request refused on arrival id=%s status=%d why=%s version=%" G_GUINT64_FORMAT
+	    " host=%s target=%.48s",
 	    open->id, status, why,
 	    step->relay->routing != NULL ? step->relay->routing->version : 0,
 	    open->host, open->target);
@@ -57,8 +57,8 @@
 	call->fate = DFF_FATE_UNSENT;
 	call->held = g_byte_array_new();
 	g_hash_table_insert(relay->by_number, &call->number, call);
-	dff_timers_set(relay->timers, DFF_TIMER_CALL_DEADLINE, handle,
-	    call->give_up);
+	dff_timers_set(
+	    relay->timers, DFF_TIMER_CALL_DEADLINE, handle, call->give_up);
 	return call;
 }
 
@@ -106,11 +106,10 @@
 	if (up == NULL || !upstream_is_listed(up, step->now))
 		return;
 	fx = relay_add_fx(step, DFF_RELAY_FX_FREE);
-	g_strlcpy(fx->release.upstream, up->news.id,
-	    sizeof(fx->release.upstream));
-	g_strlcpy(fx->release.addr, call->source, sizeof(fx->release.addr));
 	g_strlcpy(
-	    fx->release.handle, call->handle, sizeof(fx->release.handle));
+	    fx->release.upstream, up->news.id, sizeof(fx->release.upstream));
+	g_strlcpy(fx->release.addr, call->source, sizeof(fx->release.addr));
+	g_strlcpy(fx->release.handle, call->handle, sizeof(fx->release.handle));
 }
 
 static void
@@ -155,8 +154,7 @@
 			fx->answer.retry_after =
 			    CLAMP(retry_after, RETRY_MIN, RETRY_MAX);
 	}
-	step->relay
-	    ->counts[status == 503 ? COUNT_REFUSED : COUNT_FAILED]++;
+	step->relay->counts[status == 503 ? COUNT_REFUSED : COUNT_FAILED]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "request given up id=%s route=%s status=%d why=%s sends=%u "
 	    "runs=%u after_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT,
@@ -187,7 +185,8 @@
 	call_t *call = dff_table_get(step->relay->calls, handle);
 
 	if (call != NULL)
-		relay_call_give_up(step, call, DFF_TROUBLE_TIME, RETRY_MIN, "time");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_TIME, RETRY_MIN, "time");
 }
 
 void
--- a/source/relay/kept.c
+++ b/source/relay/kept.c
@@ -20,8 +20,8 @@
 	uint64_t hash = 0;
 
 	for (uint32_t i = 0; i < count; i++)
-		hash = dff_hash(&prompt->parts[i].id,
-		    sizeof(prompt->parts[i].id), hash);
+		hash = dff_hash(
+		    &prompt->parts[i].id, sizeof(prompt->parts[i].id), hash);
 	return hash;
 }
 
@@ -32,8 +32,8 @@
 	uint64_t hash = 0;
 
 	for (uint32_t i = 0; i < prompt->count; i++) {
-		hash = dff_hash(&prompt->parts[i].id,
-		    sizeof(prompt->parts[i].id), hash);
+		hash = dff_hash(
+		    &prompt->parts[i].id, sizeof(prompt->parts[i].id), hash);
 		if (!g_hash_table_contains(up->kept, &hash))
 			break;
 		tokens += prompt->parts[i].tokens;
@@ -90,8 +90,8 @@
 	uint64_t hash = 0;
 
 	for (uint32_t i = 0; i < prompt->count; i++) {
-		hash = dff_hash(&prompt->parts[i].id,
-		    sizeof(prompt->parts[i].id), hash);
+		hash = dff_hash(
+		    &prompt->parts[i].id, sizeof(prompt->parts[i].id), hash);
 		upstream_keep_part(
 		    up, hash, prompt->parts[i].tokens, capacity, now);
 	}
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -30,8 +30,9 @@
 		    "dff_relay_%s_seconds{quantile=\"%.2f\"} %.6f\n", name,
 		    quantiles[i],
 		    (double)dff_hist_quantile(hist, quantiles[i]) / DFF_SEC);
-	g_string_append_printf(text, "dff_relay_%s_seconds_count %"
-	    G_GUINT64_FORMAT "\n", name, (guint64)dff_hist_count(hist));
+	g_string_append_printf(text,
+	    "dff_relay_%s_seconds_count %" G_GUINT64_FORMAT "\n", name,
+	    (guint64)dff_hist_count(hist));
 }
 
 char *
@@ -41,16 +42,16 @@
 	const char *why;
 
 	for (int i = 0; i < COUNT_COUNT; i++)
-		g_string_append_printf(text, "dff_relay_%s_total %"
-		    G_GUINT64_FORMAT "\n", count_names[i],
-		    (guint64)relay->counts[i]);
+		g_string_append_printf(text,
+		    "dff_relay_%s_total %" G_GUINT64_FORMAT "\n",
+		    count_names[i], (guint64)relay->counts[i]);
 	add_hist(text, "first_byte", relay->first_byte);
 	add_hist(text, "whole", relay->whole);
 	add_hist(text, "prefill", relay->prefill);
 	g_string_append_printf(text,
 	    "dff_relay_ready %d\ndff_relay_calls %zu\ndff_relay_peers %u\n"
-	    "dff_relay_upstreams %zu\ndff_relay_routing_version %"
-	    G_GUINT64_FORMAT "\ndff_relay_source_age_seconds %.3f\n",
+	    "dff_relay_upstreams %zu\ndff_relay_routing_version %" G_GUINT64_FORMAT
+	    "\ndff_relay_source_age_seconds %.3f\n",
 	    dff_relay_ready(relay, now, &why), dff_relay_calls(relay),
 	    beat_peers_alive(relay, now), upstreams_count(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -232,8 +232,8 @@
 void suspect_note(step_t *step, const call_t *call);
 /** suspect_confirm() - an upstream crashed: whose runs broke off there? */
 void suspect_confirm(step_t *step, dff_handle_t upstream);
-void suspect_load(dff_relay_t *relay, uint64_t content, uint32_t count,
-    dff_time_t now);
+void suspect_load(
+    dff_relay_t *relay, uint64_t content, uint32_t count, dff_time_t now);
 bool suspect_is_poison(
     const dff_relay_t *relay, uint64_t content, dff_time_t now);
 void suspect_sweep(dff_relay_t *relay, dff_time_t now);
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -190,7 +190,8 @@
 	take_out_loads(relay, peer);
 	for (size_t i = 0; i < beat->n_loads; i++) {
 		const Dff__RelayLoad *row = beat->loads[i];
-		upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
+		upstream_t *up =
+		    upstreams_find(relay->upstreams, row->upstream);
 		peer_load_t load = {.upstream = row->upstream,
 		    .running = row->running,
 		    .backlog = row->backlog,
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -85,8 +85,7 @@
 
 	if (up->news.role == DFF_ROLE_DECODE)
 		speed *= DECODE_READ_SHARE;
-	return (dff_time_t)(
-	    tokens * up->slowness / speed * (double)DFF_MSEC);
+	return (dff_time_t)(tokens * up->slowness / speed * (double)DFF_MSEC);
 }
 
 /* Wait for a slot and for memory, beside what is read before. */
@@ -224,8 +223,8 @@
 
 /* Time to move @tokens of memory between two engines. */
 static dff_time_t
-move_time(const place_ask_t *ask, const upstream_t *from,
-    const upstream_t *to, uint32_t tokens)
+move_time(const place_ask_t *ask, const upstream_t *from, const upstream_t *to,
+    uint32_t tokens)
 {
 	double bits;
 	dff_time_t time;
@@ -234,7 +233,8 @@
 		return 0;
 	bits = (double)tokens * (double)ask->spec->token_bytes * 8;
 	time = (dff_time_t)(bits / ask->spec->link_mbps);
-	return strcmp(from->news.domain, to->news.domain) == 0 ? time : 2 * time;
+	return strcmp(from->news.domain, to->news.domain) == 0 ? time :
+								 2 * time;
 }
 
 /* Ties go to the engine that is nearest, then to the one with less work. */
@@ -285,8 +285,8 @@
 		cached = MIN(donor->tokens, tokens);
 	}
 	one->uncached = tokens - cached;
-	one->ahead = room_time(up, ask) + read_time(pace, up,
-	    (double)(up->backlog + up->peer_backlog));
+	one->ahead = room_time(up, ask) +
+	    read_time(pace, up, (double)(up->backlog + up->peer_backlog));
 	own = read_time(pace, up, one->uncached);
 	one->wait = way_time(up, ask) + one->ahead + own + fetch;
 	one->cost = one->wait + error_time(up, ask) +
@@ -325,8 +325,8 @@
 
 /* The engine that takes over memory made elsewhere. */
 static void
-place_decode(const upstreams_t *ups, const pace_t *pace,
-    const place_ask_t *ask, dff_handle_t source, dff_time_t now, best_t *best)
+place_decode(const upstreams_t *ups, const pace_t *pace, const place_ask_t *ask,
+    dff_handle_t source, dff_time_t now, best_t *best)
 {
 	const upstream_t *from = upstreams_get(ups, source);
 	upstream_t *up;
@@ -343,9 +343,10 @@
 		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
 		if (from != NULL)
 			move = move_time(ask, from, up, one.uncached);
-		one.ahead = room_time(up, ask) + (dff_time_t)(DECODE_AHEAD *
-		    (double)read_time(pace, up,
-			(double)(up->backlog + up->peer_backlog)));
+		one.ahead = room_time(up, ask) +
+		    (dff_time_t)(DECODE_AHEAD *
+			(double)read_time(pace, up,
+			    (double)(up->backlog + up->peer_backlog)));
 		one.wait = way_time(up, ask) + one.ahead + move;
 		one.cost = one.wait + error_time(up, ask) + MOVE_WEIGHT * move;
 		one.tie = home_score(up, ask->prompt);
@@ -400,8 +401,7 @@
 
 	memset(place, 0, sizeof(*place));
 	if (ask->prefilled_at != 0) {
-		place_decode(
-		    ups, pace, ask, ask->prefilled_at, now, &best);
+		place_decode(ups, pace, ask, ask->prefilled_at, now, &best);
 		set_place(place, &best, DFF_STEP_DECODE);
 	} else if (ask->prompt->count > 0)
 		place_generation(ups, pace, ask, now, place);
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -69,8 +69,7 @@
  * @tokens: tokens that it had to read, with those that were ahead
  * @took: time that it took, without the way there and back
  */
-void pace_learn(
-    pace_t *pace, upstream_t *up, uint32_t tokens, dff_time_t took);
+void pace_learn(pace_t *pace, upstream_t *up, uint32_t tokens, dff_time_t took);
 
 /** place_request() - choose; @place->upstream is 0 if nothing fits */
 void place_request(const upstreams_t *upstreams, const pace_t *pace,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -46,11 +46,11 @@
 	relay->peers = g_ptr_array_new();
 	relay->told_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
 	relay->summary_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
-	relay->suspects = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
+	relay->suspects =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	relay->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
-	relay->frames = g_ptr_array_new_with_free_func(
-	    (GDestroyNotify)g_byte_array_unref);
+	relay->frames =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->passing = g_byte_array_new();
 	relay->first_byte = dff_hist_new();
 	relay->whole = dff_hist_new();
@@ -146,8 +146,8 @@
 	relay->routing = dff_routing_keep(routing);
 	relay->changes++;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "routing",
-	    "routing in force version=%" G_GUINT64_FORMAT " before=%"
-	    G_GUINT64_FORMAT " routes=%u pools=%u",
+	    "routing in force version=%" G_GUINT64_FORMAT
+	    " before=%" G_GUINT64_FORMAT " routes=%u pools=%u",
 	    routing->version, old, routing->routes->len, routing->pools->len);
 }
 
@@ -174,8 +174,8 @@
 	relay->changes++;
 	up = upstreams_get(relay->upstreams, handle);
 	dff_log(step->ctx, DFF_LOG_NOTICE, "upstream",
-	    "upstream %s id=%s pool=%s addr=%s domain=%s role=%s born=%"
-	    G_GUINT64_FORMAT " seq=%" G_GUINT64_FORMAT,
+	    "upstream %s id=%s pool=%s addr=%s domain=%s role=%s born=%" G_GUINT64_FORMAT
+	    " seq=%" G_GUINT64_FORMAT,
 	    news_effect_name(effect), up->news.id, up->news.pool, up->news.addr,
 	    up->news.domain, dff_role_name(up->news.role),
 	    (guint64)up->news.born, (guint64)up->news.seq);
@@ -225,8 +225,8 @@
 
 	upstreams_sweep(relay->upstreams, step->now);
 	suspect_sweep(relay, step->now);
-	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, 0,
-	    step->now + SWEEP_EVERY);
+	dff_timers_set(
+	    relay->timers, DFF_TIMER_FLEET_TICK, 0, step->now + SWEEP_EVERY);
 }
 
 static void
--- a/source/relay/routing.c
+++ b/source/relay/routing.c
@@ -113,7 +113,8 @@
 	uint64_t at;
 
 	for (guint i = 0; i < route->shares->len; i++)
-		sum += g_array_index(route->shares, dff_route_share_t, i).weight;
+		sum +=
+		    g_array_index(route->shares, dff_route_share_t, i).weight;
 	at = sum > 0 ? hash % sum : 0;
 	for (guint i = 0; i < route->shares->len; i++) {
 		share = &g_array_index(route->shares, dff_route_share_t, i);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -23,9 +23,9 @@
 #define PATIENCE_SHARE 0.8
 /* Callers leave a stream after a gap of this length, or these multiples of
  * its aim and pause. */
-#define GAP_LEAVE	(2 * DFF_SEC)
-#define GAP_LEAVE_AIMS	4
-#define GAP_LEAVE_GAPS	8
+#define GAP_LEAVE      (2 * DFF_SEC)
+#define GAP_LEAVE_AIMS 4
+#define GAP_LEAVE_GAPS 8
 /* Share of its aim that a generation may wait for others' prompts: beyond,
  * it would be late for certain and make those behind it late. */
 #define QUEUE_SHARE 0.6
@@ -55,7 +55,8 @@
 	up->memory += send->memory;
 	/* The last part is the request's own; no other will ask for it. */
 	for (uint32_t i = 0; i + 1 < call->prompt.count; i++)
-		beat_note_part(step->relay, up, chain_hash(&call->prompt, i + 1),
+		beat_note_part(step->relay, up,
+		    chain_hash(&call->prompt, i + 1),
 		    call->prompt.parts[i].tokens, step->now);
 	beat_note_send(step);
 	upstream_keep(up, &call->prompt,
@@ -135,12 +136,12 @@
 	if (send->step == DFF_STEP_PREFILL)
 		late = MAX(PREFILL_LATE * send->predicted, PREFILL_LATE_MIN);
 	else if (call->route->kind == DFF_ROUTE_REPEATABLE && may_repeat(call))
-		late = (dff_time_t)(
-		    REPEAT_LATE_SHARE * (double)call->route->aim);
+		late =
+		    (dff_time_t)(REPEAT_LATE_SHARE * (double)call->route->aim);
 	else
 		return;
-	dff_timers_set(step->relay->timers, DFF_TIMER_TRY, call->self,
-	    step->now + late);
+	dff_timers_set(
+	    step->relay->timers, DFF_TIMER_TRY, call->self, step->now + late);
 }
 
 static void
@@ -176,15 +177,15 @@
 	g_strlcpy(fx->send.addr, up->news.addr, sizeof(fx->send.addr));
 	fx->send.step = place->step;
 	if (place->step == DFF_STEP_DECODE) {
-		g_strlcpy(fx->send.source, call->source,
-		    sizeof(fx->send.source));
-		g_strlcpy(fx->send.handle, call->handle,
-		    sizeof(fx->send.handle));
+		g_strlcpy(
+		    fx->send.source, call->source, sizeof(fx->send.source));
+		g_strlcpy(
+		    fx->send.handle, call->handle, sizeof(fx->send.handle));
 	}
 	donor = upstreams_get(relay->upstreams, place->donor);
 	if (donor != NULL)
-		g_strlcpy(fx->send.donor, donor->news.addr,
-		    sizeof(fx->send.donor));
+		g_strlcpy(
+		    fx->send.donor, donor->news.addr, sizeof(fx->send.donor));
 	fx->send.time_left = call->give_up - step->now - WAY_BACK;
 	fx->send.after_event = call->after_event;
 	fx->send.rank = call->route->rank;
@@ -261,11 +262,13 @@
 	place_t place;
 
 	if (call->give_up - step->now < TIME_LEFT_MIN) {
-		relay_call_give_up(step, call, DFF_TROUBLE_TIME, 0, "no_time_left");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_TIME, 0, "no_time_left");
 		return;
 	}
 	if (call->sends >= SENDS_MAX) {
-		relay_call_give_up(step, call, DFF_TROUBLE_BUSY, DFF_SEC, "sends");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_BUSY, DFF_SEC, "sends");
 		return;
 	}
 	fill_ask(step, call, &ask);
@@ -284,8 +287,7 @@
 	if (call->sends == 0 && call->prompt.count > 0 &&
 	    place.ahead > queue_limit(call)) {
 		relay_call_give_up(step, call, DFF_TROUBLE_BUSY,
-		    time_to_return(
-			step, place.ahead - queue_limit(call)),
+		    time_to_return(step, place.ahead - queue_limit(call)),
 		    "queue");
 		return;
 	}
@@ -348,8 +350,8 @@
 	if (strcmp(up->news.domain, step->relay->config.domain) != 0)
 		took -= 2 * step->relay->config.hop;
 	if (call->prompt.count > 0 && send->step != DFF_STEP_DECODE)
-		pace_learn(&step->relay->pace, up,
-		    send->ahead + send->uncached, took);
+		pace_learn(
+		    &step->relay->pace, up, send->ahead + send->uncached, took);
 }
 
 static bool
@@ -411,13 +413,14 @@
 	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
 		return;
 	if (call->fate == DFF_FATE_BEGUN && !call->route->resumable) {
-		pass(step, call, DFF_RELAY_FX_PASS_DATA, data->bytes,
-		    data->len);
+		pass(
+		    step, call, DFF_RELAY_FX_PASS_DATA, data->bytes, data->len);
 		return;
 	}
 	if (call->held->len + data->len > HELD_MAX) {
 		call->fate = MAX(call->fate, DFF_FATE_OPEN);
-		relay_call_give_up(step, call, DFF_TROUBLE_LOST, 0, "too_large");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_LOST, 0, "too_large");
 		return;
 	}
 	g_byte_array_append(
@@ -470,9 +473,9 @@
 
 	step->relay->counts[COUNT_BROKEN]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
-	    "send broke off id=%s upstream=%s step=%d head=%d after_ms=%"
-	    G_GINT64_FORMAT, call->id, send->id, (int)send->step,
-	    send->head_seen, (step->now - send->at) / DFF_MSEC);
+	    "send broke off id=%s upstream=%s step=%d head=%d after_ms=%" G_GINT64_FORMAT,
+	    call->id, send->id, (int)send->step, send->head_seen,
+	    (step->now - send->at) / DFF_MSEC);
 	if (up != NULL)
 		upstream_note_result(up, false);
 	avoid(call, send->upstream);
@@ -486,7 +489,8 @@
 		call->fate = DFF_FATE_OPEN;
 	call->handle[0] = '\0';
 	if (suspect_is_poison(step->relay, call->content, step->now)) {
-		relay_call_give_up(step, call, DFF_TROUBLE_LOST, 0, "breaks_upstreams");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_LOST, 0, "breaks_upstreams");
 		return;
 	}
 	try_again(step, call, DFF_TROUBLE_LOST, "broken");
@@ -583,7 +587,8 @@
 	}
 	if (!send->stamped || is_promise(send->status) || resumed_badly) {
 		uncount_send(step, call);
-		relay_call_give_up(step, call, DFF_TROUBLE_LOST, 0, "no_signature");
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_LOST, 0, "no_signature");
 		return;
 	}
 	pass_whole(step, call);
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -20,8 +20,8 @@
 	if (suspect != NULL)
 		return suspect;
 	suspect = g_new0(suspect_t, 1);
-	g_hash_table_insert(relay->suspects,
-	    g_memdup2(&content, sizeof(content)), suspect);
+	g_hash_table_insert(
+	    relay->suspects, g_memdup2(&content, sizeof(content)), suspect);
 	return suspect;
 }
 
@@ -55,15 +55,15 @@
 		suspect->count++;
 		suspect->last = step->now;
 		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-		    "upstream crashed during request content=%016"
-		    G_GINT64_MODIFIER "x crashes=%u", run.content,
-		    suspect->count);
+		    "upstream crashed during request content=%016" G_GINT64_MODIFIER
+		    "x crashes=%u",
+		    run.content, suspect->count);
 	}
 }
 
 void
-suspect_load(dff_relay_t *relay, uint64_t content, uint32_t count,
-    dff_time_t now)
+suspect_load(
+    dff_relay_t *relay, uint64_t content, uint32_t count, dff_time_t now)
 {
 	suspect_t *suspect = take_suspect(relay, content);
 
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -91,10 +91,10 @@
 	up->hash = upstream_hash(news->id);
 	up->gone_at = DFF_TIME_NEVER;
 	up->slowness = 1.0;
-	up->kept = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
-	g_hash_table_insert(ups->by_id, g_strdup(news->id),
-	    g_memdup2(&handle, sizeof(handle)));
+	up->kept =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	g_hash_table_insert(
+	    ups->by_id, g_strdup(news->id), g_memdup2(&handle, sizeof(handle)));
 	g_hash_table_insert(ups->by_hash, GUINT_TO_POINTER(up->hash), up);
 	return handle;
 }
@@ -200,8 +200,7 @@
 }
 
 dff_handle_t
-upstreams_next(
-    const upstreams_t *ups, dff_handle_t handle, upstream_t **row)
+upstreams_next(const upstreams_t *ups, dff_handle_t handle, upstream_t **row)
 {
 	return dff_table_next(ups->table, handle, (void **)row);
 }
