--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -89,7 +89,9 @@
 	if (beat->source_age_ms != AGE_NEVER) {
 		peer->source_heard =
 		    step->now - (dff_time_t)beat->source_age_ms * DFF_MSEC;
-		relay_note_source(step, peer->source_heard);
+		/* A node that does not read tells an age that only grows. */
+		if (step->now - peer->source_heard < READER_FRESH)
+			relay_note_source(step, peer->source_heard);
 	}
 	g_strlcpy(peer->records, beat->records, sizeof(peer->records));
 	for (size_t i = 0; i < beat->n_marks && i < DFF_FEED_COUNT; i++) {
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -15,8 +15,6 @@
 /* Nodes, of those that hear each other, that read the record source: one
  * more than needed, so that one may fail. */
 #define READERS 2
-/* A reader that did not read for so long does not count. */
-#define READER_FRESH DFF_SEC
 
 static void
 free_peer(peer_t *peer)
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -7,6 +7,9 @@
 #include "proto/dragonflyfall.pb-c.h"
 #include "relay/parts.h"
 
+/* A reader that did not read for so long does not count. */
+#define READER_FRESH DFF_SEC
+
 /** peers_find() - by address; NULL if unknown */
 peer_t *peers_find(const dff_relay_t *relay, const char *addr);
 
--- a/test/test_relay_beat.c
+++ b/test/test_relay_beat.c
@@ -205,6 +205,35 @@
 }
 END_TEST
 
+/*
+ * A node that starts hears first of one that read long ago, then of one that
+ * reads: that is no outage, and who is gone is gone at once.
+ */
+START_TEST(old_reader_is_no_outage)
+{
+	dff_relay_event_t gone = {.type = DFF_RELAY_UPSTREAM};
+
+	add_node("a", 1, 100);
+	add_node("a", 2, 100);
+	introduce();
+	hear_source(0);
+	pass_time(10 * DFF_SEC);
+	add_node("a", 3, 100);
+	nodes[2]->now = nodes[0]->now;
+	introduce();
+	pass_time(DFF_SEC);
+	hear_source(1);
+	pass_time(300 * DFF_MSEC);
+	relay_bench_upstream(nodes[2], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+	relay_bench_load_route(nodes[2], 1);
+	g_strlcpy(gone.upstream.id, "p1", sizeof(gone.upstream.id));
+	gone.upstream.gone = true;
+	relay_bench_step(nodes[2], &gone);
+	(void)relay_bench_open(nodes[2], "/order/x", 1);
+	ck_assert_int_eq(relay_bench_answer(nodes[2]), 503);
+}
+END_TEST
+
 START_TEST(change_is_fetched_from_the_peer_that_knows_it)
 {
 	const dff_relay_effect_t *fx = NULL;
@@ -357,6 +386,7 @@
 	tcase_add_test(tcase, two_nodes_read_for_all);
 	tcase_add_test(tcase, readers_without_source_are_replaced);
 	tcase_add_test(tcase, node_that_is_cut_off_reads_itself_and_is_stale);
+	tcase_add_test(tcase, old_reader_is_no_outage);
 	tcase_add_test(tcase, change_is_fetched_from_the_peer_that_knows_it);
 	tcase_add_test(tcase, sends_are_known_to_peers_within_20_ms);
 	tcase_add_test(tcase, sums_reach_other_domains_once);
