--- a/Makefile
+++ b/Makefile
@@ -107,7 +107,8 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(PLATFORM_TESTS:%=$(OUT)/%): $(OUT)/%: $(OUT)/platform/test/%.o \
-	$(PLATFORM_FAKE_OBJ) $(PLATFORM_OBJ) $(OUT)/libdffshell.a \
+	$(PLATFORM_FAKE_OBJ) $(PLATFORM_OBJ) $(OUT)/libdfffakes.a \
+	$(OUT)/libdffshell.a \
 	$(OUT)/libdragonflyfall.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS)
 
@@ -133,7 +134,11 @@
 # Each mechanism off, one by one: which proof fails?
 faults:
 	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios \
-	    build/fault/test_node build/fault/test_history
+	    build/fault/test_node build/fault/test_history \
+	    build/fault/test_relay build/fault/test_relay_upstreams \
+	    build/fault/test_relay_budget build/fault/test_relay_beat \
+	    build/fault/test_relay_load build/fault/test_relay_events \
+	    build/fault/test_process_h1 build/fault/test_platform_wire
 	test/faults build/fault
 
 lint:
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "base/fault.h"
 #include "net/address.h"
 #include "net/h1_head.h"
 
@@ -200,7 +201,7 @@
 {
 	const char *echo;
 
-	if (req->echo_name == NULL)
+	if (req->echo_name == NULL || DFF_FAULT(H1_STRAY_ANSWERS))
 		return false;
 	echo = dff_h1_field(head, req->echo_name);
 	return echo != NULL && strcmp(echo, req->echo_value) != 0;
@@ -271,7 +272,7 @@
 
 /* A whole answer stands: it ends the request unless it was another's. */
 static void
-take_answer(conn_t *conn, bool more)
+take_answer(conn_t *conn)
 {
 	dff_h1c_req_t *req = conn->req;
 	bool passed_over = conn->stray || conn->reader.head.status < 200;
@@ -284,8 +285,7 @@
 			fail_conn(conn);
 		return;
 	}
-	/* Bytes behind a whole answer belong to no request. */
-	if (conn->last || more || conn->strays > 0)
+	if (conn->last || conn->strays > 0)
 		close_conn(conn);
 	else
 		keep_conn(conn);
@@ -299,6 +299,7 @@
 	size_t used;
 
 	while (len > 0 && !conn->closing) {
+		/* Bytes behind a whole answer belong to no request. */
 		if (conn->req == NULL) {
 			close_conn(conn);
 			return;
@@ -314,7 +315,7 @@
 		http_parser_pause(parser, 0);
 		data += used;
 		len -= used;
-		take_answer(conn, len > 0);
+		take_answer(conn);
 	}
 }
 
@@ -341,7 +342,7 @@
 		close_conn(conn);
 		return;
 	}
-	if (is_reset(conn)) {
+	if (is_reset(conn) && !DFF_FAULT(H1_RESET_IS_END)) {
 		fail_conn(conn);
 		return;
 	}
@@ -354,7 +355,7 @@
 		return;
 	}
 	conn->last = true;
-	take_answer(conn, false);
+	take_answer(conn);
 }
 
 static void
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -8,6 +8,7 @@
  */
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/peers.h"
 
 /* Sends that were begun within this time are told in one frame. */
@@ -90,7 +91,8 @@
 		peer->source_heard =
 		    step->now - (dff_time_t)beat->source_age_ms * DFF_MSEC;
 		/* A node that does not read tells an age that only grows. */
-		if (step->now - peer->source_heard < READER_FRESH)
+		if (step->now - peer->source_heard < READER_FRESH ||
+		    DFF_FAULT(RELAY_OLD_READER))
 			relay_note_source(step, peer->source_heard);
 	}
 	g_strlcpy(peer->records, beat->records, sizeof(peer->records));
@@ -531,7 +533,7 @@
 {
 	dff_relay_t *relay = step->relay;
 
-	if (relay->tell_at != 0)
+	if (relay->tell_at != 0 || DFF_FAULT(RELAY_SENDS_UNTOLD))
 		return;
 	relay->tell_at = step->now + TELL_TOGETHER;
 	dff_timers_set(
--- a/source/relay/budget.c
+++ b/source/relay/budget.c
@@ -1,3 +1,4 @@
+#include "base/fault.h"
 #include "relay/budget.h"
 
 #include <string.h>
@@ -49,7 +50,7 @@
 	budget->length = MAX(window, DFF_SEC);
 	budget->ratio = ratio;
 	budget->slack = slack;
-	budget->nodes = MAX(nodes, 1);
+	budget->nodes = DFF_FAULT(RELAY_BUDGET_WHOLE) ? 1 : MAX(nodes, 1);
 }
 
 /* The window of a pool, moved on to @now. */
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/parts.h"
 
 /* When to come back while no routing is known: it is read within seconds. */
@@ -70,7 +71,8 @@
 	call_t *call;
 
 	relay->counts[COUNT_REQUESTS]++;
-	if (relay->stop_at != 0 && step->now - relay->stop_at > STOP_TAKES) {
+	if (relay->stop_at != 0 && step->now - relay->stop_at > STOP_TAKES &&
+	    !DFF_FAULT(RELAY_STOP_TAKES_ALL)) {
 		answer_open(step, open, 503, RETRY_MIN, "stopping");
 		return;
 	}
@@ -83,7 +85,8 @@
 		answer_open(step, open, 404, 0, "no_route");
 		return;
 	}
-	if (suspect_is_poison(relay, open->content, step->now)) {
+	if (suspect_is_poison(relay, open->content, step->now) &&
+	    !DFF_FAULT(RELAY_POISON_SERVED)) {
 		relay->counts[COUNT_POISON]++;
 		answer_open(step, open, 503, RETRY_MAX, "breaks_upstreams");
 		return;
@@ -139,7 +142,8 @@
 	int status;
 
 	/* What is under way may run, whether it is broken off or not. */
-	if (call->send.number != 0 && call->send.step != DFF_STEP_PREFILL)
+	if (call->send.number != 0 && call->send.step != DFF_STEP_PREFILL &&
+	    !DFF_FAULT(RELAY_UNDER_WAY_IS_UNSENT))
 		call->fate = MAX(call->fate, DFF_FATE_OPEN);
 	status = dff_relay_status(call->fate, trouble);
 	relay_send_cancel(step, call);
@@ -169,7 +173,7 @@
 {
 	call_t *call = g_hash_table_lookup(step->relay->by_number, &number);
 
-	if (call == NULL)
+	if (call == NULL || DFF_FAULT(RELAY_GONE_RUNS_ON))
 		return;
 	step->relay->counts[COUNT_GONE]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
--- a/source/relay/events.c
+++ b/source/relay/events.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/parts.h"
 
 /* The number of the last "id:" field in whole lines, or -1. */
@@ -41,6 +42,8 @@
 		    (i >= 3 && memcmp(text + i - 3, "\r\n\r", 3) == 0))
 			whole = i + 1;
 	}
+	if (DFF_FAULT(RELAY_PARTIAL_EVENTS))
+		whole = bytes->len;
 	id = whole > 0 ? last_id(text, whole) : -1;
 	if (id >= 0)
 		*last = id;
--- a/source/relay/kept.c
+++ b/source/relay/kept.c
@@ -3,6 +3,7 @@
  * that share most of their tokens, whose reading again would take more time
  * than the engines have.
  */
+#include "base/fault.h"
 #include "relay/upstream.h"
 
 /* Share of an engine's memory that kept parts are believed to get; what
@@ -31,6 +32,8 @@
 	uint32_t tokens = 0;
 	uint64_t hash = 0;
 
+	if (DFF_FAULT(RELAY_KEPT_FORGOTTEN))
+		return 0;
 	for (uint32_t i = 0; i < prompt->count; i++) {
 		hash = dff_hash(
 		    &prompt->parts[i].id, sizeof(prompt->parts[i].id), hash);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/parts.h"
 
 /* Defaults for a small fleet. */
@@ -140,7 +141,8 @@
 	dff_relay_t *relay = step->relay;
 	uint64_t old = relay->routing != NULL ? relay->routing->version : 0;
 
-	if (relay->routing != NULL && routing->version <= old)
+	if (relay->routing != NULL && routing->version <= old &&
+	    !DFF_FAULT(RELAY_VERSION_BACK))
 		return;
 	dff_routing_drop(relay->routing);
 	relay->routing = dff_routing_keep(routing);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/parts.h"
 
 /* Sends of one request, rejected and failed ones counted. */
@@ -122,7 +123,7 @@
 		return call->route->resumable &&
 		    call->runs < call->route->runs_max;
 	case DFF_ROUTE_ONCE:
-		return false;
+		return DFF_FAULT(RELAY_REPEAT_ONCE);
 	}
 	g_assert_not_reached();
 }
@@ -187,7 +188,8 @@
 		g_strlcpy(
 		    fx->send.donor, donor->news.addr, sizeof(fx->send.donor));
 	fx->send.time_left = call->give_up - step->now - WAY_BACK;
-	fx->send.after_event = call->after_event;
+	fx->send.after_event =
+	    DFF_FAULT(RELAY_RESUME_FROM_START) ? -1 : call->after_event;
 	fx->send.rank = call->route->rank;
 	fx->send.connect_time = CONNECT_TIME;
 	set_late_timer(step, call);
@@ -285,7 +287,7 @@
 		return;
 	}
 	if (call->sends == 0 && call->prompt.count > 0 &&
-	    place.ahead > queue_limit(call)) {
+	    place.ahead > queue_limit(call) && !DFF_FAULT(RELAY_ADMIT_ALL)) {
 		relay_call_give_up(step, call, DFF_TROUBLE_BUSY,
 		    time_to_return(step, place.ahead - queue_limit(call)),
 		    "queue");
@@ -383,7 +385,9 @@
 	dff_timers_cancel(step->relay->timers, DFF_TIMER_TRY, call->self);
 	if (is_good(send) && send->step == DFF_STEP_DECODE)
 		call->handle[0] = '\0';
-	if (is_good(send) && call->route->kind == DFF_ROUTE_STREAM)
+	if (is_good(send) &&
+	    (call->route->kind == DFF_ROUTE_STREAM ||
+		DFF_FAULT(RELAY_HALF_ANSWERS)))
 		begin_answer(step, call);
 }
 
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/upstream.h"
 
 /* How long a lost upstream's last record is remembered, so that an older
@@ -126,7 +127,8 @@
 {
 	if (up->gone_at != DFF_TIME_NEVER)
 		return NEWS_SAME;
-	if (now < settled_at && !up->news.leaving) {
+	if (now < settled_at && !up->news.leaving &&
+	    !DFF_FAULT(RELAY_MISSING_IS_GONE)) {
 		up->gone_at = settled_at;
 		return NEWS_MISSING;
 	}
@@ -140,7 +142,7 @@
 	bool was_leaving = up->news.leaving;
 	bool was_gone = up->gone_at <= now;
 
-	if (is_older(up, news))
+	if (is_older(up, news) && !DFF_FAULT(RELAY_OLD_RECORDS))
 		return NEWS_NOTHING;
 	if (news->born != up->news.born) {
 		restart(up, news);
@@ -221,7 +223,8 @@
 bool
 upstream_is_listed(const upstream_t *up, dff_time_t now)
 {
-	return !up->news.leaving && now < up->gone_at;
+	return (!up->news.leaving || DFF_FAULT(RELAY_LEAVING_SERVES)) &&
+	    now < up->gone_at;
 }
 
 bool
