--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 # Planted faults can be turned on, by name; for test/faults only.
 CFLAGS_fault = -O2 -include test/fake/fault.h
 LDFLAGS_fault = -Wl,-u,fault_is_on
+FAULT_OBJ_fault = $(OUT)/test/fake/fault.o
 
 CPPFLAGS += -Iinclude -Isource -I. -D_GNU_SOURCE -DH2O_USE_LIBUV=1
 CFLAGS += -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
@@ -67,13 +68,22 @@
 # Hand-written sources: what the formatter and the linters look at.
 SOURCES = $(filter-out source/proto/%,$(wildcard source/*/*.c source/*/*.h \
 	include/dragonflyfall/*.h platform/*.c platform/*.h platform/test/*.c \
-	platform/test/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
+	platform/test/*.h soak/*.c soak/*.h test/*.c test/*/*.c test/*/*.h bench/*.c \
 	bench/*.h))
 
-.PHONY: all edge deps check faults lint format demo bench capacity tests clean generate
+.PHONY: all edge soak deps check faults lint format demo bench capacity tests clean generate
 
 all: $(PROGRAMS)
 
+# A fault soak of real processes; SEEDS and SECONDS choose its length.
+$(OUT)/dff-soak: $(patsubst %.c,$(OUT)/%.o,$(wildcard soak/*.c)) \
+	$(PLATFORM_FAKE_OBJ) $(FAULT_OBJ_$(MODE)) $(OUT)/libdffshell.a \
+	$(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+soak: $(OUT)/dff-soak $(OUT)/dff-edge
+	soak/run $(OUT)
+
 # What deploy/system.toml builds.
 edge: $(OUT)/dff-edge
 
@@ -99,6 +109,7 @@
 $(OUT)/source/proto/%.o: CFLAGS += -Wno-unused-parameter
 
 $(OUT)/dff-edge: $(OUT)/platform/dff-edge.o $(PLATFORM_OBJ) \
+	$(FAULT_OBJ_$(MODE)) \
 	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
--- /dev/null
+++ b/soak/upstreams.c
@@ -0,0 +1,379 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak/soak.h"
+
+/* Time that a plain request takes at least, and at most. */
+#define RUN_MIN_MSEC 5
+#define RUN_MAX_MSEC 80
+/* Events of a stream, and the pause between them. */
+#define EVENTS	   8
+#define EVENT_MSEC 15
+/* A leaving upstream serves for so long, then its record goes. */
+#define LEAVE_TIME (2 * DFF_SEC)
+/* After this time from its word a leaving upstream may get no request: the
+ * platform's bound, and some for this program's own timers. */
+#define LEAVE_BOUND (2200 * DFF_MSEC)
+/* A fault counts for this long after its end, as on the platform. */
+#define TOUCH (3 * DFF_SEC)
+
+static double spoiled; /* share of answers that are lost or torn */
+
+/* A request that an upstream runs. */
+typedef struct job {
+	uv_timer_t timer;
+	soak_upstream_t *up;
+	soak_t *soak;
+	dff_h1d_req_t *req; /* NULL once its caller is gone */
+	char id[32];
+	int event;
+	int spoil; /* 0 well, 1 lost, 2 torn */
+	bool stream;
+} job_t;
+
+static const char *
+pool_of(int index)
+{
+	return index < 3 ? "plain" : index == 3 ? "other" : "llm";
+}
+
+static void
+on_job_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void
+end_job(job_t *job)
+{
+	if (job->req != NULL)
+		dff_h1d_set_data(job->req, 0);
+	uv_close((uv_handle_t *)&job->timer, on_job_closed);
+}
+
+static char *
+head_fields(const job_t *job)
+{
+	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Stamp: s-%s\r\n"
+			       "Keep-Alive: timeout=5\r\n",
+	    job->id, job->id);
+}
+
+static void
+answer_plain(job_t *job)
+{
+	char *fields = head_fields(job);
+	char *body = g_strdup_printf("answer to %s", job->id);
+	dff_h1d_req_t *req = job->req;
+
+	job->req = NULL;
+	switch (job->spoil) {
+	case 0:
+		dff_h1d_answer(req, 200, fields, body, strlen(body));
+		break;
+	case 1:
+		dff_h1d_abort(req);
+		break;
+	default:
+		dff_h1d_begin(req, 200, fields, 1000);
+		dff_h1d_write(req, body, strlen(body));
+		dff_h1d_abort(req);
+		break;
+	}
+	g_free(fields);
+	g_free(body);
+}
+
+static void
+on_event(job_t *job)
+{
+	char *text;
+
+	if (job->spoil != 0 && job->event == EVENTS / 2) {
+		dff_h1d_write(job->req, "id: ", 4);
+		dff_h1d_abort(job->req);
+		job->req = NULL;
+		end_job(job);
+		return;
+	}
+	job->event++;
+	text = g_strdup_printf("id: %d\ndata: %s\n\n", job->event, job->id);
+	dff_h1d_write(job->req, text, strlen(text));
+	g_free(text);
+	if (job->event < EVENTS)
+		return;
+	dff_h1d_set_data(job->req, 0);
+	dff_h1d_end(job->req);
+	job->req = NULL;
+	end_job(job);
+}
+
+static void
+on_job(uv_timer_t *timer)
+{
+	job_t *job = timer->data;
+
+	if (job->req == NULL)
+		end_job(job);
+	else if (job->stream)
+		on_event(job);
+	else {
+		answer_plain(job);
+		end_job(job);
+	}
+}
+
+/* A request begins to run: that counts against its kind. */
+static bool
+count_run(soak_t *soak, soak_upstream_t *up, const char *id, const char *path)
+{
+	attempt_t *attempt = callers_find(soak, id);
+	dff_time_t now = dff_program_now();
+
+	if (attempt == NULL) {
+		soak_fail(soak, "unasked id=%s upstream=%s", id, up->id);
+		return false;
+	}
+	attempt->runs++;
+	soak_note(soak, "runs id=%s upstream=%s path=%s", id, up->id, path);
+	if ((attempt->kind == KIND_ORDER || attempt->kind == KIND_TALK) &&
+	    attempt->runs > 1)
+		soak_fail(soak, "twice id=%s upstream=%s", id, up->id);
+	if (attempt->ended && attempt->status == 503)
+		soak_fail(soak, "runs after 'not run' id=%s", id);
+	if (up->leaving != 0 && now - up->leaving > LEAVE_BOUND &&
+	    attempt->sent - up->leaving > LEAVE_BOUND &&
+	    now - soak->store_disturbed > TOUCH &&
+	    now - soak->edges[attempt->edge].disturbed > TOUCH)
+		soak_fail(soak, "leaving upstream gets work id=%s upstream=%s",
+		    id, up->id);
+	if (attempt->kind == KIND_MOVE &&
+	    attempt->sent - soak->moved > LEAVE_BOUND &&
+	    now - soak->store_disturbed > TOUCH &&
+	    now - soak->edges[attempt->edge].disturbed > TOUCH &&
+	    (up->index == 3) != soak->moved_to_other)
+		soak_fail(soak, "old version id=%s upstream=%s", id, up->id);
+	return true;
+}
+
+static void
+start_job(soak_t *soak, soak_upstream_t *up, dff_h1d_req_t *req, const char *id)
+{
+	const char *last = dff_h1_field(dff_h1d_head(req), "Last-Event-Id");
+	job_t *job = g_new0(job_t, 1);
+	uint64_t first =
+	    (uint64_t)g_rand_int_range(soak->dice, RUN_MIN_MSEC, RUN_MAX_MSEC);
+	char *fields;
+
+	job->soak = soak;
+	job->up = up;
+	job->req = req;
+	job->stream = up->index >= 4;
+	job->event = last != NULL ? atoi(last) : 0;
+	g_strlcpy(job->id, id, sizeof(job->id));
+	if (g_rand_double(soak->dice) < spoiled)
+		job->spoil = g_rand_int_range(soak->dice, 1, 3);
+	job->timer.data = job;
+	dff_h1d_set_data(req, (uint64_t)(uintptr_t)job);
+	(void)uv_timer_init(&soak->loop, &job->timer);
+	(void)uv_timer_start(
+	    &job->timer, on_job, first, job->stream ? EVENT_MSEC : 0);
+	if (!job->stream)
+		return;
+	fields = head_fields(job);
+	dff_h1d_begin(req, 200, fields, -1);
+	g_free(fields);
+}
+
+static void
+on_request(void *arg, dff_h1d_req_t *req)
+{
+	soak_upstream_t *up = arg;
+	const dff_h1_head_t *head = dff_h1d_head(req);
+	const char *expected = dff_h1_field(head, "X-Expect-Instance");
+	const char *id = dff_h1_field(head, "X-Attempt-Id");
+	const char *stage = dff_h1_field(head, "X-Stage");
+	soak_t *soak = up->soak;
+
+	if (expected == NULL || strcmp(expected, up->id) != 0 || id == NULL) {
+		dff_h1d_answer(req, 421, "X-Not-Executed: 1\r\n", "", 0);
+		return;
+	}
+	if (g_rand_double(soak->dice) < spoiled / 2) {
+		dff_h1d_answer(req, 503, "X-Not-Executed: 1\r\n", "", 0);
+		return;
+	}
+	if (stage != NULL) {
+		char *text = g_strdup_printf(
+		    "{\"kvHandle\":\"h-%s\",\"tokens\":10,\"version\":1}", id);
+
+		dff_h1d_answer(req, 200, "", text, strlen(text));
+		g_free(text);
+		return;
+	}
+	if (strcmp(head->method, "DELETE") == 0)
+		dff_h1d_answer(req, 200, "", "", 0);
+	else if (count_run(soak, up, id, head->target))
+		start_job(soak, up, req, id);
+	else
+		dff_h1d_abort(req);
+}
+
+static void
+on_gone(void *arg, dff_h1d_req_t *req)
+{
+	job_t *job = (job_t *)(uintptr_t)dff_h1d_data(req);
+
+	(void)arg;
+	if (job != NULL)
+		job->req = NULL;
+}
+
+/* ---- records ---- */
+
+static void
+write_entry(soak_t *soak, soak_upstream_t *up)
+{
+	char *text = g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"%s\","
+	    "\"zone\":\"z\",\"version\":\"v\",\"capacitySlots\":16,"
+	    "\"state\":\"%s\",\"coldLeftMs\":0,%s\"seqNo\":%" G_GUINT64_FORMAT
+	    ",\"born\":%" G_GUINT64_FORMAT "}",
+	    pool_of(up->index), up->addr,
+	    up->leaving != 0 ? "draining" : "ready",
+	    up->index == 4    ? "\"stage\":\"prefill\"," :
+		up->index > 4 ? "\"stage\":\"decode\"," :
+				"",
+	    ++up->seq, up->born);
+
+	standin_put(soak->store, "keyed.servers", up->id, text);
+	g_free(text);
+}
+
+void
+config_write(soak_t *soak)
+{
+	static const char *const kinds[KIND_COUNT] = {"idempotent",
+	    "non_idempotent", "streaming", "streaming", "idempotent"};
+	static const char *const paths[KIND_COUNT] = {
+	    "read", "order", "talk", "resume", "move"};
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text,
+	    "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[",
+	    soak->version += 3);
+	for (int k = 0; k < KIND_COUNT; k++)
+		g_string_append_printf(text,
+		    "%s{\"name\":\"%s\",\"host\":"
+		    "\"h.example\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
+		    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"service\":"
+		    "\"%s\",\"maxAttempts\":2,\"resumable\":%s,"
+		    "\"sessionAffinity\":%s}",
+		    k > 0 ? "," : "", paths[k], paths[k], kinds[k],
+		    k == KIND_TALK || k == KIND_RESUME	       ? "llm" :
+			k == KIND_MOVE && soak->moved_to_other ? "other" :
+								 "plain",
+		    k == KIND_RESUME ? "true" : "false",
+		    k == KIND_TALK || k == KIND_RESUME ? "true" : "false");
+	g_string_append(text,
+	    "],\"services\":[{\"name\":\"plain\"},"
+	    "{\"name\":\"other\"},{\"name\":\"llm\",\"engineKind\":"
+	    "{\"capacitySlots\":16,\"kvCapacity\":100000,\"tokenKvBytes\":1000,"
+	    "\"linkMbps\":100000.0,\"handleTtlS\":5.0}}],\"limits\":{}}");
+	standin_put(soak->store, "keyed.op", "config", text->str);
+	soak->moved = dff_program_now();
+	soak_note(soak, "configuration version=%" G_GUINT64_FORMAT " other=%d",
+	    soak->version, soak->moved_to_other);
+	(void)g_string_free(text, TRUE);
+}
+
+void
+upstreams_start(soak_t *soak)
+{
+	static const dff_h1d_handlers_t handlers = {on_request, on_gone};
+	const dff_h1d_limits_t limits = {16384, 1 << 20, 1 << 20, 5 * DFF_SEC};
+
+	spoiled = 0;
+	for (int i = 0; i < UPSTREAMS; i++) {
+		soak_upstream_t *up = &soak->upstreams[i];
+		char to[32];
+
+		up->soak = soak;
+		up->index = i;
+		up->born = dff_program_wall_ms();
+		(void)g_snprintf(up->id, sizeof(up->id), "u%d-0", i);
+		(void)g_snprintf(up->addr, sizeof(up->addr), "127.%d.3.%d:9000",
+		    soak->net, i + 1);
+		(void)g_snprintf(
+		    to, sizeof(to), "127.%d.4.%d:9000", soak->net, i + 1);
+		if (dff_h1d_new(soak->ctx, &soak->loop, to, &limits, &handlers,
+			up, &up->server) < 0)
+			g_error("upstream cannot listen addr=%s", to);
+		up->proxy = proxy_new(soak, up->addr, to);
+		write_entry(soak, up);
+	}
+}
+
+/* A new start under a new id. */
+static void
+restart(soak_t *soak, soak_upstream_t *up)
+{
+	up->dead = false;
+	up->leaving = 0;
+	up->back_at = 0;
+	up->seq = 0;
+	up->born = dff_program_wall_ms();
+	(void)g_snprintf(up->id, sizeof(up->id), "u%d-%" G_GUINT64_FORMAT,
+	    up->index, up->born);
+	proxy_set(up->proxy, LINK_WELL);
+	soak_note(soak, "upstream starts id=%s", up->id);
+	write_entry(soak, up);
+}
+
+void
+upstreams_beat(soak_t *soak)
+{
+	dff_time_t now = dff_program_now();
+
+	for (int i = 0; i < UPSTREAMS; i++) {
+		soak_upstream_t *up = &soak->upstreams[i];
+
+		if (up->back_at != 0 && now >= up->back_at)
+			restart(soak, up);
+		else if (up->leaving != 0 &&
+		    now - up->leaving > 2 * LEAVE_TIME && up->back_at == 0) {
+			standin_put(soak->store, "keyed.servers", up->id, NULL);
+			up->back_at = now + DFF_SEC;
+		} else if (!up->dead && up->back_at == 0)
+			write_entry(soak, up);
+	}
+}
+
+void
+upstream_leave(soak_t *soak, soak_upstream_t *up)
+{
+	if (up->dead || up->leaving != 0)
+		return;
+	up->leaving = dff_program_now();
+	soak_note(soak, "upstream leaves id=%s", up->id);
+	write_entry(soak, up);
+}
+
+void
+upstream_crash(soak_t *soak, soak_upstream_t *up)
+{
+	if (up->dead || up->leaving != 0)
+		return;
+	up->dead = true;
+	up->back_at = dff_program_now() + 2 * DFF_SEC;
+	soak_note(soak, "upstream crashes id=%s", up->id);
+	proxy_set(up->proxy, LINK_REFUSED);
+	standin_put(soak->store, "keyed.servers", up->id, NULL);
+}
+
+void
+upstream_spoil(soak_t *soak, double share)
+{
+	spoiled = share;
+	soak_note(soak, "answers spoiled share=%.2f", share);
+}
--- /dev/null
+++ b/source/net/h1_conn.c
@@ -0,0 +1,389 @@
+#include "net/h1_conn.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "base/fault.h"
+
+/* Longest time that written bytes may stay without acknowledgement. */
+#define UNACKED_MSEC 2500
+/* Share of the time a server said, in percent: it closes by its own clock. */
+#define KEEP_PERCENT 70
+/* Answers to earlier requests that may come before the one that is due. */
+#define STRAY_MAX 4
+
+void
+h1_free_when_done(dff_h1c_t *h1c)
+{
+	if (h1c->dropped && h1c->handles == 0)
+		g_free(h1c);
+}
+
+/* ---- connections ---- */
+
+static void
+on_conn_closed(uv_handle_t *handle)
+{
+	conn_t *conn = (conn_t *)handle;
+	dff_h1c_t *h1c = conn->h1c;
+
+	h1_reader_clear(&conn->reader);
+	g_free(conn->key);
+	g_free(conn);
+	h1c->handles--;
+	h1_free_when_done(h1c);
+}
+
+void
+h1_conn_close(conn_t *conn)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->idle)
+		g_queue_unlink(&conn->h1c->idle, &conn->link);
+	conn->idle = false;
+	conn->req = NULL;
+	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void
+keep_conn(conn_t *conn)
+{
+	conn->req = NULL;
+	conn->idle = true;
+	conn->idle_since = uv_now(conn->h1c->loop);
+	conn->strays = 0;
+	g_queue_push_tail_link(&conn->h1c->idle, &conn->link);
+}
+
+/* ---- ends ---- */
+
+static void
+on_req_closed(uv_handle_t *handle)
+{
+	dff_h1c_req_t *req = handle->data;
+	dff_h1c_t *h1c = req->h1c;
+
+	if (req->bytes != NULL)
+		g_byte_array_unref(req->bytes);
+	g_free(req->echo_name);
+	g_free(req->echo_value);
+	g_free(req);
+	h1c->handles--;
+	h1_free_when_done(h1c);
+}
+
+void
+h1_req_drop(dff_h1c_req_t *req)
+{
+	g_queue_unlink(&req->h1c->reqs, &req->link);
+	uv_close((uv_handle_t *)&req->timer, on_req_closed);
+}
+
+static void
+on_end(uv_timer_t *timer)
+{
+	dff_h1c_req_t *req = timer->data;
+
+	req->cancelled = true;
+	h1_req_drop(req);
+	req->handlers.end(req->arg, req->end);
+}
+
+void
+h1_req_end(dff_h1c_req_t *req, dff_h1c_end_t end)
+{
+	req->conn = NULL;
+	req->ended = true;
+	req->end = end;
+	(void)uv_timer_start(&req->timer, on_end, 0, 0);
+}
+
+/* The connection failed; its request, if it has one, ends with it. */
+void
+h1_conn_fail(conn_t *conn)
+{
+	dff_h1c_req_t *req = conn->req;
+
+	h1_conn_close(conn);
+	if (req != NULL)
+		h1_req_end(req, req->sent ? DFF_H1C_BROKEN : DFF_H1C_UNSENT);
+}
+
+/* ---- reading ---- */
+
+static conn_t *
+conn_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t len)
+{
+	h1_reader_name(&conn_of(parser)->reader, at, len);
+	return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	h1_reader_value(&conn_of(parser)->reader, at, len);
+	return 0;
+}
+
+static bool
+is_stray(const dff_h1c_req_t *req, const dff_h1_head_t *head)
+{
+	const char *echo;
+
+	if (req->echo_name == NULL || DFF_FAULT(H1_STRAY_ANSWERS))
+		return false;
+	echo = dff_h1_field(head, req->echo_name);
+	return echo != NULL && strcmp(echo, req->echo_value) != 0;
+}
+
+/* "timeout=5" of a Keep-Alive field, or 0. */
+static uint64_t
+stated_keep_ms(const dff_h1_head_t *head)
+{
+	const char *text = dff_h1_field(head, "keep-alive");
+
+	text = text != NULL ? strcasestr(text, "timeout=") : NULL;
+	return text != NULL ? strtoull(text + 8, NULL, 10) * 1000 : 0;
+}
+
+static int
+on_head(http_parser *parser)
+{
+	conn_t *conn = conn_of(parser);
+	dff_h1_head_t *head = &conn->reader.head;
+	dff_h1c_req_t *req = conn->req;
+	uint64_t keep = stated_keep_ms(head);
+
+	head->status = parser->status_code;
+	if (keep > 0)
+		conn->keep_ms = keep * KEEP_PERCENT / 100;
+	if (parser->status_code < 200)
+		return 0;
+	if (req == NULL)
+		return -1;
+	if (is_stray(req, head)) {
+		conn->stray = true;
+		return 0;
+	}
+	req->handlers.head(req->arg, head);
+	return req->head_only ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	conn_t *conn = conn_of(parser);
+
+	if (conn->req != NULL && !conn->stray)
+		conn->req->handlers.data(conn->req->arg, at, len);
+	return 0;
+}
+
+static int
+on_message(http_parser *parser)
+{
+	conn_t *conn = conn_of(parser);
+
+	if (!http_should_keep_alive(parser) || parser->upgrade)
+		conn->last = true;
+	conn->whole = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_message,
+};
+
+/* A whole answer stands: it ends the request unless it was another's. */
+static void
+take_answer(conn_t *conn)
+{
+	dff_h1c_req_t *req = conn->req;
+	bool passed_over = conn->stray || conn->reader.head.status < 200;
+
+	conn->whole = false;
+	h1_reader_next(&conn->reader);
+	if (passed_over) {
+		conn->stray = false;
+		if (conn->last || ++conn->strays > STRAY_MAX)
+			h1_conn_fail(conn);
+		return;
+	}
+	if (conn->last || conn->strays > 0)
+		h1_conn_close(conn);
+	else
+		keep_conn(conn);
+	h1_req_end(req, DFF_H1C_DONE);
+}
+
+static void
+parse(conn_t *conn, const char *data, size_t len)
+{
+	http_parser *parser = &conn->reader.parser;
+	size_t used;
+
+	while (len > 0 && !conn->closing) {
+		/* Bytes behind a whole answer belong to no request. */
+		if (conn->req == NULL) {
+			h1_conn_close(conn);
+			return;
+		}
+		used = http_parser_execute(parser, &parser_settings, data, len);
+		if (conn->closing)
+			return;
+		if (!conn->whole) {
+			if (HTTP_PARSER_ERRNO(parser) != HPE_OK)
+				h1_conn_fail(conn);
+			return;
+		}
+		http_parser_pause(parser, 0);
+		data += used;
+		len -= used;
+		take_answer(conn);
+	}
+}
+
+/*
+ * libuv reports a reset that comes right behind data as an end of file; only
+ * the socket tells them apart.
+ */
+static bool
+is_reset(const conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
+/* The server will send no more; some answers end this way. */
+static void
+take_eof(conn_t *conn)
+{
+	if (conn->req == NULL) {
+		h1_conn_close(conn);
+		return;
+	}
+	if (is_reset(conn) && !DFF_FAULT(H1_RESET_IS_END)) {
+		h1_conn_fail(conn);
+		return;
+	}
+	(void)http_parser_execute(
+	    &conn->reader.parser, &parser_settings, NULL, 0);
+	if (conn->closing)
+		return;
+	if (!conn->whole) {
+		h1_conn_fail(conn);
+		return;
+	}
+	conn->last = true;
+	take_answer(conn);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	buf->len = 16384;
+	buf->base = g_malloc(buf->len);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+	conn_t *conn = (conn_t *)stream;
+
+	if (!conn->closing) {
+		if (got > 0)
+			parse(conn, buf->base, (size_t)got);
+		else if (got == UV_EOF)
+			take_eof(conn);
+		else if (got < 0)
+			h1_conn_fail(conn);
+	}
+	g_free(buf->base);
+}
+
+/* ---- writing ---- */
+
+static void
+on_written(uv_write_t *super, int status)
+{
+	write_req_t *write = (write_req_t *)super;
+	conn_t *conn = write->conn;
+
+	conn->writes--;
+	g_byte_array_unref(write->bytes);
+	g_free(write);
+	if (status < 0 && !conn->closing && !conn->idle)
+		h1_conn_fail(conn);
+	else if (status < 0)
+		h1_conn_close(conn);
+}
+
+void
+h1_conn_send(conn_t *conn)
+{
+	dff_h1c_req_t *req = conn->req;
+	write_req_t *write = g_new0(write_req_t, 1);
+	uv_buf_t buf;
+
+	(void)uv_timer_stop(&req->timer);
+	write->conn = conn;
+	write->bytes = g_steal_pointer(&req->bytes);
+	buf = uv_buf_init((char *)write->bytes->data, write->bytes->len);
+	req->sent = true;
+	if (uv_write(&write->super, (uv_stream_t *)&conn->tcp, &buf, 1,
+		on_written) == 0) {
+		conn->writes++;
+		return;
+	}
+	g_byte_array_unref(write->bytes);
+	g_free(write);
+	h1_conn_fail(conn);
+}
+
+void
+h1_conn_connected(uv_connect_t *connect, int status)
+{
+	conn_t *conn = connect->data;
+	unsigned unacked = UNACKED_MSEC;
+	uv_os_fd_t fd;
+
+	if (conn->closing)
+		return;
+	if (status < 0) {
+		h1_conn_fail(conn);
+		return;
+	}
+	conn->h1c->opened++;
+	(void)uv_tcp_nodelay(&conn->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+		    sizeof(unacked));
+	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0) {
+		h1_conn_fail(conn);
+		return;
+	}
+	h1_conn_send(conn);
+}
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -1,4 +1,4 @@
-#include "dragonflyfall/relay_run.h"
+#include "net/run_parts.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -13,238 +13,8 @@
 #define HEAD_MAX  ((size_t)16384)
 #define BODY_MAX  ((size_t)4 << 20)
 #define IDLE_TIME (15 * DFF_SEC)
-/* Longest time for a connection that frees memory. */
-#define FREE_CONNECT_TIME (300 * DFF_MSEC)
 /* Time between looks whether a stop is complete. */
 #define DRAIN_LOOK_MSEC 50
-/* Largest answer of a prefill. */
-#define PREFILL_MAX 4096
-
-struct dff_run {
-	dff_ctx_t *ctx;
-	uv_loop_t *loop;
-	dff_run_config_t config;
-	dff_wire_t wire;
-	dff_relay_t *relay;
-	dff_h1c_t *client;
-	dff_h1d_t *front;
-	dff_h1d_t *health;
-	uv_udp_t udp;
-	uv_timer_t timer;
-	uv_timer_t drain;
-	GHashTable *calls; /* number to run_call_t */
-	GHashTable *sends; /* number to run_send_t */
-	uint64_t next_call;
-	dff_time_t stop_at; /* 0 while it runs */
-	void (*done)(void *arg);
-	void *done_arg;
-	void (*fetch)(void *arg, const dff_relay_fetch_t *fetch);
-	void *fetch_arg;
-	bool ready; /* as last told */
-	char frame[65536];
-};
-
-/* A caller's request that has no final answer. */
-typedef struct run_call {
-	uint64_t number;
-	dff_h1d_req_t *req;
-} run_call_t;
-
-/* A send under way. */
-typedef struct run_send {
-	uint64_t number;
-	dff_run_t *run;
-	dff_h1c_req_t *req;
-	dff_step_t step;
-	int status;
-	GString *fields; /* what is passed on of the answer's head */
-	int64_t length; /* of the answer's body, -1 if not told */
-	GByteArray *body; /* of a prefill's answer */
-} run_send_t;
-
-static void
-free_send(void *data)
-{
-	run_send_t *send = data;
-
-	if (send->fields != NULL)
-		(void)g_string_free(send->fields, TRUE);
-	if (send->body != NULL)
-		g_byte_array_unref(send->body);
-	g_free(send);
-}
-
-/* ---- upstreams ---- */
-
-static void
-on_send_head(void *arg, const dff_h1_head_t *head)
-{
-	run_send_t *send = arg;
-	dff_relay_event_t event = {.type = DFF_RELAY_HEAD};
-	const char *length = dff_h1_field(head, "content-length");
-
-	send->status = head->status;
-	send->fields = g_string_new(NULL);
-	send->length = length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
-	for (guint i = 0; i < head->fields->len; i++) {
-		const dff_h1_field_t *field =
-		    &g_array_index(head->fields, dff_h1_field_t, i);
-
-		if (!dff_h1_is_hop(head, field->name))
-			g_string_append_printf(send->fields, "%s: %s\r\n",
-			    field->name, field->value);
-	}
-	event.head.status = head->status;
-	send->run->wire.decode_head(head, &event.head);
-	event.head.send = send->number;
-	dff_run_feed(send->run, &event);
-}
-
-static void
-on_send_data(void *arg, const char *data, size_t len)
-{
-	run_send_t *send = arg;
-	dff_relay_event_t event = {.type = DFF_RELAY_DATA};
-
-	if (send->step == DFF_STEP_PREFILL) {
-		if (send->body->len + len <= PREFILL_MAX)
-			g_byte_array_append(
-			    send->body, (const guint8 *)data, (guint)len);
-		return;
-	}
-	event.data.send = send->number;
-	event.data.bytes = data;
-	event.data.len = len;
-	dff_run_feed(send->run, &event);
-}
-
-static void
-on_send_end(void *arg, dff_h1c_end_t end)
-{
-	run_send_t *send = arg;
-	dff_run_t *run = send->run;
-	uint64_t number = send->number;
-	dff_relay_event_t event = {.type = DFF_RELAY_END};
-
-	send->req = NULL;
-	switch (end) {
-	case DFF_H1C_DONE:
-		event.end.how = DFF_SEND_DONE;
-		break;
-	case DFF_H1C_UNSENT:
-		event.end.how = DFF_SEND_UNSENT;
-		break;
-	case DFF_H1C_BROKEN:
-		event.end.how = DFF_SEND_BROKEN;
-		break;
-	}
-	if (send->step == DFF_STEP_PREFILL && end == DFF_H1C_DONE &&
-	    send->status == 200 &&
-	    run->wire.decode_prefill((const char *)send->body->data,
-		send->body->len, &event.end) < 0)
-		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
-		    "answer of a prefill cannot be read send=%" G_GUINT64_FORMAT
-		    " bytes=%u",
-		    number, send->body->len);
-	event.end.send = number;
-	dff_run_feed(run, &event);
-	(void)g_hash_table_remove(run->sends, &number);
-}
-
-static const dff_h1c_handlers_t send_handlers = {
-    .head = on_send_head,
-    .data = on_send_data,
-    .end = on_send_end,
-};
-
-static void
-start_send(dff_run_t *run, const dff_relay_send_t *fx)
-{
-	run_call_t *call = g_hash_table_lookup(run->calls, &fx->call);
-	dff_h1c_call_t http = {.addr = fx->addr,
-	    .peer = fx->upstream,
-	    .echo_name = run->wire.echo_field,
-	    .connect_time = fx->connect_time};
-	const dff_h1_head_t *head;
-	run_send_t *send;
-
-	if (call == NULL)
-		return;
-	head = dff_h1d_head(call->req);
-	http.echo_value = dff_h1_field(head, run->wire.echo_field);
-	send = g_new0(run_send_t, 1);
-	send->number = fx->send;
-	send->run = run;
-	send->step = fx->step;
-	send->body = g_byte_array_new();
-	g_hash_table_insert(run->sends, &send->number, send);
-	if (http.echo_value == NULL)
-		http.echo_name = NULL;
-	http.bytes = run->wire.encode_send(head, dff_h1d_body(call->req), fx);
-	send->req = dff_h1c_start(run->client, &http, &send_handlers, send);
-	if (send->req == NULL) {
-		dff_relay_event_t event = {.type = DFF_RELAY_END};
-
-		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
-		    "address cannot be understood upstream=%s addr=%s",
-		    fx->upstream, fx->addr);
-		event.end.send = fx->send;
-		event.end.how = DFF_SEND_UNSENT;
-		dff_run_feed(run, &event);
-		(void)g_hash_table_remove(run->sends, &fx->send);
-	}
-}
-
-static void
-cancel_send(dff_run_t *run, uint64_t number)
-{
-	run_send_t *send = g_hash_table_lookup(run->sends, &number);
-
-	/* None if this send has just ended. */
-	if (send == NULL || send->req == NULL)
-		return;
-	dff_h1c_cancel(send->req);
-	(void)g_hash_table_remove(run->sends, &number);
-}
-
-static void
-on_free_head(void *arg, const dff_h1_head_t *head)
-{
-	(void)arg;
-	(void)head;
-}
-
-static void
-on_free_data(void *arg, const char *data, size_t len)
-{
-	(void)arg;
-	(void)data;
-	(void)len;
-}
-
-static void
-on_free_end(void *arg, dff_h1c_end_t end)
-{
-	dff_run_t *run = arg;
-
-	if (end != DFF_H1C_DONE)
-		dff_log(run->ctx, DFF_LOG_INFO, "upstream",
-		    "memory of a prompt could not be freed; it lapses end=%d",
-		    (int)end);
-}
-
-static void
-free_memory(dff_run_t *run, const dff_relay_free_t *release)
-{
-	static const dff_h1c_handlers_t handlers = {
-	    .head = on_free_head, .data = on_free_data, .end = on_free_end};
-	dff_h1c_call_t http = {.addr = release->addr,
-	    .peer = release->upstream,
-	    .connect_time = FREE_CONNECT_TIME};
-
-	http.bytes = run->wire.encode_free(release);
-	(void)dff_h1c_start(run->client, &http, &handlers, run);
-}
 
 /* ---- callers ---- */
 
@@ -442,10 +212,10 @@
 {
 	switch (fx->type) {
 	case DFF_RELAY_FX_SEND:
-		start_send(run, &fx->send);
+		run_start_send(run, &fx->send);
 		break;
 	case DFF_RELAY_FX_CANCEL:
-		cancel_send(run, fx->cancel);
+		run_cancel_send(run, fx->cancel);
 		break;
 	case DFF_RELAY_FX_ANSWER:
 		answer_call(run, &fx->answer);
@@ -463,7 +233,7 @@
 		break_call(run, fx->call);
 		break;
 	case DFF_RELAY_FX_FREE:
-		free_memory(run, &fx->release);
+		run_free_memory(run, &fx->release);
 		break;
 	case DFF_RELAY_FX_FORGET:
 		dff_h1c_forget(run->client, fx->upstream);
@@ -581,8 +351,8 @@
 	run->client = dff_h1c_new(ctx, loop);
 	run->calls =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	run->sends =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_send);
+	run->sends = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, run_free_send);
 	run->udp.data = run;
 	run->timer.data = run;
 	run->drain.data = run;
--- /dev/null
+++ b/source/net/run_parts.h
@@ -0,0 +1,63 @@
+/*
+ * A running relay, shared by its callers' side and its upstreams' side.
+ */
+#ifndef DFF_NET_RUN_PARTS_H
+#define DFF_NET_RUN_PARTS_H
+
+#include "dragonflyfall/relay_run.h"
+
+struct dff_run {
+	dff_ctx_t *ctx;
+	uv_loop_t *loop;
+	dff_run_config_t config;
+	dff_wire_t wire;
+	dff_relay_t *relay;
+	dff_h1c_t *client;
+	dff_h1d_t *front;
+	dff_h1d_t *health;
+	uv_udp_t udp;
+	uv_timer_t timer;
+	uv_timer_t drain;
+	GHashTable *calls; /* number to run_call_t */
+	GHashTable *sends; /* number to run_send_t */
+	uint64_t next_call;
+	dff_time_t stop_at; /* 0 while it runs */
+	void (*done)(void *arg);
+	void *done_arg;
+	void (*fetch)(void *arg, const dff_relay_fetch_t *fetch);
+	void *fetch_arg;
+	bool ready; /* as last told */
+	char frame[65536];
+};
+
+/* A caller's request that has no final answer. */
+typedef struct run_call {
+	uint64_t number;
+	dff_h1d_req_t *req;
+} run_call_t;
+
+/* A send under way. */
+typedef struct run_send {
+	uint64_t number;
+	dff_run_t *run;
+	dff_h1c_req_t *req;
+	dff_step_t step;
+	int status;
+	GString *fields; /* what is passed on of the answer's head */
+	int64_t length; /* of the answer's body, -1 if not told */
+	GByteArray *body; /* of a prefill's answer */
+} run_send_t;
+
+/** run_free_send() - free a run_send_t */
+void run_free_send(void *data);
+
+/** run_start_send() - send as an effect says */
+void run_start_send(dff_run_t *run, const dff_relay_send_t *fx);
+
+/** run_cancel_send() - break a send off, if it is still under way */
+void run_cancel_send(dff_run_t *run, uint64_t number);
+
+/** run_free_memory() - tell an engine that its memory is not needed */
+void run_free_memory(dff_run_t *run, const dff_relay_free_t *release);
+
+#endif
--- /dev/null
+++ b/source/net/run_sends.c
@@ -0,0 +1,195 @@
+/*
+ * Sends of a running relay, from its effects to the connections.
+ */
+#include <string.h>
+
+#include "net/run_parts.h"
+
+/* Longest time for a connection that frees memory. */
+#define FREE_CONNECT_TIME (300 * DFF_MSEC)
+/* Largest answer of a prefill. */
+#define PREFILL_MAX 4096
+
+void
+run_free_send(void *data)
+{
+	run_send_t *send = data;
+
+	if (send->fields != NULL)
+		(void)g_string_free(send->fields, TRUE);
+	if (send->body != NULL)
+		g_byte_array_unref(send->body);
+	g_free(send);
+}
+
+/* ---- upstreams ---- */
+
+static void
+on_send_head(void *arg, const dff_h1_head_t *head)
+{
+	run_send_t *send = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_HEAD};
+	const char *length = dff_h1_field(head, "content-length");
+
+	send->status = head->status;
+	send->fields = g_string_new(NULL);
+	send->length = length != NULL ? g_ascii_strtoll(length, NULL, 10) : -1;
+	for (guint i = 0; i < head->fields->len; i++) {
+		const dff_h1_field_t *field =
+		    &g_array_index(head->fields, dff_h1_field_t, i);
+
+		if (!dff_h1_is_hop(head, field->name))
+			g_string_append_printf(send->fields, "%s: %s\r\n",
+			    field->name, field->value);
+	}
+	event.head.status = head->status;
+	send->run->wire.decode_head(head, &event.head);
+	event.head.send = send->number;
+	dff_run_feed(send->run, &event);
+}
+
+static void
+on_send_data(void *arg, const char *data, size_t len)
+{
+	run_send_t *send = arg;
+	dff_relay_event_t event = {.type = DFF_RELAY_DATA};
+
+	if (send->step == DFF_STEP_PREFILL) {
+		if (send->body->len + len <= PREFILL_MAX)
+			g_byte_array_append(
+			    send->body, (const guint8 *)data, (guint)len);
+		return;
+	}
+	event.data.send = send->number;
+	event.data.bytes = data;
+	event.data.len = len;
+	dff_run_feed(send->run, &event);
+}
+
+static void
+on_send_end(void *arg, dff_h1c_end_t end)
+{
+	run_send_t *send = arg;
+	dff_run_t *run = send->run;
+	uint64_t number = send->number;
+	dff_relay_event_t event = {.type = DFF_RELAY_END};
+
+	send->req = NULL;
+	switch (end) {
+	case DFF_H1C_DONE:
+		event.end.how = DFF_SEND_DONE;
+		break;
+	case DFF_H1C_UNSENT:
+		event.end.how = DFF_SEND_UNSENT;
+		break;
+	case DFF_H1C_BROKEN:
+		event.end.how = DFF_SEND_BROKEN;
+		break;
+	}
+	if (send->step == DFF_STEP_PREFILL && end == DFF_H1C_DONE &&
+	    send->status == 200 &&
+	    run->wire.decode_prefill((const char *)send->body->data,
+		send->body->len, &event.end) < 0)
+		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+		    "answer of a prefill cannot be read send=%" G_GUINT64_FORMAT
+		    " bytes=%u",
+		    number, send->body->len);
+	event.end.send = number;
+	dff_run_feed(run, &event);
+	(void)g_hash_table_remove(run->sends, &number);
+}
+
+static const dff_h1c_handlers_t send_handlers = {
+    .head = on_send_head,
+    .data = on_send_data,
+    .end = on_send_end,
+};
+
+void
+run_start_send(dff_run_t *run, const dff_relay_send_t *fx)
+{
+	run_call_t *call = g_hash_table_lookup(run->calls, &fx->call);
+	dff_h1c_call_t http = {.addr = fx->addr,
+	    .peer = fx->upstream,
+	    .echo_name = run->wire.echo_field,
+	    .connect_time = fx->connect_time};
+	const dff_h1_head_t *head;
+	run_send_t *send;
+
+	if (call == NULL)
+		return;
+	head = dff_h1d_head(call->req);
+	http.echo_value = dff_h1_field(head, run->wire.echo_field);
+	send = g_new0(run_send_t, 1);
+	send->number = fx->send;
+	send->run = run;
+	send->step = fx->step;
+	send->body = g_byte_array_new();
+	g_hash_table_insert(run->sends, &send->number, send);
+	if (http.echo_value == NULL)
+		http.echo_name = NULL;
+	http.bytes = run->wire.encode_send(head, dff_h1d_body(call->req), fx);
+	send->req = dff_h1c_start(run->client, &http, &send_handlers, send);
+	if (send->req == NULL) {
+		dff_relay_event_t event = {.type = DFF_RELAY_END};
+
+		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+		    "address cannot be understood upstream=%s addr=%s",
+		    fx->upstream, fx->addr);
+		event.end.send = fx->send;
+		event.end.how = DFF_SEND_UNSENT;
+		dff_run_feed(run, &event);
+		(void)g_hash_table_remove(run->sends, &fx->send);
+	}
+}
+
+void
+run_cancel_send(dff_run_t *run, uint64_t number)
+{
+	run_send_t *send = g_hash_table_lookup(run->sends, &number);
+
+	/* None if this send has just ended. */
+	if (send == NULL || send->req == NULL)
+		return;
+	dff_h1c_cancel(send->req);
+	(void)g_hash_table_remove(run->sends, &number);
+}
+
+static void
+on_free_head(void *arg, const dff_h1_head_t *head)
+{
+	(void)arg;
+	(void)head;
+}
+
+static void
+on_free_data(void *arg, const char *data, size_t len)
+{
+	(void)arg;
+	(void)data;
+	(void)len;
+}
+
+static void
+on_free_end(void *arg, dff_h1c_end_t end)
+{
+	dff_run_t *run = arg;
+
+	if (end != DFF_H1C_DONE)
+		dff_log(run->ctx, DFF_LOG_INFO, "upstream",
+		    "memory of a prompt could not be freed; it lapses end=%d",
+		    (int)end);
+}
+
+void
+run_free_memory(dff_run_t *run, const dff_relay_free_t *release)
+{
+	static const dff_h1c_handlers_t handlers = {
+	    .head = on_free_head, .data = on_free_data, .end = on_free_end};
+	dff_h1c_call_t http = {.addr = release->addr,
+	    .peer = release->upstream,
+	    .connect_time = FREE_CONNECT_TIME};
+
+	http.bytes = run->wire.encode_free(release);
+	(void)dff_h1c_start(run->client, &http, &handlers, run);
+}
