--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -8,7 +8,7 @@
 #include "relay/parts.h"
 
 /* A reader that did not read for so long does not count. */
-#define READER_FRESH DFF_SEC
+#define READER_FRESH (1300 * DFF_MSEC)
 
 /** peers_find() - by address; NULL if unknown */
 peer_t *peers_find(const dff_relay_t *relay, const char *addr);
