--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -172,7 +172,6 @@
  *	answer that bears another value belongs to an earlier request and is
  *	passed over
  * @echo_value: the value
- * @fresh: use a connection that has carried nothing yet
  * @connect_time: longest time for a connection to be made
  */
 typedef struct dff_h1c_call {
@@ -181,7 +180,6 @@
 	GByteArray *bytes;
 	const char *echo_name;
 	const char *echo_value;
-	bool fresh;
 	dff_time_t connect_time;
 } dff_h1c_call_t;
 
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -93,7 +93,7 @@
 	}
 	req = new_req(h1c, call, handlers, arg);
 	key = g_strdup_printf("%s %s", call->addr, call->peer);
-	req->conn = call->fresh ? NULL : take_kept(h1c, key);
+	req->conn = take_kept(h1c, key);
 	if (req->conn != NULL) {
 		req->conn->req = req;
 		h1_conn_send(req->conn);
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -121,6 +121,7 @@
 	char source[DFF_ADDR_MAX];
 	char handle[DFF_NAME_MAX];
 	uint32_t handle_tries;
+	dff_time_t handle_at; /* moment at which it was made */
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
 	send_t send;
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -97,6 +97,9 @@
 	dff_time_t wait = running * RUNNING_TIME;
 	double need;
 
+	/* Connections beyond an upstream's bound are reset. */
+	if (ask->sends_max > 0 && up->running >= ask->sends_max)
+		wait += FULL_TIME;
 	if (running >= slots)
 		wait += FULL_TIME * (running - slots + 1) / slots + FULL_TIME;
 	if (ask->spec == NULL || ask->spec->kv_tokens == 0)
@@ -215,6 +218,8 @@
 		one.shunned = !upstream_takes_work(up, now);
 		one.wait = way_time(up, ask) +
 		    running * PLAIN_TIME / MAX(up->news.slots, 1);
+		if (ask->sends_max > 0 && up->running >= ask->sends_max)
+			one.wait += FULL_TIME;
 		one.cost = one.wait + error_time(up, ask);
 		one.tie = home_score(up, ask->prompt);
 		consider(best, &one);
@@ -237,7 +242,7 @@
 								 2 * time;
 }
 
-/* Ties go to the engine that is nearest, then to the one with less work. */
+/* Among equals one of this domain is taken. */
 static void
 find_donor(const upstreams_t *ups, const place_ask_t *ask, dff_time_t now,
     donor_t *donor)
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -17,6 +17,8 @@
  * @prompt: prompt; a count of 0 for a plain request
  * @hop: one-way time to another failure domain
  * @far: by how much an upstream of another domain must look better
+ * @sends_max: sends at once that this node may have at one upstream; 0 for
+ *	no bound
  * @avoid: handles of upstreams that are not to get it
  * @avoid_count: how many
  * @whole_only: no prefill elsewhere
@@ -30,6 +32,7 @@
 	const dff_prompt_t *prompt;
 	dff_time_t hop;
 	dff_time_t far;
+	uint32_t sends_max;
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
 	bool whole_only;
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -237,6 +237,7 @@
 	g_strlcpy(call->source, send->addr, sizeof(call->source));
 	g_strlcpy(call->handle, end->handle, sizeof(call->handle));
 	call->handle_tries = 0;
+	call->handle_at = step->now;
 	call->avoid_count = 0;
 	if (call->fate < DFF_FATE_PREFILLED)
 		call->fate = DFF_FATE_PREFILLED;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -237,6 +237,9 @@
 	ask->spec = call->spec;
 	ask->prompt = &call->prompt;
 	ask->hop = step->relay->config.hop;
+	if (call->spec != NULL && call->spec->conns_max > 0)
+		ask->sends_max = MAX(
+		    call->spec->conns_max / (step->relay->peers->len + 1), 1);
 	ask->far = beat_is_large(step->relay) ? FAR_TIME : 0;
 	memcpy(ask->avoid, call->avoid, sizeof(ask->avoid));
 	ask->avoid_count = call->avoid_count;
@@ -251,6 +254,16 @@
 	return over + (dff_time_t)(dff_rand_unit(step->ctx) * (double)over / 2);
 }
 
+/* Memory that has lapsed at its engine is not asked for. */
+static void
+drop_lapsed_handle(const step_t *step, call_t *call)
+{
+	dff_time_t life = call->spec != NULL ? call->spec->handle_life : 0;
+
+	if (life > 0 && step->now - call->handle_at >= life)
+		call->handle[0] = '\0';
+}
+
 void
 relay_send_place(step_t *step, call_t *call)
 {
@@ -260,6 +273,7 @@
 	place_ask_t ask;
 	place_t place;
 
+	drop_lapsed_handle(step, call);
 	if (call->give_up - step->now < TIME_LEFT_MIN) {
 		relay_call_give_up(
 		    step, call, DFF_TROUBLE_TIME, 0, "no_time_left");
--- a/test/fake/relay_bench.c
+++ b/test/fake/relay_bench.c
@@ -82,11 +82,12 @@
 relay_bench_route(uint64_t version)
 {
 	dff_routing_t *routing = dff_routing_new(version);
-	dff_pool_t plain = {.name = "plain"};
+	dff_pool_t plain = {.name = "plain", .conns_max = 10};
 	dff_pool_t llm = {.name = "llm",
 	    .slots = 64,
 	    .kv_tokens = 500000,
 	    .token_bytes = 327680,
+	    .handle_life = DFF_SEC,
 	    .link_mbps = 3800000};
 
 	add_route(routing, "/read/", DFF_ROUTE_REPEATABLE, false, 2, "plain");
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -400,6 +400,42 @@
 }
 END_TEST
 
+START_TEST(lapsed_memory_is_not_asked_for)
+{
+	const dff_relay_effect_t *fx;
+
+	relay_bench_upstream(bench, "d3", "llm", DFF_ROLE_DECODE, "a", 1);
+	(void)relay_bench_open_prompt(bench, "/talk/x", 1, 13000, 2, 4000);
+	relay_bench_head(bench, 1, 200, false);
+	relay_bench_end(bench, 1, DFF_SEND_DONE, "h1");
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	relay_bench_head(bench, 2, 503, true);
+	relay_bench_end(bench, 2, DFF_SEND_DONE, NULL);
+	fx = relay_bench_find(bench, DFF_RELAY_FX_SEND);
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_int_ne(fx->send.step, DFF_STEP_DECODE);
+}
+END_TEST
+
+/* Five nodes share ten connections of an upstream: two for each. */
+START_TEST(connections_of_an_upstream_are_shared_out)
+{
+	int sends = 0;
+
+	for (int i = 2; i <= 5; i++) {
+		char addr[32];
+
+		(void)g_snprintf(addr, sizeof(addr), "10.0.0.%d:7000", i);
+		dff_relay_add_peer(bench->relay, addr, "a", 0, bench->now);
+	}
+	for (int i = 0; i < 4; i++) {
+		(void)relay_bench_open(bench, "/order/x", (uint64_t)i);
+		sends += strcmp(upstream_of_send(), "p1") == 0;
+	}
+	ck_assert_int_eq(sends, 2);
+}
+END_TEST
+
 /* ---- leaving, stopping, poison ---- */
 
 START_TEST(leaving_upstream_gets_no_new_work)
@@ -532,6 +568,8 @@
 	tcase_add_test(tcase, memory_that_nobody_takes_is_freed);
 	tcase_add_test(tcase, prefill_that_broke_off_has_not_run);
 	tcase_add_test(tcase, handle_that_is_refused_twice_is_given_up);
+	tcase_add_test(tcase, lapsed_memory_is_not_asked_for);
+	tcase_add_test(tcase, connections_of_an_upstream_are_shared_out);
 	tcase_add_test(tcase, leaving_upstream_gets_no_new_work);
 	tcase_add_test(tcase, stopping_node_serves_on_then_refuses);
 	tcase_add_test(
