HTTP/1.1: one reader for both ends, handlers that may be absent

The server and the client each had callbacks of their own for names, values and buffers; the reader's functions are the parser's callbacks now. Socket options were set in three places, httpd.c's among them: dff_tcp_set_options().

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -58,7 +58,7 @@
  * struct dff_h1d_handlers - what a server calls
  * @request: a request arrived whole; answer it now or later
  * @gone: the caller hung up before its answer ended; the request must not
- *	be used afterwards
+ *	be used afterwards; may be NULL
  */
 typedef struct dff_h1d_handlers {
 	void (*request)(void *arg, dff_h1d_req_t *req);
@@ -95,9 +95,6 @@
 /** dff_h1d_leave() - answers from now on are the last of their connection */
 void dff_h1d_leave(dff_h1d_t *h1d);
 
-/** dff_h1d_connections() - open connections */
-size_t dff_h1d_connections(const dff_h1d_t *h1d);
-
 /** dff_h1d_drop() - close everything; NULL is allowed */
 void dff_h1d_drop(dff_h1d_t *h1d);
 
@@ -152,8 +149,8 @@
 
 /**
  * struct dff_h1c_handlers - what a client calls
- * @head: the answer's head arrived; borrowed until @end
- * @data: bytes of the body arrived
+ * @head: the answer's head arrived; borrowed until @end; may be NULL
+ * @data: bytes of the body arrived; may be NULL
  * @end: the request is over; called once, never from inside
  *	dff_h1c_start() or dff_h1c_cancel()
  */
--- a/source/net/address.c
+++ b/source/net/address.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -54,3 +55,14 @@
 		return -EINVAL;
 	return sizeof(struct sockaddr_in6);
 }
+
+void
+dff_tcp_set_options(uv_tcp_t *tcp, unsigned unacked_msec)
+{
+	uv_os_fd_t fd;
+
+	(void)uv_tcp_nodelay(tcp, 1);
+	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+		    &unacked_msec, sizeof(unacked_msec));
+}
--- a/source/net/address.h
+++ b/source/net/address.h
@@ -6,6 +6,8 @@
 
 #include <sys/socket.h>
 
+#include <uv.h>
+
 /**
  * dff_address_parse() - read "a.b.c.d:port" or "[v6]:port"
  * @text: address
@@ -15,4 +17,10 @@
  */
 int dff_address_parse(const char *text, struct sockaddr_storage *addr);
 
+/**
+ * dff_tcp_set_options() - send without delay, and give a silent peer up
+ * @unacked_msec: longest time that written bytes may stay unacknowledged
+ */
+void dff_tcp_set_options(uv_tcp_t *tcp, unsigned unacked_msec);
+
 #endif
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -1,13 +1,12 @@
 #include "net/h1_conn.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
 
 #include "base/fault.h"
+#include "net/address.h"
 
 /* Longest time that written bytes may stay without acknowledgement. */
 #define UNACKED_MSEC 2500
@@ -99,7 +98,6 @@
 h1_req_end(dff_h1c_req_t *req, dff_h1c_end_t end)
 {
 	req->conn = NULL;
-	req->ended = true;
 	req->end = end;
 	(void)uv_timer_start(&req->timer, on_end, 0, 0);
 }
@@ -123,20 +121,6 @@
 	return parser->data;
 }
 
-static int
-on_name(http_parser *parser, const char *at, size_t len)
-{
-	h1_reader_name(&conn_of(parser)->reader, at, len);
-	return 0;
-}
-
-static int
-on_value(http_parser *parser, const char *at, size_t len)
-{
-	h1_reader_value(&conn_of(parser)->reader, at, len);
-	return 0;
-}
-
 static bool
 is_stray(const dff_h1c_req_t *req, const dff_h1_head_t *head)
 {
@@ -177,7 +161,8 @@
 		conn->stray = true;
 		return 0;
 	}
-	req->handlers.head(req->arg, head);
+	if (req->handlers.head != NULL)
+		req->handlers.head(req->arg, head);
 	return req->head_only ? 1 : 0;
 }
 
@@ -186,7 +171,8 @@
 {
 	conn_t *conn = conn_of(parser);
 
-	if (conn->req != NULL && !conn->stray)
+	if (conn->req != NULL && !conn->stray &&
+	    conn->req->handlers.data != NULL)
 		conn->req->handlers.data(conn->req->arg, at, len);
 	return 0;
 }
@@ -204,8 +190,8 @@
 }
 
 static const http_parser_settings parser_settings = {
-    .on_header_field = on_name,
-    .on_header_value = on_value,
+    .on_header_field = h1_reader_name,
+    .on_header_value = h1_reader_value,
     .on_headers_complete = on_head,
     .on_body = on_body,
     .on_message_complete = on_message,
@@ -299,15 +285,6 @@
 	take_answer(conn);
 }
 
-static void
-on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-	(void)handle;
-	(void)size;
-	buf->len = 16384;
-	buf->base = g_malloc(buf->len);
-}
-
 static void
 on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
@@ -367,8 +344,6 @@
 h1_conn_connected(uv_connect_t *connect, int status)
 {
 	conn_t *conn = connect->data;
-	unsigned unacked = UNACKED_MSEC;
-	uv_os_fd_t fd;
 
 	if (conn->closing)
 		return;
@@ -377,11 +352,8 @@
 		return;
 	}
 	conn->h1c->opened++;
-	(void)uv_tcp_nodelay(&conn->tcp, 1);
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
-		    sizeof(unacked));
-	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0) {
+	dff_tcp_set_options(&conn->tcp, UNACKED_MSEC);
+	if (uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read) != 0) {
 		h1_conn_fail(conn);
 		return;
 	}
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -50,7 +50,6 @@
 	dff_h1c_end_t end;
 	bool sent;
 	bool head_only; /* a HEAD request: its answer bears no body */
-	bool ended; /* the end handler is on its way */
 	bool cancelled;
 };
 
--- a/source/net/h1_head.c
+++ b/source/net/h1_head.c
@@ -3,6 +3,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Bytes that are read at once. */
+#define READ_MAX 16384
+
 void
 h1_head_init(dff_h1_head_t *head)
 {
@@ -72,16 +75,19 @@
 	(*text)[have + len] = '\0';
 }
 
-void
-h1_reader_url(h1_reader_t *reader, const char *at, size_t len)
+int
+h1_reader_url(http_parser *parser, const char *at, size_t len)
 {
+	h1_reader_t *reader = (h1_reader_t *)parser;
 	reader->head_bytes += len;
 	append(&reader->head.target, at, len);
+	return 0;
 }
 
-void
-h1_reader_name(h1_reader_t *reader, const char *at, size_t len)
+int
+h1_reader_name(http_parser *parser, const char *at, size_t len)
 {
+	h1_reader_t *reader = (h1_reader_t *)parser;
 	GArray *fields = reader->head.fields;
 	dff_h1_field_t field = {0};
 
@@ -93,17 +99,28 @@
 	reader->head_bytes += len;
 	append(&g_array_index(fields, dff_h1_field_t, fields->len - 1).name, at,
 	    len);
+	return 0;
 }
 
-void
-h1_reader_value(h1_reader_t *reader, const char *at, size_t len)
+int
+h1_reader_value(http_parser *parser, const char *at, size_t len)
 {
+	h1_reader_t *reader = (h1_reader_t *)parser;
 	GArray *fields = reader->head.fields;
 
 	reader->in_value = true;
 	reader->head_bytes += len;
 	append(&g_array_index(fields, dff_h1_field_t, fields->len - 1).value,
 	    at, len);
+	return 0;
+}
+
+void
+h1_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(g_malloc(READ_MAX), READ_MAX);
 }
 
 const char *
--- a/source/net/h1_head.h
+++ b/source/net/h1_head.h
@@ -16,7 +16,7 @@
  * @in_value: the last part was of a value
  */
 typedef struct h1_reader {
-	http_parser parser;
+	http_parser parser; /* first, so that a parser is a reader */
 	dff_h1_head_t head;
 	size_t head_bytes;
 	bool in_value;
@@ -37,13 +37,16 @@
 /** h1_reader_next() - forget the last head */
 void h1_reader_next(h1_reader_t *reader);
 
-/** h1_reader_url() - a part of the target */
-void h1_reader_url(h1_reader_t *reader, const char *at, size_t len);
+/** h1_reader_url() - a parser's callback: a part of the target */
+int h1_reader_url(http_parser *parser, const char *at, size_t len);
 
-/** h1_reader_name() - a part of a field's name */
-void h1_reader_name(h1_reader_t *reader, const char *at, size_t len);
+/** h1_reader_name() - a parser's callback: a part of a field's name */
+int h1_reader_name(http_parser *parser, const char *at, size_t len);
 
-/** h1_reader_value() - a part of a field's value */
-void h1_reader_value(h1_reader_t *reader, const char *at, size_t len);
+/** h1_reader_value() - a parser's callback: a part of a field's value */
+int h1_reader_value(http_parser *parser, const char *at, size_t len);
+
+/** h1_alloc() - a uv_alloc_cb; what reads frees the buffer */
+void h1_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf);
 
 #endif
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -1,9 +1,6 @@
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 
 #include "net/address.h"
 #include "net/h1_head.h"
@@ -32,7 +29,6 @@
 	bool whole; /* the parser stands at a whole request */
 	bool parsing;
 	bool last; /* close after this answer */
-	bool eof; /* the caller will send no more */
 	bool closing;
 } conn_t;
 
@@ -53,7 +49,6 @@
 struct dff_h1d_req {
 	conn_t *conn;
 	uint64_t data;
-	bool begun;
 	bool chunked;
 	bool no_body; /* the answer bears no body */
 };
@@ -99,7 +94,7 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 	if (req == NULL)
 		return;
-	if (!conn->h1d->dropped)
+	if (!conn->h1d->dropped && conn->h1d->handlers.gone != NULL)
 		conn->h1d->handlers.gone(conn->h1d->arg, req);
 	g_free(req);
 }
@@ -167,7 +162,6 @@
 
 	if (conn->h1d->leaving)
 		conn->last = true;
-	req->begun = true;
 	req->no_body =
 	    bears_no_body(status) || conn->reader.parser.method == HTTP_HEAD;
 	req->chunked = length < 0 && !req->no_body;
@@ -210,8 +204,7 @@
 	conn->req = NULL;
 	g_free(req);
 	conn->idle_since = uv_now(conn->h1d->loop);
-	if (conn->last || conn->eof) {
-		conn->last = true;
+	if (conn->last) {
 		if (conn->unread == 0)
 			close_conn(conn);
 		return;
@@ -258,13 +251,6 @@
 	return parser->data;
 }
 
-static int
-on_url(http_parser *parser, const char *at, size_t len)
-{
-	h1_reader_url(&conn_of(parser)->reader, at, len);
-	return 0;
-}
-
 static int
 check_head(conn_t *conn)
 {
@@ -277,14 +263,14 @@
 static int
 on_name(http_parser *parser, const char *at, size_t len)
 {
-	h1_reader_name(&conn_of(parser)->reader, at, len);
+	(void)h1_reader_name(parser, at, len);
 	return check_head(conn_of(parser));
 }
 
 static int
 on_value(http_parser *parser, const char *at, size_t len)
 {
-	h1_reader_value(&conn_of(parser)->reader, at, len);
+	(void)h1_reader_value(parser, at, len);
 	return check_head(conn_of(parser));
 }
 
@@ -332,7 +318,7 @@
 }
 
 static const http_parser_settings parser_settings = {
-    .on_url = on_url,
+    .on_url = h1_reader_url,
     .on_header_field = on_name,
     .on_header_value = on_value,
     .on_headers_complete = on_head,
@@ -377,9 +363,7 @@
 		http_parser_pause(parser, 0);
 		used = http_parser_execute(parser, &parser_settings,
 		    (const char *)conn->input->data, conn->input->len);
-		/* A pause at a message's last byte leaves that byte unread. */
-		g_byte_array_remove_range(
-		    conn->input, 0, MIN(used, conn->input->len));
+		g_byte_array_remove_range(conn->input, 0, (guint)used);
 		if (conn->whole) {
 			take_request(conn);
 			continue;
@@ -392,15 +376,6 @@
 	conn->parsing = false;
 }
 
-static void
-on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-	(void)handle;
-	(void)size;
-	buf->len = 16384;
-	buf->base = g_malloc(buf->len);
-}
-
 static void
 on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
@@ -426,9 +401,7 @@
 on_connection(uv_stream_t *listener, int status)
 {
 	dff_h1d_t *h1d = listener->data;
-	unsigned unacked = UNACKED_MSEC;
 	conn_t *conn;
-	uv_os_fd_t fd;
 
 	if (status < 0) {
 		dff_log(h1d->ctx, DFF_LOG_WARNING, "front",
@@ -450,11 +423,8 @@
 		close_conn(conn);
 		return;
 	}
-	(void)uv_tcp_nodelay(&conn->tcp, 1);
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
-		    sizeof(unacked));
-	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0)
+	dff_tcp_set_options(&conn->tcp, UNACKED_MSEC);
+	if (uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read) != 0)
 		close_conn(conn);
 }
 
@@ -535,12 +505,6 @@
 	h1d->leaving = true;
 }
 
-size_t
-dff_h1d_connections(const dff_h1d_t *h1d)
-{
-	return h1d->conns.length;
-}
-
 void
 dff_h1d_drop(dff_h1d_t *h1d)
 {
--- a/source/net/httpd.c
+++ b/source/net/httpd.c
@@ -564,19 +564,6 @@
 		dispose_httpd(httpd);
 }
 
-static void
-set_tcp_options(uv_tcp_t *tcp)
-{
-	unsigned unacked = UNACKED_MSEC;
-	uv_os_fd_t fd;
-
-	(void)uv_tcp_nodelay(tcp, 1);
-	(void)uv_tcp_keepalive(tcp, 1, KEEPALIVE_SEC);
-	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
-		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
-		    sizeof(unacked));
-}
-
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -599,7 +586,8 @@
 		uv_close((uv_handle_t *)&connection->tcp, on_connection_closed);
 		return;
 	}
-	set_tcp_options(&connection->tcp);
+	dff_tcp_set_options(&connection->tcp, UNACKED_MSEC);
+	(void)uv_tcp_keepalive(&connection->tcp, 1, KEEPALIVE_SEC);
 	sock = h2o_uv_socket_create(
 	    (uv_stream_t *)&connection->tcp, on_connection_closed);
 	h2o_accept(&httpd->accept, sock);
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -153,13 +153,6 @@
 	dff_h1d_answer(req, ready ? 200 : 503, "", why, strlen(why));
 }
 
-static void
-on_health_gone(void *arg, dff_h1d_req_t *req)
-{
-	(void)arg;
-	(void)req;
-}
-
 /* ---- peers ---- */
 
 static void
@@ -320,7 +313,7 @@
 listen_all(dff_run_t *run)
 {
 	static const dff_h1d_handlers_t front = {on_request, on_caller_gone};
-	static const dff_h1d_handlers_t health = {on_health, on_health_gone};
+	static const dff_h1d_handlers_t health = {.request = on_health};
 	const dff_h1d_limits_t limits = {
 	    HEAD_MAX, BODY_MAX, UNREAD_MAX, IDLE_TIME};
 	int err;
--- a/source/net/run_sends.c
+++ b/source/net/run_sends.c
@@ -155,21 +155,6 @@
 	(void)g_hash_table_remove(run->sends, &number);
 }
 
-static void
-on_free_head(void *arg, const dff_h1_head_t *head)
-{
-	(void)arg;
-	(void)head;
-}
-
-static void
-on_free_data(void *arg, const char *data, size_t len)
-{
-	(void)arg;
-	(void)data;
-	(void)len;
-}
-
 static void
 on_free_end(void *arg, dff_h1c_end_t end)
 {
@@ -184,8 +169,7 @@
 void
 run_free_memory(dff_run_t *run, const dff_relay_free_t *release)
 {
-	static const dff_h1c_handlers_t handlers = {
-	    .head = on_free_head, .data = on_free_data, .end = on_free_end};
+	static const dff_h1c_handlers_t handlers = {.end = on_free_end};
 	dff_h1c_call_t http = {.addr = release->addr,
 	    .peer = release->upstream,
 	    .connect_time = FREE_CONNECT_TIME};
