Relay: a search is set up once, one rule for who comes before

Placing a generation looked for the donor twice and hashed the prompt's chain for each engine up to three times; place.c does both once for a request. Who speaks for a domain and who reads the source shared a condition written twice. State that was never read is gone: whole_only, started, and the version, marks and records address kept of a peer.

--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -95,11 +95,9 @@
 		    DFF_FAULT(RELAY_OLD_READER))
 			relay_note_source(step, peer->source_heard);
 	}
-	g_strlcpy(peer->records, beat->records, sizeof(peer->records));
 	for (size_t i = 0; i < beat->n_marks && i < DFF_FEED_COUNT; i++) {
 		dff_relay_effect_t *fx;
 
-		peer->marks[i] = beat->marks[i];
 		if (beat->marks[i] <= relay->known[i] ||
 		    step->now - relay->fetched[i] < FETCH_EVERY)
 			continue;
@@ -107,7 +105,7 @@
 		fx = relay_add_fx(step, DFF_RELAY_FX_FETCH);
 		fx->fetch.feed = (dff_feed_t)i;
 		g_strlcpy(
-		    fx->fetch.addr, peer->records, sizeof(fx->fetch.addr));
+		    fx->fetch.addr, beat->records, sizeof(fx->fetch.addr));
 	}
 }
 
@@ -137,7 +135,7 @@
 {
 	dff_relay_t *relay = step->relay;
 
-	if (!beat_is_large(relay) || !peers_is_relay(relay, step->now))
+	if (!peers_speaks(relay, step->now))
 		return;
 	for (size_t i = 0; i < beat->n_kept; i++) {
 		told_part_t part = {.upstream = beat->kept[i]->upstream,
@@ -155,8 +153,7 @@
 {
 	dff_relay_t *relay = step->relay;
 
-	if (relay->tell_far_at != 0 || !beat_is_large(relay) ||
-	    !peers_is_relay(relay, step->now))
+	if (relay->tell_far_at != 0 || !peers_speaks(relay, step->now))
 		return;
 	for (guint i = 0; i < peer->loads->len; i++) {
 		const upstream_t *up = upstreams_find(relay->upstreams,
@@ -214,7 +211,6 @@
 	}
 	peer->incarnation = beat->incarnation;
 	peer->sequence = beat->sequence;
-	peer->version = beat->version;
 	peer->heard = step->now;
 	peer_load_frame(relay, peer, beat);
 	take_parts(step, beat);
@@ -270,7 +266,7 @@
 	    .upstream = up->hash, .chain = chain, .tokens = tokens, .at = now};
 
 	add_told(relay->told_parts, &part);
-	if (beat_is_large(relay) && peers_is_relay(relay, now))
+	if (peers_speaks(relay, now))
 		add_told(relay->summary_parts, &part);
 }
 
@@ -561,7 +557,7 @@
 
 	peers_sweep(relay, step->now);
 	tell_own(step, true);
-	if (!beat_is_large(relay) || !peers_is_relay(relay, step->now))
+	if (!peers_speaks(relay, step->now))
 		return;
 	tell_domains(step, false);
 	tell_domains(step, true);
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -36,12 +36,9 @@
 	char *addr; /* "" for a domain's summary */
 	char *node; /* NULL before it was heard */
 	char domain[DFF_NAME_MAX]; /* "" if not known */
-	char records[DFF_ADDR_MAX];
 	uint32_t link_mbps; /* 0 if not known */
 	uint64_t incarnation;
 	uint64_t sequence;
-	uint64_t version;
-	uint64_t marks[DFF_FEED_COUNT];
 	dff_time_t source_heard; /* when it read the record source; 0 never */
 	dff_time_t heard; /* 0 never */
 	dff_time_t added;
@@ -116,7 +113,6 @@
 	uint32_t runs; /* upstreams at which it may have run */
 	uint32_t arrivals; /* that count as sends of it */
 	bool prefill_taken; /* the one that does not count was accepted */
-	bool whole_only;
 	dff_handle_t prefilled_at;
 	char source[DFF_ADDR_MAX];
 	char handle[DFF_NAME_MAX];
@@ -150,7 +146,6 @@
 	uint64_t sequence;
 	dff_time_t tell_at; /* sends are told then; 0 if none is new */
 	dff_time_t tell_far_at; /* the same of this domain's, elsewhere */
-	dff_time_t started;
 	dff_time_t heard; /* the record source answered, here or at a peer */
 	dff_time_t source_heard; /* it answered this node */
 	uint64_t marks[DFF_FEED_COUNT]; /* last change that this node knows */
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -127,36 +127,41 @@
 	    (dff_hash(addr, strlen(addr), 0) & UINT32_MAX);
 }
 
+/* Whether a peer is heard and ranks before this node. */
+static bool
+is_before(const dff_relay_t *relay, const peer_t *peer, dff_time_t now)
+{
+	return peer_is_direct(relay, peer) && peer_is_alive(relay, peer, now) &&
+	    peer_rank(peer->addr, peer->link_mbps) >
+	    peer_rank(relay->config.addr, relay->config.link_mbps);
+}
+
 bool
 peers_is_relay(const dff_relay_t *relay, dff_time_t now)
 {
-	uint64_t own = peer_rank(relay->config.addr, relay->config.link_mbps);
-
 	for (guint i = 0; i < relay->peers->len; i++) {
-		const peer_t *peer = relay->peers->pdata[i];
-
-		if (peer_is_direct(relay, peer) &&
-		    peer_is_alive(relay, peer, now) &&
-		    peer_rank(peer->addr, peer->link_mbps) > own)
+		if (is_before(relay, relay->peers->pdata[i], now))
 			return false;
 	}
 	return true;
 }
 
+bool
+peers_speaks(const dff_relay_t *relay, dff_time_t now)
+{
+	return beat_is_large(relay) && peers_is_relay(relay, now);
+}
+
 bool
 dff_relay_reads(const dff_relay_t *relay, dff_time_t now)
 {
-	uint64_t own = peer_rank(relay->config.addr, relay->config.link_mbps);
 	uint32_t before = 0;
 
 	for (guint i = 0; i < relay->peers->len; i++) {
 		const peer_t *peer = relay->peers->pdata[i];
 
-		if (peer_is_direct(relay, peer) &&
-		    peer_is_alive(relay, peer, now) &&
-		    peer->source_heard != 0 &&
-		    now - peer->source_heard < READER_FRESH &&
-		    peer_rank(peer->addr, peer->link_mbps) > own)
+		if (is_before(relay, peer, now) && peer->source_heard != 0 &&
+		    now - peer->source_heard < READER_FRESH)
 			before++;
 	}
 	return before < READERS;
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -26,9 +26,12 @@
 /** peer_rank() - order among nodes, the same everywhere: fast links first */
 uint64_t peer_rank(const char *addr, uint32_t link_mbps);
 
-/** peers_is_relay() - this node speaks for its domain */
+/** peers_is_relay() - this node is first in its domain */
 bool peers_is_relay(const dff_relay_t *relay, dff_time_t now);
 
+/** peers_speaks() - this node speaks for its domain, in a large fleet */
+bool peers_speaks(const dff_relay_t *relay, dff_time_t now);
+
 /** peers_sweep() - forget silent peers, and their loads at once */
 void peers_sweep(dff_relay_t *relay, dff_time_t now);
 
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -128,13 +128,10 @@
 	return time;
 }
 
-/* Highest of a hash over part and engine: the home of a cold prompt. */
+/* The home of a cold prompt has the highest hash over its chain and itself. */
 static uint64_t
-home_score(const upstream_t *up, const dff_prompt_t *prompt)
+home_score(const upstream_t *up, uint64_t chain)
 {
-	uint32_t shared = MAX(prompt->count, 2) - 1;
-	uint64_t chain = chain_hash(prompt, MIN(shared, prompt->count));
-
 	return dff_hash(&up->hash, sizeof(up->hash), chain);
 }
 
@@ -178,6 +175,16 @@
 	uint32_t tokens;
 } donor_t;
 
+/* One request to be placed, and what is the same for all upstreams. */
+typedef struct search {
+	const upstreams_t *ups;
+	const pace_t *pace;
+	const place_ask_t *ask;
+	dff_time_t now;
+	uint64_t chain; /* hash of the parts that other requests may have */
+	donor_t donor;
+} search_t;
+
 static bool
 is_better(const best_t *one, const best_t *other)
 {
@@ -196,32 +203,33 @@
 }
 
 static bool
-is_candidate(const upstream_t *up, const place_ask_t *ask, dff_handle_t handle,
-    dff_time_t now)
+is_candidate(const search_t *search, const upstream_t *up, dff_handle_t handle)
 {
-	return upstream_is_listed(up, now) && !is_avoided(ask, handle) &&
-	    strcmp(up->news.pool, ask->pool) == 0;
+	return upstream_is_listed(up, search->now) &&
+	    !is_avoided(search->ask, handle) &&
+	    strcmp(up->news.pool, search->ask->pool) == 0;
 }
 
 static void
-place_plain(const upstreams_t *ups, const place_ask_t *ask, dff_time_t now,
-    best_t *best)
+place_plain(const search_t *search, best_t *best)
 {
+	const place_ask_t *ask = search->ask;
 	upstream_t *up;
 
-	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(search->ups, h, &up)) != 0;) {
 		best_t one = {.handle = h};
 		uint32_t running = up->running + up->peer_running;
 
-		if (!is_candidate(up, ask, h, now))
+		if (!is_candidate(search, up, h))
 			continue;
-		one.shunned = !upstream_takes_work(up, now);
+		one.shunned = !upstream_takes_work(up, search->now);
 		one.wait = way_time(up, ask) +
 		    running * PLAIN_TIME / MAX(up->news.slots, 1);
 		if (ask->sends_max > 0 && up->running >= ask->sends_max)
 			one.wait += FULL_TIME;
 		one.cost = one.wait + error_time(up, ask);
-		one.tie = home_score(up, ask->prompt);
+		one.tie = home_score(up, search->chain);
 		consider(best, &one);
 	}
 }
@@ -244,19 +252,20 @@
 
 /* Among equals one of this domain is taken. */
 static void
-find_donor(const upstreams_t *ups, const place_ask_t *ask, dff_time_t now,
-    donor_t *donor)
+find_donor(search_t *search)
 {
+	const place_ask_t *ask = search->ask;
+	donor_t *donor = &search->donor;
 	upstream_t *up;
 
-	memset(donor, 0, sizeof(*donor));
 	if (ask->spec == NULL || ask->spec->link_mbps <= 0)
 		return;
-	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(search->ups, h, &up)) != 0;) {
 		uint32_t tokens;
 
-		if (!is_candidate(up, ask, h, now) ||
-		    !upstream_takes_work(up, now))
+		if (!is_candidate(search, up, h) ||
+		    !upstream_takes_work(up, search->now))
 			continue;
 		tokens = upstream_cached(up, ask->prompt);
 		if (tokens < donor->tokens || tokens == 0)
@@ -272,9 +281,12 @@
 
 /* Reading a prompt at one engine. */
 static void
-rate_read(const pace_t *pace, const place_ask_t *ask, upstream_t *up,
-    dff_handle_t handle, const donor_t *donor, dff_time_t now, best_t *one)
+rate_read(const search_t *search, const upstream_t *up, dff_handle_t handle,
+    best_t *one)
 {
+	const pace_t *pace = search->pace;
+	const place_ask_t *ask = search->ask;
+	const donor_t *donor = &search->donor;
 	uint32_t tokens = ask->prompt->tokens;
 	uint32_t cached = MIN(upstream_cached(up, ask->prompt), tokens);
 	dff_time_t fetch = 0;
@@ -282,7 +294,7 @@
 
 	memset(one, 0, sizeof(*one));
 	one->handle = handle;
-	one->shunned = !upstream_takes_work(up, now);
+	one->shunned = !upstream_takes_work(up, search->now);
 	if (donor->tokens >= cached + FETCH_TOKENS_MIN) {
 		one->donor = donor->handle;
 		fetch = FETCH_TIME +
@@ -296,65 +308,65 @@
 	one->wait = way_time(up, ask) + one->ahead + own + fetch;
 	one->cost = one->wait + error_time(up, ask) +
 	    (dff_time_t)(REREAD_WEIGHT * (double)own) + FETCH_WEIGHT * fetch;
-	one->tie = home_score(up, ask->prompt);
+	one->tie = home_score(up, search->chain);
 }
 
 /* The engine at which a prompt is read first. */
 static void
-place_read(const upstreams_t *ups, const pace_t *pace, const place_ask_t *ask,
-    bool decodes, dff_time_t now, best_t *best)
+place_read(const search_t *search, bool decodes, best_t *best)
 {
 	upstream_t *up;
 	best_t home = {0};
-	donor_t donor;
 	best_t one;
 
-	find_donor(ups, ask, now, &donor);
-	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
-		if (!is_candidate(up, ask, h, now) ||
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(search->ups, h, &up)) != 0;) {
+		if (!is_candidate(search, up, h) ||
 		    decodes != (up->news.role != DFF_ROLE_PREFILL))
 			continue;
-		rate_read(pace, ask, up, h, &donor, now, &one);
+		rate_read(search, up, h, &one);
 		if (home.handle == 0 || one.tie > home.tie)
 			home = one;
 		consider(best, &one);
 	}
 	/* Another node may have had it read at its home already. */
-	if (home.handle != 0 && donor.tokens == 0) {
-		up = upstreams_get(ups, home.handle);
+	if (home.handle != 0 && search->donor.tokens == 0) {
+		up = upstreams_get(search->ups, home.handle);
 		home.cost -= (dff_time_t)(HOME_SHARE *
-		    (double)read_time(pace, up, shared_tokens(ask->prompt)));
+		    (double)read_time(
+			search->pace, up, shared_tokens(search->ask->prompt)));
 		consider(best, &home);
 	}
 }
 
 /* The engine that takes over memory made elsewhere. */
 static void
-place_decode(const upstreams_t *ups, const pace_t *pace, const place_ask_t *ask,
-    dff_handle_t source, dff_time_t now, best_t *best)
+place_decode(const search_t *search, dff_handle_t source, best_t *best)
 {
-	const upstream_t *from = upstreams_get(ups, source);
+	const place_ask_t *ask = search->ask;
+	const upstream_t *from = upstreams_get(search->ups, source);
 	upstream_t *up;
 
-	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &up)) != 0;) {
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(search->ups, h, &up)) != 0;) {
 		best_t one = {.handle = h};
 		dff_time_t move = 0;
 
-		if (!is_candidate(up, ask, h, now) ||
+		if (!is_candidate(search, up, h) ||
 		    up->news.role == DFF_ROLE_PREFILL)
 			continue;
-		one.shunned = !upstream_takes_work(up, now);
+		one.shunned = !upstream_takes_work(up, search->now);
 		one.uncached = ask->prompt->tokens -
 		    MIN(upstream_cached(up, ask->prompt), ask->prompt->tokens);
 		if (from != NULL)
 			move = move_time(ask, from, up, one.uncached);
 		one.ahead = room_time(up, ask) +
 		    (dff_time_t)(DECODE_AHEAD *
-			(double)read_time(pace, up,
+			(double)read_time(search->pace, up,
 			    (double)(up->backlog + up->peer_backlog)));
 		one.wait = way_time(up, ask) + one.ahead + move;
 		one.cost = one.wait + error_time(up, ask) + MOVE_WEIGHT * move;
-		one.tie = home_score(up, ask->prompt);
+		one.tie = home_score(up, search->chain);
 		consider(best, &one);
 	}
 }
@@ -372,21 +384,21 @@
 }
 
 static void
-place_generation(const upstreams_t *ups, const pace_t *pace,
-    const place_ask_t *ask, dff_time_t now, place_t *place)
+place_generation(search_t *search, place_t *place)
 {
 	best_t whole = {0};
 	best_t read = {0};
 	best_t decode = {0};
 
-	place_read(ups, pace, ask, true, now, &whole);
+	find_donor(search);
+	place_read(search, true, &whole);
 	set_place(place, &whole, DFF_STEP_WHOLE);
-	if (ask->whole_only)
+	if (search->ask->whole_only)
 		return;
-	place_read(ups, pace, ask, false, now, &read);
+	place_read(search, false, &read);
 	if (read.handle == 0)
 		return;
-	place_decode(ups, pace, ask, read.handle, now, &decode);
+	place_decode(search, read.handle, &decode);
 	if (decode.handle == 0)
 		return;
 	read.wait += decode.wait + HANDOVER_TIME;
@@ -402,16 +414,22 @@
 place_request(const upstreams_t *ups, const pace_t *pace,
     const place_ask_t *ask, dff_time_t now, place_t *place)
 {
+	uint32_t count = ask->prompt->count;
+	search_t search = {.ups = ups,
+	    .pace = pace,
+	    .ask = ask,
+	    .now = now,
+	    .chain = chain_hash(ask->prompt, count > 1 ? count - 1 : count)};
 	best_t best = {0};
 
 	memset(place, 0, sizeof(*place));
 	if (ask->prefilled_at != 0) {
-		place_decode(ups, pace, ask, ask->prefilled_at, now, &best);
+		place_decode(&search, ask->prefilled_at, &best);
 		set_place(place, &best, DFF_STEP_DECODE);
-	} else if (ask->prompt->count > 0)
-		place_generation(ups, pace, ask, now, place);
+	} else if (count > 0)
+		place_generation(&search, place);
 	else {
-		place_plain(ups, ask, now, &best);
+		place_plain(&search, &best);
 		set_place(place, &best, DFF_STEP_WHOLE);
 	}
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -272,8 +272,6 @@
 {
 	step_t step = {.ctx = ctx, .relay = relay, .now = now, .fx = fx};
 
-	if (relay->started == 0)
-		relay->started = now;
 	g_ptr_array_set_size(relay->frames, 0);
 	run_timers(&step);
 	switch (event->type) {
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -243,7 +243,7 @@
 	ask->far = beat_is_large(step->relay) ? FAR_TIME : 0;
 	memcpy(ask->avoid, call->avoid, sizeof(ask->avoid));
 	ask->avoid_count = call->avoid_count;
-	ask->whole_only = call->whole_only || call->after_event >= 0;
+	ask->whole_only = call->after_event >= 0;
 	ask->prefilled_at = call->handle[0] != '\0' ? call->prefilled_at : 0;
 }
 
