Relay: whether a record changed a belief is noted per feed

Cause: the adapter compared one count of changes for both feeds. A read of the operator's topic that ended between two pages of the workers' topic took the workers' change for its own, so the mark of the workers' feed stayed and peers were not told to fetch a leaving upstream. Ruled out: lost frames (marks are told with each beat). The relay now notes changes itself, per feed, until the next mark. Test: relay_beat: change_is_told_though_the_other_feed_was_read_since.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -472,13 +472,9 @@
  */
 bool dff_relay_reads(const dff_relay_t *relay, dff_time_t now);
 
-/** dff_relay_set_mark() - a feed was read up to @offset; @changed: it said
- *	something new */
-void dff_relay_set_mark(
-    dff_relay_t *relay, dff_feed_t feed, uint64_t offset, bool changed);
-
-/** dff_relay_changes() - grows with each record that changed a belief */
-uint64_t dff_relay_changes(const dff_relay_t *relay);
+/** dff_relay_set_mark() - a feed was read up to @offset; peers are told if a
+ *	record of it has changed a belief since the last mark */
+void dff_relay_set_mark(dff_relay_t *relay, dff_feed_t feed, uint64_t offset);
 
 /**
  * dff_relay_step() - take one event
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -151,7 +151,7 @@
 	uint64_t marks[DFF_FEED_COUNT]; /* last change that this node knows */
 	uint64_t known[DFF_FEED_COUNT]; /* read up to here */
 	dff_time_t fetched[DFF_FEED_COUNT]; /* last asked of a peer */
-	uint64_t changes;
+	bool changed[DFF_FEED_COUNT]; /* a belief, since the last mark */
 	dff_time_t settled_at; /* missing records may return before this */
 	dff_time_t stop_at; /* asked to stop; 0 while it runs */
 	uint64_t counts[COUNT_COUNT];
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -106,18 +106,12 @@
 }
 
 void
-dff_relay_set_mark(
-    dff_relay_t *relay, dff_feed_t feed, uint64_t offset, bool changed)
+dff_relay_set_mark(dff_relay_t *relay, dff_feed_t feed, uint64_t offset)
 {
 	relay->known[feed] = MAX(relay->known[feed], offset);
-	if (changed)
+	if (relay->changed[feed])
 		relay->marks[feed] = MAX(relay->marks[feed], offset);
-}
-
-uint64_t
-dff_relay_changes(const dff_relay_t *relay)
-{
-	return relay->changes;
+	relay->changed[feed] = false;
 }
 
 dff_relay_effect_t *
@@ -146,7 +140,7 @@
 		return;
 	dff_routing_drop(relay->routing);
 	relay->routing = dff_routing_keep(routing);
-	relay->changes++;
+	relay->changed[DFF_FEED_ROUTING] = true;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "routing",
 	    "routing in force version=%" G_GUINT64_FORMAT
 	    " before=%" G_GUINT64_FORMAT " routes=%u pools=%u",
@@ -173,7 +167,7 @@
 	    relay->upstreams, news, relay->settled_at, step->now, &handle);
 	if (effect == NEWS_NOTHING || effect == NEWS_SAME)
 		return;
-	relay->changes++;
+	relay->changed[DFF_FEED_UPSTREAMS] = true;
 	up = upstreams_get(relay->upstreams, handle);
 	dff_log(step->ctx, DFF_LOG_NOTICE, "upstream",
 	    "upstream %s id=%s pool=%s addr=%s domain=%s role=%s born=%" G_GUINT64_FORMAT
--- a/test/test_relay_beat.c
+++ b/test/test_relay_beat.c
@@ -234,15 +234,21 @@
 }
 END_TEST
 
-START_TEST(change_is_fetched_from_the_peer_that_knows_it)
+/* The first node reads a record; then its next beat is due. */
+static void
+learn_upstream(void)
+{
+	relay_bench_upstream(nodes[0], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+	nodes[0]->now += beat_interval(nodes[0]->relay);
+	nodes[1]->now = nodes[0]->now;
+}
+
+/* What the second node fetches on beats of the first, or NULL. */
+static const dff_relay_effect_t *
+wait_for_fetch(void)
 {
 	const dff_relay_effect_t *fx = NULL;
 
-	add_node("a", 1, 100);
-	add_node("a", 2, 100);
-	introduce();
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40, true);
-	dff_relay_set_mark(nodes[1]->relay, DFF_FEED_UPSTREAMS, 39, false);
 	for (int i = 0; i < 60 && fx == NULL; i++) {
 		const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
 
@@ -263,12 +269,60 @@
 			fx = relay_bench_find(nodes[1], DFF_RELAY_FX_FETCH);
 		}
 	}
+	return fx;
+}
+
+START_TEST(change_is_fetched_from_the_peer_that_knows_it)
+{
+	const dff_relay_effect_t *fx;
+
+	add_node("a", 1, 100);
+	add_node("a", 2, 100);
+	learn_upstream();
+	introduce();
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	dff_relay_set_mark(nodes[1]->relay, DFF_FEED_UPSTREAMS, 39);
+	fx = wait_for_fetch();
 	ck_assert_ptr_nonnull(fx);
 	ck_assert_int_eq(fx->fetch.feed, DFF_FEED_UPSTREAMS);
 	ck_assert_str_eq(fx->fetch.addr, nodes[0]->frame_addr);
 }
 END_TEST
 
+/* A read of one feed may end between two pages of the other. */
+START_TEST(change_is_told_though_the_other_feed_was_read_since)
+{
+	const dff_relay_effect_t *fx;
+
+	add_node("a", 1, 100);
+	add_node("a", 2, 100);
+	learn_upstream();
+	introduce();
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_ROUTING, 7);
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	fx = wait_for_fetch();
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_int_eq(fx->fetch.feed, DFF_FEED_UPSTREAMS);
+}
+END_TEST
+
+/* Heartbeats that say nothing new are not fetched. */
+START_TEST(read_without_a_change_is_not_told)
+{
+	add_node("a", 1, 100);
+	add_node("a", 2, 100);
+	introduce();
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	ck_assert_ptr_null(wait_for_fetch());
+	learn_upstream();
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 41);
+	ck_assert_ptr_nonnull(wait_for_fetch());
+	dff_relay_set_mark(nodes[1]->relay, DFF_FEED_UPSTREAMS, 41);
+	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 42);
+	ck_assert_ptr_null(wait_for_fetch());
+}
+END_TEST
+
 static const upstream_t *
 engine_at(int node)
 {
@@ -388,6 +442,9 @@
 	tcase_add_test(tcase, node_that_is_cut_off_reads_itself_and_is_stale);
 	tcase_add_test(tcase, old_reader_is_no_outage);
 	tcase_add_test(tcase, change_is_fetched_from_the_peer_that_knows_it);
+	tcase_add_test(
+	    tcase, change_is_told_though_the_other_feed_was_read_since);
+	tcase_add_test(tcase, read_without_a_change_is_not_told);
 	tcase_add_test(tcase, sends_are_known_to_peers_within_20_ms);
 	tcase_add_test(tcase, sums_reach_other_domains_once);
 	tcase_add_test(tcase, next_node_speaks_when_the_relay_dies);
