Relay: reading at an engine that decodes counts at a quarter of the speed

Cause: such an engine reads in small pieces between the steps of its answers. Reading there also holds up all answers that run there. Test: relay_place: long_prompt_waits_for_an_engine_that_only_reads.

--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -19,8 +19,9 @@
 #define SLOW_MAX 8.0
 /* Prefills below this many tokens say more of the way than of the speed. */
 #define PACE_TOKENS_MIN 1000
-/* An engine that decodes reads prompts at half the speed. */
-#define DECODE_READ_SHARE 0.5
+/* An engine that decodes reads prompts at half the speed, and the steps of its
+ * answers take as long again. */
+#define DECODE_READ_SHARE 0.25
 /* A hand-over: one more request and the transfer's set-up, and some more, so
  * that short prompts leave the engines that prefill to long ones. */
 #define HANDOVER_TIME (45 * DFF_MSEC)
--- a/test/test_relay_place.c
+++ b/test/test_relay_place.c
@@ -76,6 +76,20 @@
 	return upstreams_get(ups, place.upstream)->news.id;
 }
 
+/* Load answered: long prompts in a queue, which look sooner read by an
+ * engine that has answers to go on with. */
+START_TEST(long_prompt_waits_for_an_engine_that_only_reads)
+{
+	dff_prompt_t prompt = make_prompt(10, 6000);
+	upstream_t *reader = add_engine("reader", DFF_ROLE_PREFILL);
+
+	(void)add_engine("decoder", DFF_ROLE_DECODE);
+	reader->backlog = 10000;
+	ck_assert_str_eq(place_prompt(&prompt, 0), "reader");
+	ck_assert_int_eq(place.step, DFF_STEP_PREFILL);
+}
+END_TEST
+
 START_TEST(short_prompt_is_read_where_it_is_answered)
 {
 	dff_prompt_t prompt = make_prompt(10, 150);
@@ -146,6 +160,7 @@
 	int failed;
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, long_prompt_waits_for_an_engine_that_only_reads);
 	tcase_add_test(tcase, short_prompt_is_read_where_it_is_answered);
 	tcase_add_test(tcase, kept_part_is_fetched_by_an_idle_engine);
 	tcase_add_test(tcase, part_that_is_being_read_is_waited_for);
