Relay: an engine that a node meets is asked which parts it keeps

Cause: a node that starts knows nothing of what engines keep. After all nodes lost power, or were stopped in turn, prompts went to other engines than those that kept their parts, which then read them again. Ruled out: peers' frames as the way (they tell new sends for 0.45 s only; after a loss of all nodes nobody knows). Parts are now known by their own id, since that is what engines list; a part still counts only behind all before it. Tests: relay_load: nodes_that_start_again_have_little_read_anew (fails with RELAY_KEPT_NOT_ASKED), relay, relay_upstreams, platform_wire, process_edge.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -267,6 +267,7 @@
 	DFF_RELAY_DATA, /* bytes of its body arrived */
 	DFF_RELAY_END, /* a send is over */
 	DFF_RELAY_BEAT, /* a peer's frame arrived */
+	DFF_RELAY_KEPT, /* an engine told which parts it keeps */
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
 
@@ -284,6 +285,13 @@
 	size_t len;
 } dff_relay_beat_t;
 
+/** struct dff_relay_kept - parts that an engine says it keeps, borrowed */
+typedef struct dff_relay_kept {
+	const char *upstream;
+	const dff_part_t *parts;
+	size_t count;
+} dff_relay_kept_t;
+
 /** struct dff_relay_event - one event; pointers are borrowed for the step */
 typedef struct dff_relay_event {
 	dff_relay_event_type_t type;
@@ -296,6 +304,7 @@
 		dff_relay_data_t data;
 		dff_relay_end_t end;
 		dff_relay_beat_t beat;
+		dff_relay_kept_t kept;
 	};
 } dff_relay_event_t;
 
@@ -365,6 +374,12 @@
 	char handle[DFF_NAME_MAX];
 } dff_relay_free_t;
 
+/** struct dff_relay_list - an engine is to tell which parts it keeps */
+typedef struct dff_relay_list {
+	char upstream[DFF_NAME_MAX];
+	char addr[DFF_ADDR_MAX];
+} dff_relay_list_t;
+
 /** struct dff_relay_frame - a frame for a peer */
 typedef struct dff_relay_frame {
 	char addr[DFF_ADDR_MAX];
@@ -388,6 +403,7 @@
 	DFF_RELAY_FX_PASS_END, /* the answer is whole */
 	DFF_RELAY_FX_BREAK, /* close, so that it does not look whole */
 	DFF_RELAY_FX_FREE,
+	DFF_RELAY_FX_LIST,
 	DFF_RELAY_FX_FORGET, /* close kept connections to an upstream */
 	DFF_RELAY_FX_FRAME,
 	DFF_RELAY_FX_FETCH, /* get a feed's records from a peer */
@@ -403,6 +419,7 @@
 		dff_relay_pass_t pass;
 		uint64_t call; /* DFF_RELAY_FX_BREAK */
 		dff_relay_free_t release;
+		dff_relay_list_t list;
 		char upstream[DFF_NAME_MAX]; /* DFF_RELAY_FX_FORGET */
 		dff_relay_frame_t frame;
 		dff_relay_fetch_t fetch;
--- a/include/dragonflyfall/relay_run.h
+++ b/include/dragonflyfall/relay_run.h
@@ -22,6 +22,9 @@
  * @decode_head: read an answer's head; the send's number is filled in
  * @decode_prefill: read a prefill's answer; -EBADMSG if it is none
  * @encode_free: the bytes that free an engine's memory
+ * @encode_list: the bytes that ask an engine which parts it keeps
+ * @decode_kept: read its answer, adding dff_part_t to @parts; -EBADMSG if it
+ *	is none
  */
 typedef struct dff_wire {
 	const char *echo_field;
@@ -33,6 +36,8 @@
 	int (*decode_prefill)(
 	    const char *body, size_t len, dff_relay_end_t *end);
 	GByteArray *(*encode_free)(const dff_relay_free_t *release);
+	GByteArray *(*encode_list)(const dff_relay_list_t *list);
+	int (*decode_kept)(const char *body, size_t len, GArray *parts);
 } dff_wire_t;
 
 /**
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -228,6 +228,9 @@
 	case DFF_RELAY_FX_FREE:
 		run_free_memory(run, &fx->release);
 		break;
+	case DFF_RELAY_FX_LIST:
+		run_list_kept(run, &fx->list);
+		break;
 	case DFF_RELAY_FX_FORGET:
 		dff_h1c_forget(run->client, fx->upstream);
 		break;
--- a/source/net/run_sends.c
+++ b/source/net/run_sends.c
@@ -9,6 +9,9 @@
 #define FREE_CONNECT_TIME (300 * DFF_MSEC)
 /* Largest answer of a prefill. */
 #define PREFILL_MAX 4096
+/* The same for a list of kept parts: some thousand of about 50 bytes. */
+#define LIST_CONNECT_TIME (300 * DFF_MSEC)
+#define LIST_MAX	  (1u << 20)
 
 void
 run_free_send(void *data)
@@ -177,3 +180,84 @@
 	http.bytes = run->wire.encode_free(release);
 	(void)dff_h1c_start(run->client, &http, &handlers, run);
 }
+
+/* ---- kept parts ---- */
+
+/* A list that is on its way. */
+typedef struct list {
+	dff_run_t *run;
+	char upstream[DFF_NAME_MAX];
+	GByteArray *body;
+	int status;
+} list_t;
+
+static void
+on_list_head(void *arg, const dff_h1_head_t *head)
+{
+	((list_t *)arg)->status = head->status;
+}
+
+static void
+on_list_data(void *arg, const char *data, size_t len)
+{
+	list_t *list = arg;
+
+	if (list->body->len + len <= LIST_MAX)
+		g_byte_array_append(
+		    list->body, (const guint8 *)data, (guint)len);
+}
+
+static void
+feed_list(list_t *list)
+{
+	dff_run_t *run = list->run;
+	dff_relay_event_t event = {.type = DFF_RELAY_KEPT};
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(dff_part_t));
+
+	if (run->wire.decode_kept(
+		(const char *)list->body->data, list->body->len, parts) == 0) {
+		event.kept.upstream = list->upstream;
+		event.kept.parts = (const dff_part_t *)(void *)parts->data;
+		event.kept.count = parts->len;
+		dff_run_feed(run, &event);
+	} else
+		dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+		    "list of kept parts cannot be read id=%s bytes=%u",
+		    list->upstream, list->body->len);
+	g_array_unref(parts);
+}
+
+static void
+on_list_end(void *arg, dff_h1c_end_t end)
+{
+	list_t *list = arg;
+
+	if (end == DFF_H1C_DONE && list->status == 200)
+		feed_list(list);
+	else
+		dff_log(list->run->ctx, DFF_LOG_INFO, "upstream",
+		    "kept parts are not told id=%s end=%d status=%d",
+		    list->upstream, (int)end, list->status);
+	g_byte_array_unref(list->body);
+	g_free(list);
+}
+
+void
+run_list_kept(dff_run_t *run, const dff_relay_list_t *fx)
+{
+	static const dff_h1c_handlers_t handlers = {
+	    .head = on_list_head, .data = on_list_data, .end = on_list_end};
+	dff_h1c_call_t http = {.addr = fx->addr,
+	    .peer = fx->upstream,
+	    .connect_time = LIST_CONNECT_TIME};
+	list_t *list = g_new0(list_t, 1);
+
+	list->run = run;
+	list->body = g_byte_array_new();
+	g_strlcpy(list->upstream, fx->upstream, sizeof(list->upstream));
+	http.bytes = run->wire.encode_list(fx);
+	if (dff_h1c_start(run->client, &http, &handlers, list) != NULL)
+		return;
+	g_byte_array_unref(list->body);
+	g_free(list);
+}
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4193,12 +4193,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chain",
+    "part",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Dff__RelayKept, chain),
+    offsetof(Dff__RelayKept, part),
     NULL,
     NULL,
     0,             /* flags */
@@ -4218,7 +4218,7 @@
   },
 };
 static const unsigned dff__relay_kept__field_indices_by_name[] = {
-  1,   /* field[1] = chain */
+  1,   /* field[1] = part */
   2,   /* field[2] = tokens */
   0,   /* field[0] = upstream */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -626,9 +626,9 @@
   ProtobufCMessage base;
   uint32_t upstream;
   /*
-   * hash of the chain up to and with the part
+   * its id
    */
-  uint64_t chain;
+  uint64_t part;
   /*
    * of that part
    */
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -46,8 +46,7 @@
 	for (guint i = parts->len; i-- > 0;) {
 		const told_part_t *one = &g_array_index(parts, told_part_t, i);
 
-		if (one->chain == part->chain &&
-		    one->upstream == part->upstream)
+		if (one->part == part->part && one->upstream == part->upstream)
 			return;
 	}
 	g_array_append_vals(parts, part, 1);
@@ -76,7 +75,7 @@
 			continue;
 		if (relay->routing != NULL)
 			pool = dff_routing_pool(relay->routing, up->news.pool);
-		upstream_keep_part(up, row->chain, row->tokens,
+		upstream_keep_part(up, row->part, row->tokens,
 		    pool != NULL ? pool->kv_tokens : 0, step->now);
 	}
 }
@@ -139,7 +138,7 @@
 		return;
 	for (size_t i = 0; i < beat->n_kept; i++) {
 		told_part_t part = {.upstream = beat->kept[i]->upstream,
-		    .chain = beat->kept[i]->chain,
+		    .part = beat->kept[i]->part,
 		    .tokens = beat->kept[i]->tokens,
 		    .at = step->now};
 
@@ -259,15 +258,15 @@
 } draft_t;
 
 void
-beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
+beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t part,
     uint32_t tokens, dff_time_t now)
 {
-	told_part_t part = {
-	    .upstream = up->hash, .chain = chain, .tokens = tokens, .at = now};
+	told_part_t told = {
+	    .upstream = up->hash, .part = part, .tokens = tokens, .at = now};
 
-	add_told(relay->told_parts, &part);
+	add_told(relay->told_parts, &told);
 	if (peers_speaks(relay, now))
-		add_told(relay->summary_parts, &part);
+		add_told(relay->summary_parts, &told);
 }
 
 static void
@@ -329,7 +328,7 @@
 		row = &draft->parts[draft->beat.n_kept++];
 		dff__relay_kept__init(row);
 		row->upstream = part->upstream;
-		row->chain = part->chain;
+		row->part = part->part;
 		row->tokens = part->tokens;
 	}
 }
--- a/source/relay/kept.c
+++ b/source/relay/kept.c
@@ -19,40 +19,24 @@
 	dff_time_t used;
 } kept_t;
 
-/* A part counts only behind all before it, so their hash goes into its own. */
-static uint64_t
-chain_add(uint64_t hash, const dff_part_t *part)
-{
-	return dff_hash(&part->id, sizeof(part->id), hash);
-}
-
-uint64_t
-chain_hash(const dff_prompt_t *prompt, uint32_t count)
-{
-	uint64_t hash = 0;
-
-	for (uint32_t i = 0; i < count; i++)
-		hash = chain_add(hash, &prompt->parts[i]);
-	return hash;
-}
-
-/* Tokens of the leading parts that are believed kept and read by @by. */
+/* Tokens of the leading parts that are believed kept and read by @by: a part
+ * is of use only behind all before it. */
 static uint32_t
 leading_tokens(const upstream_t *up, const dff_prompt_t *prompt, dff_time_t by)
 {
 	uint32_t tokens = 0;
-	uint64_t hash = 0;
 
 	if (DFF_FAULT(RELAY_KEPT_FORGOTTEN))
 		return 0;
 	for (uint32_t i = 0; i < prompt->count; i++) {
-		const kept_t *kept;
+		const dff_part_t *part = &prompt->parts[i];
+		const kept_t *kept = g_hash_table_lookup(up->kept, &part->id);
 
-		hash = chain_add(hash, &prompt->parts[i]);
-		kept = g_hash_table_lookup(up->kept, &hash);
 		if (kept == NULL || kept->read_at > by)
 			break;
-		tokens += prompt->parts[i].tokens;
+		tokens += MIN(kept->tokens, part->tokens);
+		if (kept->tokens < part->tokens)
+			break;
 	}
 	return tokens;
 }
@@ -74,13 +58,10 @@
 void
 upstream_note_read(upstream_t *up, const dff_prompt_t *prompt, dff_time_t now)
 {
-	uint64_t hash = 0;
-
 	for (uint32_t i = 0; i < prompt->count; i++) {
-		kept_t *kept;
+		kept_t *kept =
+		    g_hash_table_lookup(up->kept, &prompt->parts[i].id);
 
-		hash = chain_add(hash, &prompt->parts[i]);
-		kept = g_hash_table_lookup(up->kept, &hash);
 		if (kept != NULL)
 			kept->read_at = MIN(kept->read_at, now);
 	}
@@ -110,18 +91,20 @@
 }
 
 void
-upstream_keep_part(upstream_t *up, uint64_t chain, uint32_t tokens,
+upstream_keep_part(upstream_t *up, uint64_t part, uint32_t tokens,
     uint64_t capacity, dff_time_t now)
 {
-	kept_t *kept = g_hash_table_lookup(up->kept, &chain);
+	kept_t *kept = g_hash_table_lookup(up->kept, &part);
 
 	if (kept == NULL) {
 		kept = g_new0(kept_t, 1);
-		kept->tokens = tokens;
 		kept->read_at = now + READ_WITHIN;
-		up->kept_tokens += tokens;
 		g_hash_table_insert(
-		    up->kept, g_memdup2(&chain, sizeof(chain)), kept);
+		    up->kept, g_memdup2(&part, sizeof(part)), kept);
+	}
+	if (kept->tokens < tokens) {
+		up->kept_tokens += tokens - kept->tokens;
+		kept->tokens = tokens;
 	}
 	kept->used = now;
 	while ((double)up->kept_tokens > KEPT_SHARE * (double)capacity &&
@@ -130,14 +113,25 @@
 }
 
 void
-upstream_keep(upstream_t *up, const dff_prompt_t *prompt, uint64_t capacity,
-    dff_time_t now)
+upstream_load_kept(upstream_t *up, const dff_part_t *parts, size_t count,
+    uint64_t capacity, dff_time_t now)
 {
-	uint64_t hash = 0;
+	for (size_t i = 0; i < count; i++) {
+		kept_t *kept;
 
-	for (uint32_t i = 0; i < prompt->count; i++) {
-		hash = chain_add(hash, &prompt->parts[i]);
 		upstream_keep_part(
-		    up, hash, prompt->parts[i].tokens, capacity, now);
+		    up, parts[i].id, parts[i].tokens, capacity, now);
+		kept = g_hash_table_lookup(up->kept, &parts[i].id);
+		if (kept != NULL)
+			kept->read_at = MIN(kept->read_at, now);
 	}
 }
+
+void
+upstream_keep(upstream_t *up, const dff_prompt_t *prompt, uint64_t capacity,
+    dff_time_t now)
+{
+	for (uint32_t i = 0; i < prompt->count; i++)
+		upstream_keep_part(up, prompt->parts[i].id,
+		    prompt->parts[i].tokens, capacity, now);
+}
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -57,7 +57,7 @@
 /** struct told_part - a part that an engine was given to read lately */
 typedef struct told_part {
 	uint32_t upstream;
-	uint64_t chain;
+	uint64_t part;
 	uint32_t tokens;
 	dff_time_t at;
 } told_part_t;
@@ -219,7 +219,7 @@
 bool beat_is_large(const dff_relay_t *relay);
 dff_time_t beat_interval(const dff_relay_t *relay);
 void beat_free_all(dff_relay_t *relay);
-void beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t chain,
+void beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t part,
     uint32_t tokens, dff_time_t now);
 
 /* ---- suspect.c: requests that break upstreams ---- */
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -136,6 +136,19 @@
 	return dff_hash(&up->hash, sizeof(up->hash), chain);
 }
 
+/* Hash of the parts that other requests may have, too; of the only one. */
+static uint64_t
+shared_hash(const dff_prompt_t *prompt)
+{
+	uint32_t count = prompt->count > 1 ? prompt->count - 1 : prompt->count;
+	uint64_t hash = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		hash = dff_hash(
+		    &prompt->parts[i].id, sizeof(prompt->parts[i].id), hash);
+	return hash;
+}
+
 /* Tokens of the parts that other requests may have, too. */
 static uint32_t
 shared_tokens(const dff_prompt_t *prompt)
@@ -420,7 +433,7 @@
 	    .pace = pace,
 	    .ask = ask,
 	    .now = now,
-	    .chain = chain_hash(ask->prompt, count > 1 ? count - 1 : count)};
+	    .chain = shared_hash(ask->prompt)};
 	best_t best = {0};
 
 	memset(place, 0, sizeof(*place));
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -155,6 +155,50 @@
 	g_strlcpy(fx->upstream, id, sizeof(fx->upstream));
 }
 
+/*
+ * A node that has just started knows nothing of what engines keep, though
+ * they may have kept it for long. In a large fleet each engine is asked by
+ * the nodes of its own domain only.
+ */
+static void
+ask_kept(step_t *step, const upstream_t *up)
+{
+	dff_relay_t *relay = step->relay;
+	dff_relay_effect_t *fx;
+
+	if (up->news.role == DFF_ROLE_MIXED || up->news.leaving ||
+	    DFF_FAULT(RELAY_KEPT_NOT_ASKED))
+		return;
+	if (beat_is_large(relay) &&
+	    strcmp(up->news.domain, relay->config.domain) != 0)
+		return;
+	fx = relay_add_fx(step, DFF_RELAY_FX_LIST);
+	g_strlcpy(fx->list.upstream, up->news.id, sizeof(fx->list.upstream));
+	g_strlcpy(fx->list.addr, up->news.addr, sizeof(fx->list.addr));
+}
+
+static void
+take_kept(step_t *step, const dff_relay_kept_t *kept)
+{
+	dff_relay_t *relay = step->relay;
+	upstream_t *up =
+	    upstreams_find(relay->upstreams, upstream_hash(kept->upstream));
+	const dff_pool_t *pool = NULL;
+
+	if (up == NULL)
+		return;
+	if (relay->routing != NULL)
+		pool = dff_routing_pool(relay->routing, up->news.pool);
+	if (pool == NULL)
+		return;
+	upstream_load_kept(
+	    up, kept->parts, kept->count, pool->kv_tokens, step->now);
+	dff_log(step->ctx, DFF_LOG_INFO, "upstream",
+	    "kept parts told id=%s parts=%zu believed=%u tokens=%" G_GUINT64_FORMAT,
+	    up->news.id, kept->count, g_hash_table_size(up->kept),
+	    up->kept_tokens);
+}
+
 static void
 take_upstream(step_t *step, const dff_upstream_news_t *news)
 {
@@ -177,6 +221,8 @@
 	    (guint64)up->news.born, (guint64)up->news.seq);
 	if (effect != NEWS_ADDED)
 		forget_connections(step, up->news.id);
+	else
+		ask_kept(step, up);
 	if (effect == NEWS_RESTARTED || effect == NEWS_GONE ||
 	    effect == NEWS_MISSING)
 		suspect_confirm(step, handle);
@@ -299,6 +345,9 @@
 	case DFF_RELAY_BEAT:
 		beat_take(&step, &event->beat);
 		break;
+	case DFF_RELAY_KEPT:
+		take_kept(&step, &event->kept);
+		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
 		break;
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -23,7 +23,7 @@
  * @errors: share of own sends that failed, recent ones count most
  * @failures: failures to connect in a row
  * @shun_until: no new work before this moment
- * @kept: chain hash (uint64_t) to kept part
+ * @kept: id of a part (uint64_t) to kept part
  * @kept_tokens: sum over @kept
  */
 typedef struct upstream {
@@ -103,9 +103,6 @@
 
 /* ---- kept parts ---- */
 
-/** chain_hash() - hash of the first @count parts of a prompt */
-uint64_t chain_hash(const dff_prompt_t *prompt, uint32_t count);
-
 /** upstream_cached() - tokens of a prompt believed to be kept */
 uint32_t upstream_cached(const upstream_t *up, const dff_prompt_t *prompt);
 
@@ -118,12 +115,16 @@
 void upstream_note_read(
     upstream_t *up, const dff_prompt_t *prompt, dff_time_t now);
 
+/** upstream_load_kept() - it says itself which parts it keeps */
+void upstream_load_kept(upstream_t *up, const dff_part_t *parts, size_t count,
+    uint64_t capacity, dff_time_t now);
+
 /** upstream_keep() - it reads a prompt; @capacity bounds what is kept */
 void upstream_keep(upstream_t *up, const dff_prompt_t *prompt,
     uint64_t capacity, dff_time_t now);
 
 /** upstream_keep_part() - a peer had it read one part */
-void upstream_keep_part(upstream_t *up, uint64_t chain, uint32_t tokens,
+void upstream_keep_part(upstream_t *up, uint64_t part, uint32_t tokens,
     uint64_t capacity, dff_time_t now);
 
 /* ---- results ---- */
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -37,6 +37,41 @@
 	return fx->send.upstream;
 }
 
+/* ---- what engines keep ---- */
+
+START_TEST(engine_that_is_met_is_asked_what_it_keeps)
+{
+	const dff_relay_effect_t *fx;
+
+	relay_bench_upstream(bench, "f2", "llm", DFF_ROLE_PREFILL, "a", 1);
+	fx = relay_bench_find(bench, DFF_RELAY_FX_LIST);
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_str_eq(fx->list.upstream, "f2");
+	/* Not at each record of it, and no plain service. */
+	relay_bench_upstream(bench, "f2", "llm", DFF_ROLE_PREFILL, "a", 2);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_LIST), 0);
+	relay_bench_upstream(bench, "p3", "plain", DFF_ROLE_MIXED, "a", 1);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_LIST), 0);
+}
+END_TEST
+
+START_TEST(prompt_goes_where_its_parts_are_said_to_be)
+{
+	const dff_part_t part = {77, 20000};
+	dff_relay_event_t event = {.type = DFF_RELAY_KEPT};
+
+	event.kept.upstream = "d2";
+	event.kept.parts = &part;
+	event.kept.count = 1;
+	relay_bench_step(bench, &event);
+	(void)relay_bench_open_prompt(bench, "/talk/x", 77, 20000, 78, 100);
+	ck_assert_str_eq(upstream_of_send(), "d2");
+	/* Who is not known any more changes nothing. */
+	event.kept.upstream = "gone";
+	relay_bench_step(bench, &event);
+}
+END_TEST
+
 /* ---- routing ---- */
 
 START_TEST(longest_prefix_of_the_host_is_chosen)
@@ -541,6 +576,8 @@
 	int failed;
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, engine_that_is_met_is_asked_what_it_keeps);
+	tcase_add_test(tcase, prompt_goes_where_its_parts_are_said_to_be);
 	tcase_add_test(tcase, longest_prefix_of_the_host_is_chosen);
 	tcase_add_test(tcase, weights_share_a_route_out);
 	tcase_add_test(tcase, version_never_goes_back);
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -74,16 +74,12 @@
 	return atoi(id + 1);
 }
 
+/* Relays that know nothing yet. */
 static void
-setup(void)
+start_relays(void)
 {
 	char addr[RELAYS][32];
 
-	memset(asked, 0, sizeof(asked));
-	now = 1000 * DFF_SEC;
-	dice = g_rand_new_with_seed(1);
-	tokens_read = 0;
-	shared_read = 0;
 	for (int i = 0; i < RELAYS; i++) {
 		(void)g_snprintf(addr[i], sizeof(addr[i]), "10.0.0.%d:7000", i);
 		relays[i] = relay_bench_new_as(addr[i], "a", addr[i], 100);
@@ -95,6 +91,7 @@
 			relay_bench_upstream(relays[i], id, "llm",
 			    e < PREFILL ? DFF_ROLE_PREFILL : DFF_ROLE_DECODE,
 			    "a", 1);
+			take_effects(i);
 		}
 	}
 	for (int i = 0; i < RELAYS; i++) {
@@ -102,12 +99,23 @@
 			dff_relay_add_peer(
 			    relays[i]->relay, addr[k], "a", 100, now);
 	}
+}
+
+static void
+setup(void)
+{
+	memset(asked, 0, sizeof(asked));
+	now = 1000 * DFF_SEC;
+	dice = g_rand_new_with_seed(1);
+	tokens_read = 0;
+	shared_read = 0;
 	for (int e = 0; e < ENGINES; e++) {
 		g_queue_init(&engines[e].queue);
 		g_queue_init(&engines[e].answers);
 		engines[e].kept =
 		    g_hash_table_new(g_direct_hash, g_direct_equal);
 	}
+	start_relays();
 }
 
 static void
@@ -280,6 +288,28 @@
 	g_queue_push_tail(&frames, frame);
 }
 
+/* An engine tells which parts it keeps. */
+static void
+tell_kept(int relay, const dff_relay_list_t *list)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_KEPT};
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(dff_part_t));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, engines[engine_of(list->upstream)].kept);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		dff_part_t part = {GPOINTER_TO_UINT(key), SHARED};
+
+		g_array_append_val(parts, part);
+	}
+	event.kept.upstream = list->upstream;
+	event.kept.parts = (const dff_part_t *)(void *)parts->data;
+	event.kept.count = parts->len;
+	relay_bench_step(relays[relay], &event);
+	g_array_unref(parts);
+}
+
 static void
 take_effect(int relay, const dff_relay_effect_t *fx)
 {
@@ -307,6 +337,9 @@
 	case DFF_RELAY_FX_PASS_END:
 	case DFF_RELAY_FX_BREAK:
 	case DFF_RELAY_FX_FREE:
+	case DFF_RELAY_FX_LIST:
+		tell_kept(relay, &fx->list);
+		break;
 	case DFF_RELAY_FX_FORGET:
 	case DFF_RELAY_FX_FETCH:
 		break;
@@ -519,6 +552,25 @@
 }
 END_TEST
 
+/* Load answered: what the engines kept before all nodes started again. */
+START_TEST(nodes_that_start_again_have_little_read_anew)
+{
+	double before;
+
+	load(4 * DFF_SEC, 60, 20);
+	load(2 * DFF_SEC, 0, 20);
+	before = shared_read;
+	for (int i = 0; i < RELAYS; i++)
+		relay_bench_drop(relays[i]);
+	start_relays();
+	memset(asked, 0, sizeof(asked));
+	load(3 * DFF_SEC, 60, 20);
+	load(2 * DFF_SEC, 0, 20);
+	ck_assert_msg(shared_read - before <= 2.0 * SHARED,
+	    "read %.0f times again", (shared_read - before) / SHARED);
+}
+END_TEST
+
 /* Load answered: many requests at one moment, at several nodes. */
 START_TEST(burst_is_spread_over_the_engines)
 {
@@ -556,6 +608,7 @@
 	tcase_add_test(tcase, shared_parts_are_read_about_once);
 	tcase_add_test(tcase, overload_serves_in_time_what_it_lets_in);
 	tcase_add_test(tcase, part_that_is_being_read_is_not_read_elsewhere);
+	tcase_add_test(tcase, nodes_that_start_again_have_little_read_anew);
 	tcase_add_test(tcase, burst_is_spread_over_the_engines);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
--- a/test/test_relay_upstreams.c
+++ b/test/test_relay_upstreams.c
@@ -173,12 +173,27 @@
 
 	(void)load(5, 10, false, false, 0, 0);
 	up = upstreams_get(ups, handle);
-	upstream_keep_part(up, chain_hash(&prompt, 1), 100, 10000, 0);
+	upstream_keep_part(up, 1, 100, 10000, 0);
 	ck_assert_uint_eq(upstream_cached_by(up, &prompt, 100 * DFF_MSEC), 0);
 	ck_assert_uint_eq(upstream_cached_by(up, &prompt, DFF_SEC), 100);
 }
 END_TEST
 
+START_TEST(parts_that_it_names_are_there_at_once)
+{
+	const dff_prompt_t prompt = {
+	    .parts = {{1, 100}, {2, 50}, {3, 10}}, .count = 3, .tokens = 160};
+	const dff_part_t named[] = {{1, 100}, {2, 30}, {3, 10}};
+	upstream_t *up;
+
+	(void)load(5, 10, false, false, 0, 0);
+	up = upstreams_get(ups, handle);
+	upstream_load_kept(up, named, 3, 10000, DFF_SEC);
+	/* Half of the second part is gone, so the third is of no use. */
+	ck_assert_uint_eq(upstream_cached_by(up, &prompt, DFF_SEC), 130);
+}
+END_TEST
+
 START_TEST(least_recently_used_part_yields)
 {
 	dff_prompt_t prompt = {.count = 1, .tokens = 100};
@@ -215,6 +230,7 @@
 	tcase_add_test(tcase, part_counts_only_behind_all_before_it);
 	tcase_add_test(tcase, part_is_there_for_others_once_it_was_read);
 	tcase_add_test(tcase, part_of_a_peer_is_there_after_some_time);
+	tcase_add_test(tcase, parts_that_it_names_are_there_at_once);
 	tcase_add_test(tcase, least_recently_used_part_yields);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
