Relay: kept parts are believed to get 0.62 of an engine's memory

Cause: parts that yielded at the engine were still believed kept: fetching from such an engine, or sending there, has them read again.

--- a/source/relay/kept.c
+++ b/source/relay/kept.c
@@ -8,7 +8,7 @@
 
 /* Share of an engine's memory that kept parts are believed to get; what
  * runs needs the rest. */
-#define KEPT_SHARE 0.75
+#define KEPT_SHARE 0.62
 /* A part that an engine was given to read is kept there after this time, a
  * long prompt and those ahead of it, unless its answer came before. */
 #define READ_WITHIN (900 * DFF_MSEC)
