Relay: a node asks 48 engines at most what they keep

Cause: before 3,000 workers, 300 nodes that start would open 100,000 connections within a second (a domain's thousand engines times its hundred nodes), more than the workers take and a node's descriptors hold. Engines that are listed within 20 ms are asked together; of more than 48 the node's own hash chooses. The code moved to relay/kept_ask.c. Test: relay: few_of_many_engines_are_asked.

--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -31,6 +31,10 @@
 	COUNT_COUNT,
 } relay_count_t;
 
+/* Subjects of the timer DFF_TIMER_FLEET_TICK. */
+#define TICK_SWEEP 0
+#define TICK_ASK   1
+
 /** struct peer - another relay, or what a relay tells of its domain */
 typedef struct peer {
 	char *addr; /* "" for a domain's summary */
@@ -154,6 +158,7 @@
 	bool changed[DFF_FEED_COUNT]; /* a belief, since the last mark */
 	dff_time_t settled_at; /* missing records may return before this */
 	dff_time_t stop_at; /* asked to stop; 0 while it runs */
+	uint32_t asks; /* engines that were asked what they keep */
 	uint64_t counts[COUNT_COUNT];
 	dff_hist_t *first_byte;
 	dff_hist_t *whole;
@@ -199,6 +204,13 @@
 /** relay_call_close() - the call is over; it is freed */
 void relay_call_close(step_t *step, call_t *call);
 
+/* ---- kept_ask.c: what engines say that they keep ---- */
+
+/** kept_note_engine() - an engine was listed; it is asked soon */
+void kept_note_engine(step_t *step, const upstream_t *up);
+void kept_ask_lists(step_t *step);
+void kept_load_list(step_t *step, const dff_relay_kept_t *list);
+
 /* ---- events.c: numbered events ---- */
 
 /** events_whole() - bytes up to the end of the last whole event;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -57,7 +57,7 @@
 	relay->whole = dff_hist_new();
 	relay->prefill = dff_hist_new();
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_BEAT, 0, 0);
-	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, 0, 0);
+	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, TICK_SWEEP, 0);
 	return relay;
 }
 
@@ -155,50 +155,6 @@
 	g_strlcpy(fx->upstream, id, sizeof(fx->upstream));
 }
 
-/*
- * A node that has just started knows nothing of what engines keep, though
- * they may have kept it for long. In a large fleet each engine is asked by
- * the nodes of its own domain only.
- */
-static void
-ask_kept(step_t *step, const upstream_t *up)
-{
-	dff_relay_t *relay = step->relay;
-	dff_relay_effect_t *fx;
-
-	if (up->news.role == DFF_ROLE_MIXED || up->news.leaving ||
-	    DFF_FAULT(RELAY_KEPT_NOT_ASKED))
-		return;
-	if (beat_is_large(relay) &&
-	    strcmp(up->news.domain, relay->config.domain) != 0)
-		return;
-	fx = relay_add_fx(step, DFF_RELAY_FX_LIST);
-	g_strlcpy(fx->list.upstream, up->news.id, sizeof(fx->list.upstream));
-	g_strlcpy(fx->list.addr, up->news.addr, sizeof(fx->list.addr));
-}
-
-static void
-take_kept(step_t *step, const dff_relay_kept_t *kept)
-{
-	dff_relay_t *relay = step->relay;
-	upstream_t *up =
-	    upstreams_find(relay->upstreams, upstream_hash(kept->upstream));
-	const dff_pool_t *pool = NULL;
-
-	if (up == NULL)
-		return;
-	if (relay->routing != NULL)
-		pool = dff_routing_pool(relay->routing, up->news.pool);
-	if (pool == NULL)
-		return;
-	upstream_load_kept(
-	    up, kept->parts, kept->count, pool->kv_tokens, step->now);
-	dff_log(step->ctx, DFF_LOG_INFO, "upstream",
-	    "kept parts told id=%s parts=%zu believed=%u tokens=%" G_GUINT64_FORMAT,
-	    up->news.id, kept->count, g_hash_table_size(up->kept),
-	    up->kept_tokens);
-}
-
 static void
 take_upstream(step_t *step, const dff_upstream_news_t *news)
 {
@@ -222,7 +178,7 @@
 	if (effect != NEWS_ADDED)
 		forget_connections(step, up->news.id);
 	else
-		ask_kept(step, up);
+		kept_note_engine(step, up);
 	if (effect == NEWS_RESTARTED || effect == NEWS_GONE ||
 	    effect == NEWS_MISSING)
 		suspect_confirm(step, handle);
@@ -267,8 +223,8 @@
 
 	upstreams_sweep(relay->upstreams, step->now);
 	suspect_sweep(relay, step->now);
-	dff_timers_set(
-	    relay->timers, DFF_TIMER_FLEET_TICK, 0, step->now + SWEEP_EVERY);
+	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, TICK_SWEEP,
+	    step->now + SWEEP_EVERY);
 }
 
 static void
@@ -291,7 +247,10 @@
 			beat_tell_sends(step, due.subject);
 			break;
 		case DFF_TIMER_FLEET_TICK:
-			take_sweep_timer(step);
+			if (due.subject == TICK_ASK)
+				kept_ask_lists(step);
+			else
+				take_sweep_timer(step);
 			break;
 		case DFF_TIMER_NONE:
 		case DFF_TIMER_CALL_QUEUE:
@@ -346,7 +305,7 @@
 		beat_take(&step, &event->beat);
 		break;
 	case DFF_RELAY_KEPT:
-		take_kept(&step, &event->kept);
+		kept_load_list(&step, &event->kept);
 		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -25,6 +25,7 @@
  * @shun_until: no new work before this moment
  * @kept: id of a part (uint64_t) to kept part
  * @kept_tokens: sum over @kept
+ * @asked: whether it was asked what it keeps, or left out
  */
 typedef struct upstream {
 	dff_upstream_news_t news;
@@ -42,6 +43,7 @@
 	dff_time_t shun_until;
 	GHashTable *kept;
 	uint64_t kept_tokens;
+	bool asked;
 } upstream_t;
 
 /** typedef upstreams_t - all of them */
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -43,18 +43,39 @@
 {
 	const dff_relay_effect_t *fx;
 
+	/* Those of the set-up: one that prefills, two that decode. */
+	relay_bench_wait(bench, 50 * DFF_MSEC);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_LIST), 3);
 	relay_bench_upstream(bench, "f2", "llm", DFF_ROLE_PREFILL, "a", 1);
+	relay_bench_wait(bench, 50 * DFF_MSEC);
 	fx = relay_bench_find(bench, DFF_RELAY_FX_LIST);
 	ck_assert_ptr_nonnull(fx);
 	ck_assert_str_eq(fx->list.upstream, "f2");
 	/* Not at each record of it, and no plain service. */
 	relay_bench_upstream(bench, "f2", "llm", DFF_ROLE_PREFILL, "a", 2);
+	relay_bench_wait(bench, 50 * DFF_MSEC);
 	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_LIST), 0);
 	relay_bench_upstream(bench, "p3", "plain", DFF_ROLE_MIXED, "a", 1);
+	relay_bench_wait(bench, 50 * DFF_MSEC);
 	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_LIST), 0);
 }
 END_TEST
 
+/* A thousand nodes that start would else open a million connections. */
+START_TEST(few_of_many_engines_are_asked)
+{
+	for (int i = 0; i < 500; i++) {
+		char id[16];
+
+		(void)g_snprintf(id, sizeof(id), "e%d", i);
+		relay_bench_upstream(bench, id, "llm", DFF_ROLE_DECODE, "a", 1);
+	}
+	relay_bench_wait(bench, 50 * DFF_MSEC);
+	ck_assert_uint_ge(relay_bench_count(bench, DFF_RELAY_FX_LIST), 24);
+	ck_assert_uint_le(relay_bench_count(bench, DFF_RELAY_FX_LIST), 48);
+}
+END_TEST
+
 START_TEST(prompt_goes_where_its_parts_are_said_to_be)
 {
 	const dff_part_t part = {77, 20000};
@@ -577,6 +598,7 @@
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, engine_that_is_met_is_asked_what_it_keeps);
+	tcase_add_test(tcase, few_of_many_engines_are_asked);
 	tcase_add_test(tcase, prompt_goes_where_its_parts_are_said_to_be);
 	tcase_add_test(tcase, longest_prefix_of_the_host_is_chosen);
 	tcase_add_test(tcase, weights_share_a_route_out);
