Relay: a second copy of kept parts must save more time

Cause: parts were fetched to whatever engine was idle. Each copy takes memory from parts that are then read again, so a fetch costs more than its transfer. Ruled out: the transfers themselves (links carry 3 Tbit/s, one takes 12 ms). Test: relay_place: kept_part_is_not_copied_for_a_short_queue (fails at 1).

--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -45,9 +45,9 @@
 #define FETCH_TOKENS_MIN 150
 /* Set-up of a transfer between engines. */
 #define FETCH_TIME (6 * DFF_MSEC)
-/* Transfers take the links of two engines: this many times their time is
- * added to the time of the request itself. */
-#define FETCH_WEIGHT 1
+/* A fetched copy takes memory from other parts, which are read again later:
+ * this many times its transfer's time is added to the request's own. */
+#define FETCH_WEIGHT 12
 /* The same for what a hand-over moves; it also takes memory from what is
  * kept there. */
 #define MOVE_WEIGHT 3
--- a/test/test_relay_place.c
+++ b/test/test_relay_place.c
@@ -119,6 +119,24 @@
 }
 END_TEST
 
+/* Load answered: more parts than fit twice. A short queue is no reason for a
+ * second copy. */
+START_TEST(kept_part_is_not_copied_for_a_short_queue)
+{
+	dff_prompt_t before = make_prompt(13000, 100);
+	dff_prompt_t prompt = make_prompt(13000, 4000);
+	upstream_t *keeper = add_engine("keeper", DFF_ROLE_PREFILL);
+
+	(void)add_engine("idle", DFF_ROLE_PREFILL);
+	(void)add_engine("decoder", DFF_ROLE_DECODE);
+	upstream_keep(keeper, &before, 500000, 0);
+	upstream_note_read(keeper, &before, 300 * DFF_MSEC);
+	keeper->backlog = 4000;
+	ck_assert_str_eq(place_prompt(&prompt, DFF_SEC), "keeper");
+	ck_assert_uint_eq(place.donor, 0);
+}
+END_TEST
+
 /* Nothing can be fetched of what is being read: the request waits there. */
 START_TEST(part_that_is_being_read_is_waited_for)
 {
@@ -163,6 +181,7 @@
 	tcase_add_test(tcase, long_prompt_waits_for_an_engine_that_only_reads);
 	tcase_add_test(tcase, short_prompt_is_read_where_it_is_answered);
 	tcase_add_test(tcase, kept_part_is_fetched_by_an_idle_engine);
+	tcase_add_test(tcase, kept_part_is_not_copied_for_a_short_queue);
 	tcase_add_test(tcase, part_that_is_being_read_is_waited_for);
 	tcase_add_test(tcase, slow_engine_gets_less);
 	suite_add_tcase(suite, tcase);
