--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -27,7 +27,7 @@
 #define GAP_LEAVE_GAPS 8
 /* Share of its aim that a generation may wait for others' prompts: beyond,
  * it would be late for certain and make those behind it late. */
-#define QUEUE_SHARE 0.6
+#define QUEUE_SHARE 0.8
 /* In a large fleet the load of other failure domains is known late: their
  * upstreams must look better by this much. */
 #define FAR_TIME (80 * DFF_MSEC)
