Claims: lines name a call as every other line does; explain reads them

'decided.' and 'ended.' named a call by the shell's number alone, so explain could not link them; both bear the node now and have words in explain. That a holder is gone is told only of one that ever claimed: each node said it of nobody at its first start. Tests: process_ctl: decisions_are_explained.

--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -251,13 +251,14 @@
 }
 
 static void
-log_verdict(dff_ctx_t *ctx, dff_key_t key, uint64_t call,
-    dff_claim_state_t state, uint64_t offset)
+log_verdict(dff_ctx_t *ctx, const dff_claims_t *claims, dff_key_t key,
+    uint64_t call, dff_claim_state_t state, uint64_t offset)
 {
 	dff_log(ctx, DFF_LOG_DEBUG, "claim",
-	    "decided. call=%" G_GUINT64_FORMAT " key=%016" G_GINT64_MODIFIER
+	    "decided. call=%s-%" G_GUINT64_FORMAT " key=%016" G_GINT64_MODIFIER
 	    "x%016" G_GINT64_MODIFIER "x state=%s offset=%" G_GUINT64_FORMAT,
-	    call, key.hi, key.lo, dff_claim_state_name(state), offset);
+	    claims->config.node, call, key.hi, key.lo,
+	    dff_claim_state_name(state), offset);
 }
 
 /* ---- batches ---- */
@@ -413,7 +414,7 @@
 	pending->key = mine->key;
 	pending->state = state;
 	g_queue_push_tail(&claims->verdicts, pending);
-	log_verdict(ctx, mine->key, mine->call, state, offset);
+	log_verdict(ctx, claims, mine->key, mine->call, state, offset);
 }
 
 static void
@@ -464,8 +465,8 @@
 		state = DFF_CLAIM_WAIT;
 	}
 	if (state != DFF_CLAIM_WAIT) {
-		log_verdict(
-		    ctx, key, call, state, held != NULL ? held->offset : 0);
+		log_verdict(ctx, claims, key, call, state,
+		    held != NULL ? held->offset : 0);
 		return state;
 	}
 	mine = g_new0(mine_t, 1);
@@ -565,9 +566,9 @@
 		set_answer(mine, answer);
 	}
 	dff_log(ctx, DFF_LOG_INFO, "claim",
-	    "ended. call=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
+	    "ended. call=%s-%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
 	    " outcome=%s",
-	    mine->call, mine->claim,
+	    claims->config.node, mine->call, mine->claim,
 	    outcome == HELD_RELEASED ? "not_run" :
 		outcome == HELD_DONE ? "done" :
 				       "unknown");
@@ -711,6 +712,9 @@
 		return;
 	g_hash_table_insert(claims->gone, g_strdup(node),
 	    g_memdup2(&incarnation, sizeof(incarnation)));
+	/* Of a holder that never claimed there is nothing to tell. */
+	if (g_hash_table_lookup(claims->heard, node) == NULL)
+		return;
 	dff_log(ctx, DFF_LOG_INFO, "claim",
 	    "holder is gone, its open claims are unknown. node=%s "
 	    "incarnation=%" G_GUINT64_FORMAT,
--- a/source/tool/ctl_explain.c
+++ b/source/tool/ctl_explain.c
@@ -15,6 +15,8 @@
 static const meaning_t meanings[] = {
     {"claim asked.",
 	"it may run at most once, so its key was looked up: {state}"},
+    {"decided.", "its key is {state}, by the record at offset {offset}"},
+    {"ended.", "its claim ended as {outcome}"},
     {"call waits.",
 	"queued: no engine could take it at once; the reasons follow in the "
 	"line"},
--- a/test/test_process_ctl.c
+++ b/test/test_process_ctl.c
@@ -545,8 +545,14 @@
 	    "whole_ms=900 cached=12 sampled=3\n"
 	    "<6>vm-1 call: call refused. call=vm-1-170 entry=tank-grade "
 	    "owner=keelwater code=late ran=not_run retry_after_ms=400 "
-	    "why=no engine meets the time\n",
+	    "why=no engine meets the time\n"
+	    "<7>vm-1 claim: decided. call=vm-1-18 key=00ff state=mine "
+	    "offset=41\n"
+	    "<6>vm-1 claim: ended. call=vm-1-18 offset=41 outcome=done\n",
 	    -1, NULL));
+	expect("explain vm-1-18 test_process_ctl.log", 0,
+	    "its key is mine, by the record at offset 41");
+	expect("explain vm-1-18 test_process_ctl.log", 0, "ended as done");
 	expect("explain vm-1-17 test_process_ctl.log", 0, "routed to e3");
 	expect("explain vm-1-170 test_process_ctl.log", 0,
 	    "because: no engine meets the time");
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -235,19 +235,18 @@
 }
 
 static double
-tick_tokens(int e)
+tick_tokens(const engine_t *engine, bool decodes)
 {
-	if (e < PREFILL)
+	if (!decodes)
 		return TICK_TOKENS;
-	return engines[e].answers.length == 0 ? TICK_TOKENS / 2 :
-						TICK_TOKENS / 4;
+	return engine->answers.length == 0 ? TICK_TOKENS / 2 : TICK_TOKENS / 4;
 }
 
 static void
 run_engine(int e)
 {
 	engine_t *engine = &engines[e];
-	double left = tick_tokens(e);
+	double left = tick_tokens(engine, e >= PREFILL);
 	job_t *job;
 
 	while ((job = g_queue_peek_head(&engine->queue)) != NULL) {
