--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -129,11 +129,12 @@
 	return time;
 }
 
-/* The home of a cold prompt has the highest hash over its chain and itself. */
+/* The home of a cold prompt has the highest hash over its shared parts and
+ * itself. */
 static uint64_t
-home_score(const upstream_t *up, uint64_t chain)
+home_score(const upstream_t *up, uint64_t shared)
 {
-	return dff_hash(&up->hash, sizeof(up->hash), chain);
+	return dff_hash(&up->hash, sizeof(up->hash), shared);
 }
 
 /* Hash of the parts that other requests may have, too; of the only one. */
@@ -195,7 +196,7 @@
 	const pace_t *pace;
 	const place_ask_t *ask;
 	dff_time_t now;
-	uint64_t chain; /* hash of the parts that other requests may have */
+	uint64_t shared; /* hash of the parts that other requests may have */
 	donor_t donor;
 } search_t;
 
@@ -243,7 +244,7 @@
 		if (ask->sends_max > 0 && up->running >= ask->sends_max)
 			one.wait += FULL_TIME;
 		one.cost = one.wait + error_time(up, ask);
-		one.tie = home_score(up, search->chain);
+		one.tie = home_score(up, search->shared);
 		consider(best, &one);
 	}
 }
@@ -322,7 +323,7 @@
 	one->wait = way_time(up, ask) + one->ahead + own + fetch;
 	one->cost = one->wait + error_time(up, ask) +
 	    (dff_time_t)(REREAD_WEIGHT * (double)own) + FETCH_WEIGHT * fetch;
-	one->tie = home_score(up, search->chain);
+	one->tie = home_score(up, search->shared);
 }
 
 /* The engine at which a prompt is read first. */
@@ -380,7 +381,7 @@
 			    (double)(up->backlog + up->peer_backlog)));
 		one.wait = way_time(up, ask) + one.ahead + move;
 		one.cost = one.wait + error_time(up, ask) + MOVE_WEIGHT * move;
-		one.tie = home_score(up, search->chain);
+		one.tie = home_score(up, search->shared);
 		consider(best, &one);
 	}
 }
@@ -433,7 +434,7 @@
 	    .pace = pace,
 	    .ask = ask,
 	    .now = now,
-	    .chain = shared_hash(ask->prompt)};
+	    .shared = shared_hash(ask->prompt)};
 	best_t best = {0};
 
 	memset(place, 0, sizeof(*place));
