Tests: engines answer lists after the step that asked

The test took a list's answer as an event while it still carried out the effects of the step before, whose frames live until the next step only. The program does not: answers come from the loop.

--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -61,6 +61,8 @@
 static engine_t engines[ENGINES];
 static asked_t asked[RELAYS][CALLS];
 static GQueue frames = G_QUEUE_INIT;
+/* Which engines are to tell a relay what they keep. */
+static bool lists[RELAYS][ENGINES];
 static dff_time_t now;
 static GRand *dice;
 static double tokens_read;
@@ -105,6 +107,7 @@
 setup(void)
 {
 	memset(asked, 0, sizeof(asked));
+	memset(lists, 0, sizeof(lists));
 	now = 1000 * DFF_SEC;
 	dice = g_rand_new_with_seed(1);
 	tokens_read = 0;
@@ -289,26 +292,43 @@
 
 /* An engine tells which parts it keeps. */
 static void
-tell_kept(int relay, const dff_relay_list_t *list)
+tell_kept(int relay, int e)
 {
+	char id[8];
 	dff_relay_event_t event = {.type = DFF_RELAY_KEPT};
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(dff_part_t));
 	GHashTableIter iter;
 	gpointer key;
 
-	g_hash_table_iter_init(&iter, engines[engine_of(list->upstream)].kept);
+	(void)g_snprintf(id, sizeof(id), "e%d", e);
+	g_hash_table_iter_init(&iter, engines[e].kept);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		dff_part_t part = {GPOINTER_TO_UINT(key), SHARED};
 
 		g_array_append_val(parts, part);
 	}
-	event.kept.upstream = list->upstream;
+	event.kept.upstream = id;
 	event.kept.parts = (const dff_part_t *)(void *)parts->data;
 	event.kept.count = parts->len;
 	relay_bench_step(relays[relay], &event);
+	take_effects(relay);
 	g_array_unref(parts);
 }
 
+/* Answers come after the step that asked. */
+static void
+answer_lists(void)
+{
+	for (int i = 0; i < RELAYS; i++) {
+		for (int e = 0; e < ENGINES; e++) {
+			if (!lists[i][e])
+				continue;
+			lists[i][e] = false;
+			tell_kept(i, e);
+		}
+	}
+}
+
 static void
 take_effect(int relay, const dff_relay_effect_t *fx)
 {
@@ -337,7 +357,7 @@
 	case DFF_RELAY_FX_BREAK:
 	case DFF_RELAY_FX_FREE:
 	case DFF_RELAY_FX_LIST:
-		tell_kept(relay, &fx->list);
+		lists[relay][engine_of(fx->list.upstream)] = true;
 		break;
 	case DFF_RELAY_FX_FORGET:
 	case DFF_RELAY_FX_FETCH:
@@ -392,6 +412,7 @@
 		take_effects(i);
 	}
 	deliver_frames();
+	answer_lists();
 	for (int e = 0; e < ENGINES; e++)
 		run_engine(e);
 }
