--- a/soak/callers.c
+++ b/soak/callers.c
@@ -121,7 +121,7 @@
 	    attempt->id, paths[attempt->kind], attempt->edge, attempt->status,
 	    attempt->whole);
 	soak->served += served;
-	if (attempt->sent > soak->calm_from + 4 * DFF_SEC)
+	if (attempt->calm)
 		soak->calm_served += served;
 	check_end(soak, attempt);
 }
@@ -145,7 +145,9 @@
 	model = attempt->kind == KIND_TALK || attempt->kind == KIND_RESUME;
 	g_hash_table_insert(soak->attempts, attempt->id, attempt);
 	soak->asked++;
-	if (attempt->sent > soak->calm_from + 4 * DFF_SEC)
+	attempt->calm = attempt->sent > soak->calm_from + 4 * DFF_SEC &&
+	    upstreams_serve(soak, attempt->kind);
+	if (attempt->calm)
 		soak->calm_asked++;
 	call.addr = soak->edges[attempt->edge].front;
 	call.peer = "edge";
--- a/soak/edges.c
+++ b/soak/edges.c
@@ -11,6 +11,8 @@
 #define RESTART_TIME (300 * DFF_MSEC)
 /* Time from SIGTERM to SIGKILL, as in the settings. */
 #define STOP_SECONDS 8
+/* Longest time from a start of a process to its main(). */
+#define EXEC_TIME (200 * DFF_MSEC)
 
 static void start_edge(soak_t *soak, edge_proc_t *edge);
 
@@ -93,6 +95,7 @@
 		g_error("edge cannot be started error=%s", uv_strerror(err));
 	(void)close(fd);
 	edge->running = true;
+	edge->started = dff_program_now();
 	edge->start_at = 0;
 	edge->disturbed = dff_program_now();
 	soak_note(soak, "edge starts index=%d pid=%d", edge->index,
@@ -141,7 +144,9 @@
 void
 edge_signal(soak_t *soak, edge_proc_t *edge, int signal)
 {
-	if (!edge->running)
+	/* No program can take a signal before its main() runs. */
+	if (!edge->running ||
+	    (signal == SIGHUP && dff_program_now() - edge->started < EXEC_TIME))
 		return;
 	soak_note(soak, "edge index=%d gets signal=%d", edge->index, signal);
 	edge->disturbed = dff_program_now();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -39,6 +39,7 @@
 	proxy_t *store; /* its way to the store */
 	dff_time_t disturbed; /* last moment of a fault on it */
 	dff_time_t start_at; /* to be started then; 0 if it runs */
+	dff_time_t started;
 } edge_proc_t;
 
 /** struct upstream - one upstream that this program plays */
@@ -54,6 +55,7 @@
 	bool dead;
 	dff_time_t leaving; /* since; 0 if it is not */
 	dff_time_t back_at;
+	dff_time_t started;
 } soak_upstream_t;
 
 /** struct run - what became of one attempt of a caller */
@@ -66,6 +68,7 @@
 	int events; /* of a stream, seen by its caller */
 	bool ended;
 	bool whole;
+	bool calm; /* it is owed an answer: faults ended long before */
 	dff_time_t sent;
 	dff_time_t done;
 	GString *body;
@@ -134,6 +137,9 @@
 void upstreams_beat(soak_t *soak);
 void upstream_leave(soak_t *soak, soak_upstream_t *up);
 void upstream_crash(soak_t *soak, soak_upstream_t *up);
+/** upstreams_serve() - whether a kind of request has an upstream that all
+ *	nodes must know */
+bool upstreams_serve(const soak_t *soak, int kind);
 void upstream_spoil(soak_t *soak, double share);
 void config_write(soak_t *soak);
 
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -16,6 +16,8 @@
 #define LEAVE_BOUND (2200 * DFF_MSEC)
 /* A fault counts for this long after its end, as on the platform. */
 #define TOUCH (3 * DFF_SEC)
+/* All nodes know a new upstream after this time. */
+#define KNOWN_TIME (2 * DFF_SEC)
 
 static double spoiled; /* share of answers that are lost or torn */
 
@@ -323,6 +325,7 @@
 	up->back_at = 0;
 	up->seq = 0;
 	up->born = dff_program_wall_ms();
+	up->started = dff_program_now();
 	(void)g_snprintf(up->id, sizeof(up->id), "u%d-%" G_GUINT64_FORMAT,
 	    up->index, up->born);
 	proxy_set(up->proxy, LINK_WELL);
@@ -349,6 +352,35 @@
 	}
 }
 
+/* The first and last upstream that may serve a kind. */
+static void
+find_pool(const soak_t *soak, int kind, int *first, int *last)
+{
+	bool generates = kind == KIND_TALK || kind == KIND_RESUME;
+	bool other = kind == KIND_MOVE && soak->moved_to_other;
+
+	*first = generates ? 5 : other ? 3 : 0;
+	*last = generates ? 6 : other ? 3 : 2;
+}
+
+bool
+upstreams_serve(const soak_t *soak, int kind)
+{
+	dff_time_t now = dff_program_now();
+	int first;
+	int last;
+
+	find_pool(soak, kind, &first, &last);
+	for (int i = first; i <= last; i++) {
+		const soak_upstream_t *up = &soak->upstreams[i];
+
+		if (!up->dead && up->leaving == 0 && up->back_at == 0 &&
+		    now - up->started > KNOWN_TIME)
+			return true;
+	}
+	return false;
+}
+
 void
 upstream_leave(soak_t *soak, soak_upstream_t *up)
 {
