Build: packages that the build names are listed, once

The build names binutils, libc6-dev and libh2o-dev-common (ar; stdio.h; h2o.h) but got them only because other listed packages depend on them; pkg-config is a transitional package, its program is in pkgconf. Evidence: strace of the build and dpkg -S of each file. make deps takes the list from deploy/system.toml, so there is one, and adds what the tests need, strace among it.

--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,11 @@
 #   make capacity  slopes behind docs/CAPACITY.md
 #   make format  rewrite the sources with the formatter
 
-PACKAGES = gcc make pkg-config clang-format clang-tidy cppcheck valgrind \
-	libuv1-dev libh2o-dev libssl-dev zlib1g-dev libprotobuf-c-dev \
-	libhttp-parser-dev libglib2.0-dev check libjansson-dev libxxhash-dev curl
+# What the build needs is listed once, for the users' platform too.
+BUILD_PACKAGES := $(shell sed -n 's/^packages = \[\(.*\)\]/\1/p' \
+	deploy/system.toml | tr -d '",')
+TEST_PACKAGES = check clang-format clang-tidy cppcheck curl git perl strace \
+	valgrind
 
 MODE ?= plain
 OUT = build/$(MODE)
@@ -134,7 +136,8 @@
 deps:
 	apt-get update -q
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
-	    --no-install-recommends $(PACKAGES)
+	    --no-install-recommends $(BUILD_PACKAGES) \
+	    $(TEST_PACKAGES)
 
 check:
 	@pkg-config --exists $(LIBS) check || $(MAKE) deps
