Build: the tests' library is not needed to build the programs

What was seen: on machines that hold only the packages of deploy/system.toml the build ended with 'glib.h: No such file or directory'.

Cause: the flags of check, the tests' library, were asked for in one pkg-config call with those of the build. pkg-config prints no flags at all if one module is unknown, and its error was hidden.

Why it works: only the objects and programs of the tests ask for check, when they are made; errors of pkg-config are no longer hidden.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,12 @@
 OUT = build/$(MODE)
 
 LIBS = libuv libh2o libprotobuf-c glib-2.0 jansson libxxhash
-PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS) check 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lhttp_parser -lssl -lcrypto -lz -lm
-CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
+PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS))
+PKG_LIBS := $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lssl -lcrypto -lz -lm
+# The library of the tests is asked for by the tests' own rules alone: one
+# missing package makes pkg-config print no flags for the others either.
+CHECK_CFLAGS = $(shell pkg-config --cflags check)
+CHECK_LIBS = $(shell pkg-config --libs check)
 
 CFLAGS_plain = -O2
 CFLAGS_asan = -O1 -fsanitize=address,undefined -fno-sanitize-recover=all \
@@ -107,6 +110,8 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
+$(OUT)/test/%.o $(OUT)/platform/test/%.o: CFLAGS += $(CHECK_CFLAGS)
+
 # protobuf-c's generated code is not held to the warnings of our own.
 $(OUT)/source/proto/%.o: CFLAGS += -Wno-unused-parameter
 
