Relay: an upstream that was not reached is not one of six sends

Cause: a connection that was refused counted like a send that an upstream rejected. A send that never left neither burdens an upstream nor may it have run.

Now such attempts have a bound of their own (12), and a request that failed to reach one upstream is refused at once, as not run, when all that are left were out of reach lately too: before, it tried each of them in turn, up to 350 ms each.

--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -114,6 +114,7 @@
 	dff_time_t give_up;
 	dff_fate_t fate;
 	uint32_t sends;
+	uint32_t unreached; /* of these, ended before a connection stood */
 	uint32_t runs; /* upstreams at which it may have run */
 	uint32_t arrivals; /* that count as sends of it */
 	bool prefill_taken; /* the one that does not count was accepted */
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -212,6 +212,7 @@
 	send_t *send = &call->send;
 
 	step->relay->counts[COUNT_UNREACHABLE]++;
+	call->unreached++;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
 	    "upstream cannot be reached id=%s upstream=%s addr=%s", call->id,
 	    send->id, send->addr);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -3,8 +3,11 @@
 #include "base/fault.h"
 #include "relay/send.h"
 
-/* Sends of one request, rejected and failed ones counted. */
+/* Sends of one request that left this node, rejected and failed ones
+ * counted. */
 #define SENDS_MAX 6
+/* Upstreams that one request may fail to reach. */
+#define UNREACHED_MAX 12
 /* Less time than this is no chance for an upstream. */
 #define TIME_LEFT_MIN (15 * DFF_MSEC)
 /* Kept back of a caller's time for the answer's way back. */
@@ -278,7 +281,8 @@
 		    step, call, DFF_TROUBLE_TIME, 0, "no_time_left");
 		return;
 	}
-	if (call->sends >= SENDS_MAX) {
+	if (call->sends - call->unreached >= SENDS_MAX ||
+	    call->unreached >= UNREACHED_MAX) {
 		relay_call_give_up(
 		    step, call, DFF_TROUBLE_BUSY, DFF_SEC, "sends");
 		return;
@@ -290,6 +294,12 @@
 		    step, call, DFF_TROUBLE_BUSY, DFF_SEC, "no_upstream");
 		return;
 	}
+	/* All that could take it were out of reach lately, as this one was. */
+	if (place.shunned && call->unreached > 0) {
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_BUSY, DFF_SEC, "unreachable");
+		return;
+	}
 	if (call->fate != DFF_FATE_BEGUN && call->fate != DFF_FATE_PREFILLED &&
 	    waited + place.wait > limit) {
 		relay_call_give_up(step, call, DFF_TROUBLE_BUSY,
