Relay: nodes tell each other which upstreams they cannot reach

While a connection hangs its request waits up to 350 ms, and dead engines look idle, so they are tried first.

Cause: each node found each dead engine by itself, and all requests that came while a first connection hung, or as the waiting time after a failure ended, went there too.

Now a frame names the upstreams that its node failed to reach; who hears that of two peers leaves them alone. One peer alone is not believed: it may be cut off itself. Word of others is never passed on, and ends when its witnesses are silent. Witnesses try again by their own waiting times, one request at a time.

Ruled out: marking an upstream as gone (it may be out of reach for one domain only; it stays a choice when nothing else is left).

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4293,7 +4293,7 @@
   (ProtobufCMessageInit) dff__relay_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[14] =
 {
   {
     "node",
@@ -4451,6 +4451,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreachable",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Dff__RelayBeat, n_unreachable),
+    offsetof(Dff__RelayBeat, unreachable),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   6,   /* field[6] = crashes */
@@ -4465,13 +4477,14 @@
   2,   /* field[2] = sequence */
   8,   /* field[8] = source_age_ms */
   11,   /* field[11] = summary */
+  13,   /* field[13] = unreachable */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange dff__relay_beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -4481,7 +4494,7 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  13,
+  14,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
   2,  dff__relay_beat__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -694,10 +694,15 @@
    * of the node
    */
   uint32_t link_mbps;
+  /*
+   * upstreams that it cannot reach
+   */
+  size_t n_unreachable;
+  uint32_t *unreachable;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -212,6 +212,7 @@
 	peer->sequence = beat->sequence;
 	peer->heard = step->now;
 	peer_load_frame(relay, peer, beat);
+	unreachable_load(step, peer, beat->unreachable, beat->n_unreachable);
 	take_parts(step, beat);
 	for (size_t i = 0; i < beat->n_crashes; i++)
 		suspect_load(relay, beat->crashes[i]->content,
@@ -254,6 +255,7 @@
 	Dff__RelayKept *part_rows[PARTS_MAX];
 	Dff__RelayCrash crashes[CRASHES_MAX];
 	Dff__RelayCrash *crash_rows[CRASHES_MAX];
+	uint32_t unreachable[UNREACHABLE_MAX];
 	char node[2 * DFF_NAME_MAX];
 } draft_t;
 
@@ -395,6 +397,9 @@
 	forget_old_parts(relay->told_parts, step->now);
 	add_parts(relay->told_parts, &draft, step->now);
 	add_crashes(relay, &draft, step->now);
+	draft.beat.unreachable = draft.unreachable;
+	draft.beat.n_unreachable =
+	    unreachable_list(relay, draft.unreachable, step->now);
 	return pack(relay, &draft);
 }
 
@@ -554,7 +559,7 @@
 {
 	dff_relay_t *relay = step->relay;
 
-	peers_sweep(relay, step->now);
+	peers_sweep(step);
 	tell_own(step, true);
 	if (!peers_speaks(relay, step->now))
 		return;
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -48,6 +48,7 @@
 	dff_time_t added;
 	dff_time_t told;
 	GArray *loads; /* peer_load_t, as last told */
+	GArray *unreachable; /* uint32_t, hashes of upstreams, as last told */
 } peer_t;
 
 /** struct peer_load - what a peer has under way at one upstream */
@@ -235,6 +236,21 @@
 void beat_note_part(dff_relay_t *relay, const upstream_t *up, uint64_t part,
     uint32_t tokens, dff_time_t now);
 
+/* ---- unreachable.c: upstreams that nodes cannot reach ---- */
+
+/* Upstreams that one frame names. */
+#define UNREACHABLE_MAX 40
+
+/** unreachable_list() - hashes of those that this node cannot reach, for a
+ *	frame; @rows has room for UNREACHABLE_MAX; returns how many */
+size_t unreachable_list(
+    const dff_relay_t *relay, uint32_t *rows, dff_time_t now);
+
+/** unreachable_load() - what a peer cannot reach, in place of what it told
+ *	before; nothing when it fell silent */
+void unreachable_load(
+    step_t *step, peer_t *peer, const uint32_t *rows, size_t count);
+
 /* ---- suspect.c: requests that break upstreams ---- */
 
 /** suspect_note() - its run broke off */
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -22,6 +22,7 @@
 	g_free(peer->addr);
 	g_free(peer->node);
 	g_array_unref(peer->loads);
+	g_array_unref(peer->unreachable);
 	g_free(peer);
 }
 
@@ -32,6 +33,7 @@
 
 	peer->addr = g_strdup(addr);
 	peer->loads = g_array_new(FALSE, FALSE, sizeof(peer_load_t));
+	peer->unreachable = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_ptr_array_add(relay->peers, peer);
 	return peer;
 }
@@ -210,14 +212,18 @@
 }
 
 void
-peers_sweep(dff_relay_t *relay, dff_time_t now)
+peers_sweep(step_t *step)
 {
+	dff_relay_t *relay = step->relay;
+	dff_time_t now = step->now;
+
 	for (guint i = relay->peers->len; i-- > 0;) {
 		peer_t *peer = relay->peers->pdata[i];
 
 		if (peer_is_alive(relay, peer, now))
 			continue;
 		take_out_loads(relay, peer);
+		unreachable_load(step, peer, NULL, 0);
 		if (now - MAX(peer->heard, peer->added) <= PEER_LIFE)
 			continue;
 		g_ptr_array_remove_index_fast(relay->peers, i);
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -33,7 +33,7 @@
 bool peers_speaks(const dff_relay_t *relay, dff_time_t now);
 
 /** peers_sweep() - forget silent peers, and their loads at once */
-void peers_sweep(dff_relay_t *relay, dff_time_t now);
+void peers_sweep(step_t *step);
 
 /** peer_load_frame() - take what a frame tells of upstreams */
 void peer_load_frame(
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -162,6 +162,7 @@
 	send->at = step->now;
 	send->predicted = place->wait;
 	count_send(step, call, up, place->uncached);
+	upstream_note_trial(up, step->now);
 	g_hash_table_insert(relay->by_send, &send->number, call);
 	call->sends++;
 	relay->counts[COUNT_SENDS]++;
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -23,6 +23,7 @@
  * @errors: share of own sends that failed, recent ones count most
  * @failures: failures to connect in a row
  * @shun_until: no new work before this moment
+ * @peers_failing: peers that cannot reach it, as they tell it
  * @kept: id of a part (uint64_t) to kept part
  * @kept_tokens: sum over @kept
  * @asked: whether it was asked what it keeps, or left out
@@ -41,6 +42,7 @@
 	double errors;
 	uint32_t failures;
 	dff_time_t shun_until;
+	uint32_t peers_failing;
 	GHashTable *kept;
 	uint64_t kept_tokens;
 	bool asked;
@@ -94,7 +96,11 @@
 /** upstreams_count() - listed ones */
 size_t upstreams_count(const upstreams_t *upstreams);
 
-/** upstream_takes_work() - listed, not leaving, not shunned */
+/** upstream_is_failing() - this node could not reach it, and did not since */
+bool upstream_is_failing(const upstream_t *up, dff_time_t now);
+
+/** upstream_takes_work() - listed, not leaving, not shunned here nor by
+ *	several peers */
 bool upstream_takes_work(const upstream_t *up, dff_time_t now);
 
 /** upstream_is_listed() - listed and not leaving */
@@ -134,6 +140,10 @@
 /** upstream_note_result() - a send ended well or not */
 void upstream_note_result(upstream_t *up, bool good);
 
+/** upstream_note_trial() - a send to it begins; if it failed before, other
+ *	requests wait for how that ends */
+void upstream_note_trial(upstream_t *up, dff_time_t now);
+
 /** upstream_note_unreachable() - no connection could be made */
 void upstream_note_unreachable(upstream_t *up, dff_time_t now);
 
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -11,6 +11,14 @@
  * server listens again within a second or some. */
 #define SHUN_MIN (500 * DFF_MSEC)
 #define SHUN_MAX (4 * DFF_SEC)
+/* A send to one that failed before is a trial; others wait this long for its
+ * connection, which may take 350 ms. */
+#define TRIAL_TIME (400 * DFF_MSEC)
+/* After this time without a trial a node's failure says nothing any more. */
+#define FAILURE_AGE (1 * DFF_SEC)
+/* So many peers that cannot reach an upstream are believed: one alone may be
+ * cut off itself. */
+#define PEERS_FAILING_MIN 2
 /* Weight of the newest result. */
 #define RESULT_WEIGHT 0.1
 
@@ -227,10 +235,27 @@
 	    now < up->gone_at;
 }
 
+bool
+upstream_is_failing(const upstream_t *up, dff_time_t now)
+{
+	return up->failures > 0 && now < up->shun_until + FAILURE_AGE;
+}
+
 bool
 upstream_takes_work(const upstream_t *up, dff_time_t now)
 {
-	return upstream_is_listed(up, now) && now >= up->shun_until;
+	if (!upstream_is_listed(up, now) || now < up->shun_until)
+		return false;
+	/* Who failed itself tries again by its own clock. */
+	return up->peers_failing < PEERS_FAILING_MIN ||
+	    upstream_is_failing(up, now);
+}
+
+void
+upstream_note_trial(upstream_t *up, dff_time_t now)
+{
+	if (up->failures > 0)
+		up->shun_until = MAX(up->shun_until, now + TRIAL_TIME);
 }
 
 void
--- a/test/test_relay_beat.c
+++ b/test/test_relay_beat.c
@@ -7,110 +7,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake/relay_bench.h"
+#include "fake/relay_net.h"
 #include "relay/peers.h"
 
-#define NODES_MAX 32
-
-static relay_bench_t *nodes[NODES_MAX];
-static int count;
-static bool cut[NODES_MAX]; /* hears and tells nothing */
-
-static void
-add_node(const char *domain, int index, uint32_t link_mbps)
-{
-	char id[32];
-	char addr[32];
-
-	(void)snprintf(id, sizeof(id), "%s%d", domain, index);
-	(void)snprintf(addr, sizeof(addr), "10.0.%d.%d:7000", domain[0], index);
-	nodes[count] = relay_bench_new_as(id, domain, addr, link_mbps);
-	g_strlcpy(
-	    nodes[count]->frame_addr, addr, sizeof(nodes[count]->frame_addr));
-	count++;
-}
-
-/* All know of all, as from the record source. */
-static void
-introduce(void)
-{
-	for (int i = 0; i < count; i++) {
-		for (int k = 0; k < count; k++) {
-			char domain[2] = {nodes[k]->frame_addr[0], '\0'};
-			int x;
-			int y;
-
-			(void)sscanf(
-			    nodes[k]->frame_addr, "10.0.%d.%d", &x, &y);
-			domain[0] = (char)x;
-			dff_relay_add_peer(nodes[i]->relay,
-			    nodes[k]->frame_addr, domain, y == 1 ? 200 : 10,
-			    nodes[i]->now);
-		}
-	}
-}
+static relay_net_t net;
 
 static void
 teardown(void)
 {
-	for (int i = 0; i < count; i++)
-		relay_bench_drop(nodes[i]);
-	count = 0;
-	memset(cut, 0, sizeof(cut));
-}
-
-static int
-find_node(const char *addr)
-{
-	for (int i = 0; i < count; i++) {
-		if (strcmp(nodes[i]->frame_addr, addr) == 0)
-			return i;
-	}
-	return -1;
-}
-
-/* Deliver the frames among the effects of a node's last step. */
-static void
-deliver(int from)
-{
-	GArray *fx = nodes[from]->fx;
-
-	nodes[from]->fx = g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
-	for (guint i = 0; i < fx->len; i++) {
-		const dff_relay_effect_t *one =
-		    &g_array_index(fx, dff_relay_effect_t, i);
-		dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
-		int to;
-
-		if (one->type != DFF_RELAY_FX_FRAME)
-			continue;
-		to = find_node(one->frame.addr);
-		if (to < 0 || cut[to] || cut[from])
-			continue;
-		event.beat.addr = nodes[from]->frame_addr;
-		event.beat.bytes = one->frame.bytes;
-		event.beat.len = one->frame.len;
-		relay_bench_step(nodes[to], &event);
-		deliver(to);
-	}
-	g_array_unref(fx);
-}
-
-/* Let all nodes' time pass in steps of 5 ms. */
-static void
-pass_time(dff_time_t time)
-{
-	const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
-
-	for (dff_time_t t = 0; t < time; t += 5 * DFF_MSEC) {
-		for (int i = 0; i < count; i++) {
-			nodes[i]->now += 5 * DFF_MSEC;
-			if (dff_relay_wake(nodes[i]->relay) > nodes[i]->now)
-				continue;
-			relay_bench_step(nodes[i], &wake);
-			deliver(i);
-		}
-	}
+	relay_net_drop(&net);
 }
 
 static void
@@ -118,7 +23,7 @@
 {
 	const dff_relay_event_t heard = {.type = DFF_RELAY_HEARD};
 
-	relay_bench_step(nodes[i], &heard);
+	relay_bench_step(net.nodes[i], &heard);
 }
 
 static int
@@ -126,23 +31,25 @@
 {
 	int readers = 0;
 
-	for (int i = 0; i < count; i++)
-		readers += dff_relay_reads(nodes[i]->relay, nodes[i]->now);
+	for (int i = 0; i < net.count; i++)
+		readers +=
+		    dff_relay_reads(net.nodes[i]->relay, net.nodes[i]->now);
 	return readers;
 }
 
 START_TEST(two_nodes_read_for_all)
 {
 	for (int i = 1; i <= 7; i++)
-		add_node("a", i, 100);
-	introduce();
+		relay_net_add(&net, "a", i, 100);
+	relay_net_introduce(&net);
 	ck_assert_int_eq(count_readers(), 7);
 	for (int round = 0; round < 20; round++) {
-		for (int i = 0; i < count; i++) {
-			if (dff_relay_reads(nodes[i]->relay, nodes[i]->now))
+		for (int i = 0; i < net.count; i++) {
+			if (dff_relay_reads(
+				net.nodes[i]->relay, net.nodes[i]->now))
 				hear_source(i);
 		}
-		pass_time(100 * DFF_MSEC);
+		relay_net_pass(&net, 100 * DFF_MSEC);
 	}
 	ck_assert_int_eq(count_readers(), 2);
 }
@@ -154,19 +61,19 @@
 	bool refused[NODES_MAX] = {false};
 
 	for (int i = 1; i <= 7; i++)
-		add_node("a", i, 100);
-	introduce();
+		relay_net_add(&net, "a", i, 100);
+	relay_net_introduce(&net);
 	for (int round = 0; round < 40; round++) {
-		for (int i = 0; i < count; i++) {
-			bool reads =
-			    dff_relay_reads(nodes[i]->relay, nodes[i]->now);
+		for (int i = 0; i < net.count; i++) {
+			bool reads = dff_relay_reads(
+			    net.nodes[i]->relay, net.nodes[i]->now);
 
 			if (round == 20 && reads)
 				refused[i] = true;
 			if (reads && !refused[i])
 				hear_source(i);
 		}
-		pass_time(100 * DFF_MSEC);
+		relay_net_pass(&net, 100 * DFF_MSEC);
 	}
 	/* The two that are refused go on trying, two others read. */
 	ck_assert_int_eq(count_readers(), 4);
@@ -178,30 +85,33 @@
 	const char *why;
 
 	for (int i = 1; i <= 5; i++)
-		add_node("a", i, 100);
-	introduce();
-	for (int i = 0; i < count; i++) {
-		relay_bench_load_route(nodes[i], 1);
+		relay_net_add(&net, "a", i, 100);
+	relay_net_introduce(&net);
+	for (int i = 0; i < net.count; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
 		relay_bench_upstream(
-		    nodes[i], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+		    net.nodes[i], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
 		hear_source(i);
 	}
-	pass_time(DFF_SEC);
-	cut[3] = true;
+	relay_net_pass(&net, DFF_SEC);
+	net.cut[3] = true;
 	for (int round = 0; round < 50; round++) {
 		hear_source(0);
 		hear_source(1);
-		pass_time(100 * DFF_MSEC);
+		relay_net_pass(&net, 100 * DFF_MSEC);
 	}
-	ck_assert(dff_relay_reads(nodes[3]->relay, nodes[3]->now));
-	ck_assert(!dff_relay_ready(nodes[3]->relay, nodes[3]->now, &why));
-	ck_assert(dff_relay_ready(nodes[2]->relay, nodes[2]->now, &why));
-	cut[3] = false;
+	ck_assert(dff_relay_reads(net.nodes[3]->relay, net.nodes[3]->now));
+	ck_assert(
+	    !dff_relay_ready(net.nodes[3]->relay, net.nodes[3]->now, &why));
+	ck_assert(
+	    dff_relay_ready(net.nodes[2]->relay, net.nodes[2]->now, &why));
+	net.cut[3] = false;
 	hear_source(0);
-	pass_time(3 * DFF_SEC);
+	relay_net_pass(&net, 3 * DFF_SEC);
 	hear_source(0);
-	pass_time(200 * DFF_MSEC);
-	ck_assert(dff_relay_ready(nodes[3]->relay, nodes[3]->now, &why));
+	relay_net_pass(&net, 200 * DFF_MSEC);
+	ck_assert(
+	    dff_relay_ready(net.nodes[3]->relay, net.nodes[3]->now, &why));
 }
 END_TEST
 
@@ -213,24 +123,25 @@
 {
 	dff_relay_event_t gone = {.type = DFF_RELAY_UPSTREAM};
 
-	add_node("a", 1, 100);
-	add_node("a", 2, 100);
-	introduce();
+	relay_net_add(&net, "a", 1, 100);
+	relay_net_add(&net, "a", 2, 100);
+	relay_net_introduce(&net);
 	hear_source(0);
-	pass_time(10 * DFF_SEC);
-	add_node("a", 3, 100);
-	nodes[2]->now = nodes[0]->now;
-	introduce();
-	pass_time(DFF_SEC);
+	relay_net_pass(&net, 10 * DFF_SEC);
+	relay_net_add(&net, "a", 3, 100);
+	net.nodes[2]->now = net.nodes[0]->now;
+	relay_net_introduce(&net);
+	relay_net_pass(&net, DFF_SEC);
 	hear_source(1);
-	pass_time(300 * DFF_MSEC);
-	relay_bench_upstream(nodes[2], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
-	relay_bench_load_route(nodes[2], 1);
+	relay_net_pass(&net, 300 * DFF_MSEC);
+	relay_bench_upstream(
+	    net.nodes[2], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+	relay_bench_load_route(net.nodes[2], 1);
 	g_strlcpy(gone.upstream.id, "p1", sizeof(gone.upstream.id));
 	gone.upstream.gone = true;
-	relay_bench_step(nodes[2], &gone);
-	(void)relay_bench_open(nodes[2], "/order/x", 1);
-	ck_assert_int_eq(relay_bench_answer(nodes[2]), 503);
+	relay_bench_step(net.nodes[2], &gone);
+	(void)relay_bench_open(net.nodes[2], "/order/x", 1);
+	ck_assert_int_eq(relay_bench_answer(net.nodes[2]), 503);
 }
 END_TEST
 
@@ -238,9 +149,10 @@
 static void
 learn_upstream(void)
 {
-	relay_bench_upstream(nodes[0], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
-	nodes[0]->now += beat_interval(nodes[0]->relay);
-	nodes[1]->now = nodes[0]->now;
+	relay_bench_upstream(
+	    net.nodes[0], "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+	net.nodes[0]->now += beat_interval(net.nodes[0]->relay);
+	net.nodes[1]->now = net.nodes[0]->now;
 }
 
 /* What the second node fetches on beats of the first, or NULL. */
@@ -252,21 +164,21 @@
 	for (int i = 0; i < 60 && fx == NULL; i++) {
 		const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
 
-		nodes[0]->now += 5 * DFF_MSEC;
-		nodes[1]->now += 5 * DFF_MSEC;
-		relay_bench_step(nodes[0], &wake);
-		for (guint k = 0; k < nodes[0]->fx->len; k++) {
-			const dff_relay_effect_t *one =
-			    &g_array_index(nodes[0]->fx, dff_relay_effect_t, k);
+		net.nodes[0]->now += 5 * DFF_MSEC;
+		net.nodes[1]->now += 5 * DFF_MSEC;
+		relay_bench_step(net.nodes[0], &wake);
+		for (guint k = 0; k < net.nodes[0]->fx->len; k++) {
+			const dff_relay_effect_t *one = &g_array_index(
+			    net.nodes[0]->fx, dff_relay_effect_t, k);
 			dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
 
 			if (one->type != DFF_RELAY_FX_FRAME)
 				continue;
-			event.beat.addr = nodes[0]->frame_addr;
+			event.beat.addr = net.nodes[0]->frame_addr;
 			event.beat.bytes = one->frame.bytes;
 			event.beat.len = one->frame.len;
-			relay_bench_step(nodes[1], &event);
-			fx = relay_bench_find(nodes[1], DFF_RELAY_FX_FETCH);
+			relay_bench_step(net.nodes[1], &event);
+			fx = relay_bench_find(net.nodes[1], DFF_RELAY_FX_FETCH);
 		}
 	}
 	return fx;
@@ -276,16 +188,16 @@
 {
 	const dff_relay_effect_t *fx;
 
-	add_node("a", 1, 100);
-	add_node("a", 2, 100);
+	relay_net_add(&net, "a", 1, 100);
+	relay_net_add(&net, "a", 2, 100);
 	learn_upstream();
-	introduce();
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
-	dff_relay_set_mark(nodes[1]->relay, DFF_FEED_UPSTREAMS, 39);
+	relay_net_introduce(&net);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	dff_relay_set_mark(net.nodes[1]->relay, DFF_FEED_UPSTREAMS, 39);
 	fx = wait_for_fetch();
 	ck_assert_ptr_nonnull(fx);
 	ck_assert_int_eq(fx->fetch.feed, DFF_FEED_UPSTREAMS);
-	ck_assert_str_eq(fx->fetch.addr, nodes[0]->frame_addr);
+	ck_assert_str_eq(fx->fetch.addr, net.nodes[0]->frame_addr);
 }
 END_TEST
 
@@ -294,12 +206,12 @@
 {
 	const dff_relay_effect_t *fx;
 
-	add_node("a", 1, 100);
-	add_node("a", 2, 100);
+	relay_net_add(&net, "a", 1, 100);
+	relay_net_add(&net, "a", 2, 100);
 	learn_upstream();
-	introduce();
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_ROUTING, 7);
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	relay_net_introduce(&net);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_ROUTING, 7);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
 	fx = wait_for_fetch();
 	ck_assert_ptr_nonnull(fx);
 	ck_assert_int_eq(fx->fetch.feed, DFF_FEED_UPSTREAMS);
@@ -309,16 +221,16 @@
 /* Heartbeats that say nothing new are not fetched. */
 START_TEST(read_without_a_change_is_not_told)
 {
-	add_node("a", 1, 100);
-	add_node("a", 2, 100);
-	introduce();
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
+	relay_net_add(&net, "a", 1, 100);
+	relay_net_add(&net, "a", 2, 100);
+	relay_net_introduce(&net);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_UPSTREAMS, 40);
 	ck_assert_ptr_null(wait_for_fetch());
 	learn_upstream();
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 41);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_UPSTREAMS, 41);
 	ck_assert_ptr_nonnull(wait_for_fetch());
-	dff_relay_set_mark(nodes[1]->relay, DFF_FEED_UPSTREAMS, 41);
-	dff_relay_set_mark(nodes[0]->relay, DFF_FEED_UPSTREAMS, 42);
+	dff_relay_set_mark(net.nodes[1]->relay, DFF_FEED_UPSTREAMS, 41);
+	dff_relay_set_mark(net.nodes[0]->relay, DFF_FEED_UPSTREAMS, 42);
 	ck_assert_ptr_null(wait_for_fetch());
 }
 END_TEST
@@ -327,25 +239,25 @@
 engine_at(int node)
 {
 	return upstreams_find(
-	    nodes[node]->relay->upstreams, upstream_hash("d1"));
+	    net.nodes[node]->relay->upstreams, upstream_hash("d1"));
 }
 
 /* Load answered: prompts that several nodes send to one engine at once. */
 START_TEST(sends_are_known_to_peers_within_20_ms)
 {
 	for (int i = 1; i <= 3; i++)
-		add_node("a", i, 100);
-	introduce();
-	for (int i = 0; i < count; i++) {
-		relay_bench_load_route(nodes[i], 1);
+		relay_net_add(&net, "a", i, 100);
+	relay_net_introduce(&net);
+	for (int i = 0; i < net.count; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
 		relay_bench_upstream(
-		    nodes[i], "d1", "llm", DFF_ROLE_DECODE, "a", 1);
+		    net.nodes[i], "d1", "llm", DFF_ROLE_DECODE, "a", 1);
 	}
-	pass_time(DFF_SEC);
-	(void)relay_bench_open_prompt(nodes[0], "/talk/x", 1, 9000, 2, 500);
-	ck_assert_uint_ne(relay_bench_send(nodes[0]), 0);
-	pass_time(20 * DFF_MSEC);
-	for (int i = 1; i < count; i++) {
+	relay_net_pass(&net, DFF_SEC);
+	(void)relay_bench_open_prompt(net.nodes[0], "/talk/x", 1, 9000, 2, 500);
+	ck_assert_uint_ne(relay_bench_send(net.nodes[0]), 0);
+	relay_net_pass(&net, 20 * DFF_MSEC);
+	for (int i = 1; i < net.count; i++) {
 		const dff_prompt_t prompt = {
 		    .parts = {{1, 9000}}, .count = 1, .tokens = 9000};
 
@@ -353,8 +265,8 @@
 		ck_assert_uint_eq(upstream_cached(engine_at(i), &prompt), 9000);
 	}
 	/* A peer that dies takes its loads with it. */
-	cut[0] = true;
-	pass_time(2 * DFF_SEC);
+	net.cut[0] = true;
+	relay_net_pass(&net, 2 * DFF_SEC);
 	ck_assert_uint_eq(engine_at(1)->peer_backlog, 0);
 }
 END_TEST
@@ -364,25 +276,25 @@
 START_TEST(sums_reach_other_domains_once)
 {
 	for (int i = 1; i <= 10; i++) {
-		add_node("a", i, i == 1 ? 200 : 10);
-		add_node("b", i, i == 1 ? 200 : 10);
+		relay_net_add(&net, "a", i, i == 1 ? 200 : 10);
+		relay_net_add(&net, "b", i, i == 1 ? 200 : 10);
 	}
-	introduce();
-	for (int i = 0; i < count; i++) {
-		relay_bench_load_route(nodes[i], 1);
+	relay_net_introduce(&net);
+	for (int i = 0; i < net.count; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
 		relay_bench_upstream(
-		    nodes[i], "d1", "llm", DFF_ROLE_DECODE, "b", 1);
+		    net.nodes[i], "d1", "llm", DFF_ROLE_DECODE, "b", 1);
 	}
-	pass_time(2 * DFF_SEC);
-	(void)relay_bench_open_prompt(nodes[4], "/talk/x", 1, 9000, 2, 500);
-	ck_assert_uint_ne(relay_bench_send(nodes[4]), 0);
-	pass_time(100 * DFF_MSEC);
-	for (int i = 0; i < count; i++) {
+	relay_net_pass(&net, 2 * DFF_SEC);
+	(void)relay_bench_open_prompt(net.nodes[4], "/talk/x", 1, 9000, 2, 500);
+	ck_assert_uint_ne(relay_bench_send(net.nodes[4]), 0);
+	relay_net_pass(&net, 100 * DFF_MSEC);
+	for (int i = 0; i < net.count; i++) {
 		if (i != 4)
 			ck_assert_uint_eq(engine_at(i)->peer_backlog, 9500);
 	}
-	pass_time(2 * DFF_SEC);
-	for (int i = 0; i < count; i++) {
+	relay_net_pass(&net, 2 * DFF_SEC);
+	for (int i = 0; i < net.count; i++) {
 		if (i != 4)
 			ck_assert_uint_eq(engine_at(i)->peer_backlog, 9500);
 	}
@@ -392,21 +304,21 @@
 START_TEST(next_node_speaks_when_the_relay_dies)
 {
 	for (int i = 1; i <= 10; i++) {
-		add_node("a", i, i == 1 ? 200 : 10);
-		add_node("b", i, i == 1 ? 200 : 10);
+		relay_net_add(&net, "a", i, i == 1 ? 200 : 10);
+		relay_net_add(&net, "b", i, i == 1 ? 200 : 10);
 	}
-	introduce();
-	for (int i = 0; i < count; i++) {
-		relay_bench_load_route(nodes[i], 1);
+	relay_net_introduce(&net);
+	for (int i = 0; i < net.count; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
 		relay_bench_upstream(
-		    nodes[i], "d1", "llm", DFF_ROLE_DECODE, "b", 1);
+		    net.nodes[i], "d1", "llm", DFF_ROLE_DECODE, "b", 1);
 	}
-	pass_time(2 * DFF_SEC);
-	cut[0] = true; /* a1 spoke for a */
-	cut[1] = true; /* b1 spoke for b */
-	pass_time(4 * DFF_SEC);
-	(void)relay_bench_open_prompt(nodes[4], "/talk/x", 1, 9000, 2, 500);
-	pass_time(500 * DFF_MSEC);
+	relay_net_pass(&net, 2 * DFF_SEC);
+	net.cut[0] = true; /* a1 spoke for a */
+	net.cut[1] = true; /* b1 spoke for b */
+	relay_net_pass(&net, 4 * DFF_SEC);
+	(void)relay_bench_open_prompt(net.nodes[4], "/talk/x", 1, 9000, 2, 500);
+	relay_net_pass(&net, 500 * DFF_MSEC);
 	ck_assert_uint_eq(engine_at(7)->peer_backlog, 9500);
 }
 END_TEST
@@ -416,12 +328,12 @@
 	dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
 	char *text;
 
-	add_node("a", 1, 100);
+	relay_net_add(&net, "a", 1, 100);
 	event.beat.addr = "10.0.9.9:7000";
 	event.beat.bytes = (const uint8_t *)"\xff\xff\xff";
 	event.beat.len = 3;
-	relay_bench_step(nodes[0], &event);
-	text = dff_relay_metrics(nodes[0]->relay, nodes[0]->now);
+	relay_bench_step(net.nodes[0], &event);
+	text = dff_relay_metrics(net.nodes[0]->relay, net.nodes[0]->now);
 	ck_assert_ptr_nonnull(strstr(text, "dff_relay_beats_bad_total 1\n"));
 	g_free(text);
 }
--- a/test/test_relay_unreachable.c
+++ b/test/test_relay_unreachable.c
@@ -8,11 +8,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake/relay_bench.h"
+#include "fake/relay_net.h"
 
 #define CRASHED 8
 
 static relay_bench_t *bench;
+static relay_net_t net;
 
 static void
 setup(void)
@@ -25,6 +26,7 @@
 teardown(void)
 {
 	relay_bench_drop(bench);
+	relay_net_drop(&net);
 }
 
 /* Upstreams "x0", "x1", ... of the plain pool. */
@@ -93,6 +95,206 @@
 }
 END_TEST
 
+/* ---- several nodes ---- */
+
+/* Nodes of one domain with a pool of upstreams, CRASHED of them dead. */
+static void
+start_nodes(int nodes, int upstreams)
+{
+	for (int i = 1; i <= nodes; i++)
+		relay_net_add(&net, "a", i, 100);
+	relay_net_introduce(&net);
+	for (int i = 0; i < nodes; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
+		add_upstreams(net.nodes[i], upstreams);
+	}
+	relay_net_pass(&net, DFF_SEC);
+}
+
+/* Whether the node's last send goes to one of the dead. */
+static bool
+goes_to_dead(const relay_bench_t *node)
+{
+	const dff_relay_effect_t *fx =
+	    relay_bench_find(node, DFF_RELAY_FX_SEND);
+
+	return fx != NULL && atoi(fx->send.upstream + 1) < CRASHED;
+}
+
+/* One request until it is at a live upstream, where it stays, or refused;
+ * returns how many dead ones it met. */
+static int
+play_request(relay_bench_t *node, uint64_t content)
+{
+	int met = 0;
+
+	(void)relay_bench_open(node, "/order/x", content);
+	while (relay_bench_send(node) != 0 && goes_to_dead(node)) {
+		met++;
+		relay_bench_end(
+		    node, relay_bench_send(node), DFF_SEND_UNSENT, NULL);
+	}
+	return met;
+}
+
+/* Requests until a node has met all of the dead. */
+static void
+meet_all_dead(relay_bench_t *node)
+{
+	int met = 0;
+
+	for (uint64_t i = 0; i < 400 && met < CRASHED; i++)
+		met += play_request(node, i);
+	ck_assert_int_eq(met, CRASHED);
+}
+
+/* How many dead upstreams a node's next requests meet. */
+static int
+count_met(relay_bench_t *node)
+{
+	int met = 0;
+
+	for (uint64_t i = 0; i < 50; i++)
+		met += play_request(node, 1000 + i);
+	return met;
+}
+
+START_TEST(what_two_peers_cannot_reach_is_left_alone)
+{
+	start_nodes(4, CRASHED + 4);
+	meet_all_dead(net.nodes[0]);
+	meet_all_dead(net.nodes[1]);
+	relay_net_pass(&net, 200 * DFF_MSEC);
+	ck_assert_int_eq(count_met(net.nodes[2]), 0);
+	ck_assert_int_eq(count_met(net.nodes[3]), 0);
+	/* The word of both ends with their own waiting time. */
+	relay_net_pass(&net, 2 * DFF_SEC);
+	ck_assert_int_gt(count_met(net.nodes[2]), 0);
+}
+END_TEST
+
+START_TEST(one_peer_alone_is_not_believed)
+{
+	start_nodes(4, CRASHED + 4);
+	meet_all_dead(net.nodes[0]);
+	relay_net_pass(&net, 200 * DFF_MSEC);
+	ck_assert_int_gt(count_met(net.nodes[2]), 0);
+}
+END_TEST
+
+START_TEST(silent_peers_are_no_witnesses)
+{
+	start_nodes(4, CRASHED + 4);
+	/* Long enough to outlast the nodes' silence. */
+	for (int round = 0; round < 3; round++) {
+		meet_all_dead(net.nodes[0]);
+		meet_all_dead(net.nodes[1]);
+		relay_net_pass(&net, round == 2 ? 200 * DFF_MSEC : 3 * DFF_SEC);
+	}
+	ck_assert_int_eq(count_met(net.nodes[2]), 0);
+	net.cut[0] = true;
+	net.cut[1] = true;
+	relay_net_pass(&net, DFF_SEC);
+	ck_assert_int_gt(count_met(net.nodes[2]), 0);
+}
+END_TEST
+
+/* ---- the load ---- */
+
+#define CONNECT_TIME (350 * DFF_MSEC)
+#define PENDING_MAX  1000
+
+/* A send to a dark upstream: its connection hangs, then fails. */
+typedef struct pending {
+	relay_bench_t *node;
+	uint64_t send;
+	dff_time_t fails_at;
+} pending_t;
+
+static pending_t pending[PENDING_MAX];
+static int pending_count;
+
+/* Note where the node's last send goes; whether it is dark. */
+static bool
+note_send(relay_bench_t *node)
+{
+	if (relay_bench_send(node) == 0 || !goes_to_dead(node))
+		return false;
+	ck_assert_int_lt(pending_count, PENDING_MAX);
+	pending[pending_count++] = (pending_t){.node = node,
+	    .send = relay_bench_send(node),
+	    .fails_at = node->now + CONNECT_TIME};
+	return true;
+}
+
+/* Connections that hang fail; returns how many sends are dark again. */
+static int
+fail_pending(void)
+{
+	int met = 0;
+
+	for (int i = 0; i < pending_count; i++) {
+		pending_t one = pending[i];
+
+		if (one.node->now < one.fails_at)
+			continue;
+		pending[i--] = pending[--pending_count];
+		relay_bench_end(one.node, one.send, DFF_SEND_UNSENT, NULL);
+		met += note_send(one.node);
+	}
+	return met;
+}
+
+/* Requests at all nodes, one each in @gap, for 3 s, in which the records of
+ * the dark upstreams stand; returns how many sends meet one. */
+static int
+play_crash(dff_time_t gap)
+{
+	int met = 0;
+
+	pending_count = 0;
+	for (int i = 0; i < 3 * DFF_SEC / gap; i++) {
+		for (int k = 0; k < net.count; k++) {
+			(void)relay_bench_open(net.nodes[k], "/order/x",
+			    (uint64_t)(i * net.count + k));
+			met += note_send(net.nodes[k]);
+			relay_net_pass(&net, gap / net.count);
+			met += fail_pending();
+		}
+	}
+	return met;
+}
+
+/* Each node tries a dark upstream once by each of its waiting times, which
+ * are over after 0.5 and 1.5 s, and by chance until the first has failed. */
+START_TEST(busy_nodes_try_dark_upstreams_one_by_one)
+{
+	enum {
+		NODES = 6,
+		REQUESTS = 18,
+		UPSTREAMS = CRASHED * 3
+	};
+
+	start_nodes(NODES, UPSTREAMS);
+	ck_assert_int_le(play_crash(30 * DFF_MSEC),
+	    NODES * (REQUESTS * CRASHED / UPSTREAMS + 2 * CRASHED));
+}
+END_TEST
+
+/* By itself each node would try each at once and twice again. */
+START_TEST(idle_nodes_hear_of_dark_upstreams)
+{
+	enum {
+		NODES = 12,
+		TRIALS = 3
+	};
+
+	start_nodes(NODES, CRASHED * 3);
+	ck_assert_int_le(
+	    play_crash(180 * DFF_MSEC), NODES * CRASHED * TRIALS / 2);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -105,6 +307,11 @@
 	tcase_add_test(tcase, request_passes_many_dead_upstreams);
 	tcase_add_test(tcase, request_is_refused_when_all_were_out_of_reach);
 	tcase_add_test(tcase, rejected_sends_are_bounded_as_before);
+	tcase_add_test(tcase, what_two_peers_cannot_reach_is_left_alone);
+	tcase_add_test(tcase, one_peer_alone_is_not_believed);
+	tcase_add_test(tcase, silent_peers_are_no_witnesses);
+	tcase_add_test(tcase, busy_nodes_try_dark_upstreams_one_by_one);
+	tcase_add_test(tcase, idle_nodes_hear_of_dark_upstreams);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
