Relay: any answer shows that an upstream is reached again

What callers saw: an engine that reads prompts and once refused a connection got one request in 0.4 s from that node for good.

Cause: the count of failed connections was cleared only where a whole answer was taken; what a prefill answers never comes there. Since a send after a failure is a trial, that holds others back.

Evidence: any_answer_shows_that_an_upstream_is_reached failed before (the second prompt went to the engine that decodes).

--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -81,6 +81,8 @@
 	send->not_run = head->not_run;
 	send->stamped = head->stamped;
 	up = upstreams_get(step->relay->upstreams, send->upstream);
+	if (up != NULL)
+		upstream_note_reached(up);
 	if (up != NULL && !head->not_run && head->status == 200) {
 		learn_pace(step, call, up);
 		upstream_note_read(up, &call->prompt, step->now);
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -140,6 +140,9 @@
 /** upstream_note_result() - a send ended well or not */
 void upstream_note_result(upstream_t *up, bool good);
 
+/** upstream_note_reached() - it answered something, if only to reject it */
+void upstream_note_reached(upstream_t *up);
+
 /** upstream_note_trial() - a send to it begins; if it failed before, other
  *	requests wait for how that ends */
 void upstream_note_trial(upstream_t *up, dff_time_t now);
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -266,6 +266,12 @@
 		up->failures = 0;
 }
 
+void
+upstream_note_reached(upstream_t *up)
+{
+	up->failures = 0;
+}
+
 void
 upstream_note_unreachable(upstream_t *up, dff_time_t now)
 {
--- a/test/test_relay_unreachable.c
+++ b/test/test_relay_unreachable.c
@@ -95,6 +95,39 @@
 }
 END_TEST
 
+/* Engines that prefill and those that reject are reached as well. */
+START_TEST(any_answer_shows_that_an_upstream_is_reached)
+{
+	uint64_t send;
+
+	relay_bench_upstream(bench, "d1", "llm", DFF_ROLE_DECODE, "a", 1);
+	relay_bench_upstream(bench, "q1", "llm", DFF_ROLE_PREFILL, "a", 1);
+	/* It fails once; then, 0.5 s later, it reads a prompt. */
+	(void)relay_bench_open_prompt(bench, "/talk/x", 7, 5000, 8, 900);
+	relay_bench_end(bench, relay_bench_send(bench), DFF_SEND_UNSENT, NULL);
+	send = relay_bench_send(bench);
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
+	relay_bench_wait(bench, 600 * DFF_MSEC);
+	(void)relay_bench_open_prompt(bench, "/talk/x", 7, 5000, 9, 900);
+	send = relay_bench_send(bench);
+	ck_assert_str_eq(
+	    relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.upstream, "q1");
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_end(bench, send, DFF_SEND_DONE, "h1");
+	/* The waiting time of the trial is over; the next two do not wait for
+	 * each other. */
+	relay_bench_wait(bench, 500 * DFF_MSEC);
+	for (uint64_t i = 0; i < 2; i++) {
+		(void)relay_bench_open_prompt(
+		    bench, "/talk/x", 20 + i, 5000, 10 + i, 900);
+		ck_assert_str_eq(
+		    relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.upstream,
+		    "q1");
+	}
+}
+END_TEST
+
 /* ---- several nodes ---- */
 
 /* Nodes of one domain with a pool of upstreams, CRASHED of them dead. */
@@ -312,6 +345,7 @@
 	tcase_add_test(tcase, silent_peers_are_no_witnesses);
 	tcase_add_test(tcase, busy_nodes_try_dark_upstreams_one_by_one);
 	tcase_add_test(tcase, idle_nodes_hear_of_dark_upstreams);
+	tcase_add_test(tcase, any_answer_shows_that_an_upstream_is_reached);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
