Relay: an upstream that sends nothing when answers are due gets no new work

Cause: on a kept connection a send to a dark machine neither fails nor breaks before 2.5 s; the caller leaves first, and nothing is learned from that.

Now an upstream that has sent no byte of any answer for 0.3 s and twice the time that its answers were expected in counts as out of reach, here and at peers. What may have run stays where it is; prompts that it was to read go elsewhere. The trial after the waiting time is made on a new connection, which fails as not sent, and the next byte that comes ends the verdict. A node that was stopped itself blames nobody.

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -170,6 +170,7 @@
  *	passed over
  * @echo_value: the value
  * @connect_time: longest time for a connection to be made
+ * @anew: close what is kept for this peer and connect
  */
 typedef struct dff_h1c_call {
 	const char *addr;
@@ -178,6 +179,7 @@
 	const char *echo_name;
 	const char *echo_value;
 	dff_time_t connect_time;
+	bool anew;
 } dff_h1c_call_t;
 
 /** dff_h1c_new() - a client; the caller drops it */
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -331,6 +331,7 @@
  * @after_event: go on after this event; -1 for none
  * @rank: urgency, 0 first
  * @connect_time: longest time for a connection to be made
+ * @anew: not on a kept connection: those may have gone silent with it
  */
 typedef struct dff_relay_send {
 	uint64_t call;
@@ -345,6 +346,7 @@
 	int64_t after_event;
 	uint32_t rank;
 	dff_time_t connect_time;
+	bool anew;
 } dff_relay_send_t;
 
 /**
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -91,6 +91,8 @@
 		g_byte_array_unref(call->bytes);
 		return NULL;
 	}
+	if (call->anew)
+		dff_h1c_forget(h1c, call->peer);
 	req = new_req(h1c, call, handlers, arg);
 	key = g_strdup_printf("%s %s", call->addr, call->peer);
 	req->conn = take_kept(h1c, key);
--- a/source/net/run_sends.c
+++ b/source/net/run_sends.c
@@ -115,7 +115,8 @@
 	dff_h1c_call_t http = {.addr = fx->addr,
 	    .peer = fx->upstream,
 	    .echo_name = run->wire.echo_field,
-	    .connect_time = fx->connect_time};
+	    .connect_time = fx->connect_time,
+	    .anew = fx->anew};
 	const dff_h1_head_t *head;
 	run_send_t *send;
 
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -560,6 +560,7 @@
 	dff_relay_t *relay = step->relay;
 
 	peers_sweep(step);
+	unreachable_find_silent(step);
 	tell_own(step, true);
 	if (!peers_speaks(relay, step->now))
 		return;
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -158,6 +158,7 @@
 	uint64_t known[DFF_FEED_COUNT]; /* read up to here */
 	dff_time_t fetched[DFF_FEED_COUNT]; /* last asked of a peer */
 	bool changed[DFF_FEED_COUNT]; /* a belief, since the last mark */
+	dff_time_t listened_at; /* last look for silent upstreams */
 	dff_time_t settled_at; /* missing records may return before this */
 	dff_time_t stop_at; /* asked to stop; 0 while it runs */
 	uint32_t asks; /* engines that were asked what they keep */
@@ -246,6 +247,10 @@
 size_t unreachable_list(
     const dff_relay_t *relay, uint32_t *rows, dff_time_t now);
 
+/** unreachable_find_silent() - at each beat: upstreams that are silent count
+ *	as failed, and prompts that they were to read go elsewhere */
+void unreachable_find_silent(step_t *step);
+
 /** unreachable_load() - what a peer cannot reach, in place of what it told
  *	before; nothing when it fell silent */
 void unreachable_load(
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -81,8 +81,10 @@
 	send->not_run = head->not_run;
 	send->stamped = head->stamped;
 	up = upstreams_get(step->relay->upstreams, send->upstream);
-	if (up != NULL)
+	if (up != NULL) {
 		upstream_note_reached(up);
+		upstream_note_byte(up, step->now);
+	}
 	if (up != NULL && !head->not_run && head->status == 200) {
 		learn_pace(step, call, up);
 		upstream_note_read(up, &call->prompt, step->now);
@@ -119,8 +121,14 @@
 relay_send_data(step_t *step, const dff_relay_data_t *data)
 {
 	call_t *call = call_of_send(step->relay, data->send);
+	upstream_t *up;
 
-	if (call == NULL || call->send.step == DFF_STEP_PREFILL)
+	if (call == NULL)
+		return;
+	up = upstreams_get(step->relay->upstreams, call->send.upstream);
+	if (up != NULL)
+		upstream_note_byte(up, step->now);
+	if (call->send.step == DFF_STEP_PREFILL)
 		return;
 	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
 		return;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -81,7 +81,7 @@
 
 	send_uncount_backlog(step, send);
 	if (up != NULL) {
-		up->running -= MIN(up->running, 1);
+		upstream_note_end(up);
 		up->memory -= MIN(up->memory, send->memory);
 	}
 	(void)g_hash_table_remove(step->relay->by_send, &send->number);
@@ -162,7 +162,7 @@
 	send->at = step->now;
 	send->predicted = place->wait;
 	count_send(step, call, up, place->uncached);
-	upstream_note_trial(up, step->now);
+	upstream_note_send(up, MAX(place->wait, call->route->aim), step->now);
 	g_hash_table_insert(relay->by_send, &send->number, call);
 	call->sends++;
 	relay->counts[COUNT_SENDS]++;
@@ -192,6 +192,7 @@
 	    DFF_FAULT(RELAY_RESUME_FROM_START) ? -1 : call->after_event;
 	fx->send.rank = call->route->rank;
 	fx->send.connect_time = CONNECT_TIME;
+	fx->send.anew = up->failures > 0;
 	set_late_timer(step, call);
 	dff_log(step->ctx, DFF_LOG_INFO, "place",
 	    "request sent id=%s route=%s version=%" G_GUINT64_FORMAT
--- a/source/relay/unreachable.c
+++ b/source/relay/unreachable.c
@@ -11,6 +11,9 @@
 #include "base/fault.h"
 #include "relay/parts.h"
 
+/* A node that looks this many beats later than it should was stopped. */
+#define STALL_BEATS 3
+
 size_t
 unreachable_list(const dff_relay_t *relay, uint32_t *rows, dff_time_t now)
 {
@@ -29,6 +32,47 @@
 	return count;
 }
 
+/* Reading a prompt may be repeated; what may have run stays where it is. */
+static void
+move_prefills(step_t *step, dff_handle_t upstream)
+{
+	call_t *call;
+
+	for (dff_handle_t h = 0; (h = dff_table_next(step->relay->calls, h,
+				      (void **)&call)) != 0;) {
+		if (call->send.number != 0 && call->send.upstream == upstream &&
+		    call->send.step == DFF_STEP_PREFILL)
+			relay_call_late(step, h);
+	}
+}
+
+void
+unreachable_find_silent(step_t *step)
+{
+	dff_relay_t *relay = step->relay;
+	dff_time_t since = step->now - relay->listened_at;
+	upstream_t *up;
+
+	relay->listened_at = step->now;
+	for (dff_handle_t h = 0;
+	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
+		if (!upstream_is_overdue(up, step->now))
+			continue;
+		/* This node was stopped itself: what came is not read yet. */
+		if (since > STALL_BEATS * beat_interval(relay)) {
+			upstream_note_byte(up, step->now);
+			continue;
+		}
+		dff_log(step->ctx, DFF_LOG_NOTICE, "upstream",
+		    "upstream is silent id=%s running=%u awaited_ms=%" G_GINT64_FORMAT
+		    " failures=%u",
+		    up->news.id, up->running, up->awaited / DFF_MSEC,
+		    up->failures);
+		upstream_note_silent(up, step->now);
+		move_prefills(step, h);
+	}
+}
+
 static bool
 has_row(const GArray *rows, uint32_t hash)
 {
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -24,6 +24,11 @@
  * @failures: failures to connect in a row
  * @shun_until: no new work before this moment
  * @peers_failing: peers that cannot reach it, as they tell it
+ * @awaited: longest time in which one of the sends under way was expected to
+ *	be answered
+ * @silent: it is shunned because nothing came from it, so that the next byte
+ *	ends that
+ * @due: by then some byte of any answer must have come; 0 if none is awaited
  * @kept: id of a part (uint64_t) to kept part
  * @kept_tokens: sum over @kept
  * @asked: whether it was asked what it keeps, or left out
@@ -43,6 +48,9 @@
 	uint32_t failures;
 	dff_time_t shun_until;
 	uint32_t peers_failing;
+	dff_time_t awaited;
+	dff_time_t due;
+	bool silent;
 	GHashTable *kept;
 	uint64_t kept_tokens;
 	bool asked;
@@ -143,9 +151,22 @@
 /** upstream_note_reached() - it answered something, if only to reject it */
 void upstream_note_reached(upstream_t *up);
 
-/** upstream_note_trial() - a send to it begins; if it failed before, other
- *	requests wait for how that ends */
-void upstream_note_trial(upstream_t *up, dff_time_t now);
+/** upstream_note_send() - a send to it begins, whose answer is expected
+ *	within @expected; if it failed before, other requests wait for how that
+ *	ends */
+void upstream_note_send(upstream_t *up, dff_time_t expected, dff_time_t now);
+
+/** upstream_note_silent() - nothing came from it when it was due */
+void upstream_note_silent(upstream_t *up, dff_time_t now);
+
+/** upstream_note_byte() - part of any answer came from it */
+void upstream_note_byte(upstream_t *up, dff_time_t now);
+
+/** upstream_note_end() - a send is over, whatever became of it */
+void upstream_note_end(upstream_t *up);
+
+/** upstream_is_overdue() - answers are due and nothing at all came */
+bool upstream_is_overdue(const upstream_t *up, dff_time_t now);
 
 /** upstream_note_unreachable() - no connection could be made */
 void upstream_note_unreachable(upstream_t *up, dff_time_t now);
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -16,6 +16,11 @@
 #define TRIAL_TIME (400 * DFF_MSEC)
 /* After this time without a trial a node's failure says nothing any more. */
 #define FAILURE_AGE (1 * DFF_SEC)
+/* An upstream that has sent nothing for this time and this multiple of what
+ * was expected is taken as out of reach: a full engine may take twice the time
+ * that was predicted. */
+#define SILENCE_MIN    (300 * DFF_MSEC)
+#define SILENCE_FACTOR 2
 /* So many peers that cannot reach an upstream are believed: one alone may be
  * cut off itself. */
 #define PEERS_FAILING_MIN 2
@@ -118,6 +123,7 @@
 	up->errors = 0;
 	up->failures = 0;
 	up->shun_until = 0;
+	up->silent = false;
 	g_hash_table_remove_all(up->kept);
 	up->kept_tokens = 0;
 }
@@ -251,11 +257,58 @@
 	    upstream_is_failing(up, now);
 }
 
+static void
+set_due(upstream_t *up, dff_time_t now)
+{
+	up->due = now + SILENCE_MIN +
+	    (dff_time_t)(SILENCE_FACTOR * (double)up->awaited);
+}
+
 void
-upstream_note_trial(upstream_t *up, dff_time_t now)
+upstream_note_send(upstream_t *up, dff_time_t expected, dff_time_t now)
 {
 	if (up->failures > 0)
 		up->shun_until = MAX(up->shun_until, now + TRIAL_TIME);
+	up->awaited = MAX(up->awaited, expected);
+	if (up->due == 0)
+		set_due(up, now);
+}
+
+void
+upstream_note_byte(upstream_t *up, dff_time_t now)
+{
+	if (up->due != 0)
+		set_due(up, now);
+	if (!up->silent)
+		return;
+	up->silent = false;
+	up->failures = 0;
+	up->shun_until = 0;
+}
+
+void
+upstream_note_silent(upstream_t *up, dff_time_t now)
+{
+	upstream_note_unreachable(up, now);
+	up->silent = true;
+	set_due(up, now);
+}
+
+void
+upstream_note_end(upstream_t *up)
+{
+	up->running -= MIN(up->running, 1);
+	if (up->running > 0)
+		return;
+	up->awaited = 0;
+	up->due = 0;
+}
+
+bool
+upstream_is_overdue(const upstream_t *up, dff_time_t now)
+{
+	return up->due != 0 && now >= up->due &&
+	    !DFF_FAULT(RELAY_SILENT_SERVES);
 }
 
 void
@@ -279,4 +332,5 @@
 
 	up->failures++;
 	up->shun_until = now + MIN(shun, SHUN_MAX);
+	up->silent = false;
 }
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -157,13 +157,14 @@
 }
 
 static void
-ask(dff_h1c_t *client, const char *text, seen_t *seen)
+ask_on(dff_h1c_t *client, const char *text, bool anew, seen_t *seen)
 {
 	dff_h1c_call_t call = {.addr = STUB_ADDR,
 	    .peer = "stub",
 	    .echo_name = "X-Id",
 	    .echo_value = "7",
-	    .connect_time = 300 * DFF_MSEC};
+	    .connect_time = 300 * DFF_MSEC,
+	    .anew = anew};
 
 	memset(seen, 0, sizeof(*seen));
 	seen->body = g_string_new(NULL);
@@ -175,6 +176,12 @@
 	run_until(&seen->ended, DFF_SEC);
 }
 
+static void
+ask(dff_h1c_t *client, const char *text, seen_t *seen)
+{
+	ask_on(client, text, false, seen);
+}
+
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 static void
@@ -280,6 +287,24 @@
 }
 END_TEST
 
+START_TEST(kept_connection_is_closed_for_one_made_anew)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+	for (int i = 0; i < 2; i++) {
+		ask_on(client, REQUEST, i == 1, &seen);
+		ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+		ck_assert_str_eq(seen.body->str, i == 0 ? "a" : "b");
+		(void)g_string_free(seen.body, TRUE);
+	}
+	ck_assert_int_eq(stub.count, 2);
+	dff_h1c_drop(client);
+}
+END_TEST
+
 START_TEST(connection_with_extra_bytes_is_not_used_again)
 {
 	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
@@ -572,6 +597,7 @@
 	tcase_add_test(tcase, refused_connection_is_unsent);
 	tcase_add_test(tcase, answer_to_an_earlier_request_is_passed_over);
 	tcase_add_test(tcase, kept_connection_is_used_again);
+	tcase_add_test(tcase, kept_connection_is_closed_for_one_made_anew);
 	tcase_add_test(tcase, connection_with_extra_bytes_is_not_used_again);
 	tcase_add_test(tcase, connection_said_to_close_is_not_used_again);
 	tcase_add_test(tcase, cancelled_request_calls_nobody);
--- a/test/test_relay_unreachable.c
+++ b/test/test_relay_unreachable.c
@@ -12,6 +12,21 @@
 
 #define CRASHED 8
 
+#define CONNECT_TIME (350 * DFF_MSEC)
+#define ANSWER_TIME  (300 * DFF_MSEC)
+#define PENDING_MAX  1000
+
+/* A send under way: a connection that will fail, or an answer that comes. */
+typedef struct pending {
+	relay_bench_t *node;
+	uint64_t send;
+	bool dead;
+	dff_time_t ends_at;
+} pending_t;
+
+static pending_t pending[PENDING_MAX];
+static int pending_count;
+
 static relay_bench_t *bench;
 static relay_net_t net;
 
@@ -27,6 +42,7 @@
 {
 	relay_bench_drop(bench);
 	relay_net_drop(&net);
+	pending_count = 0;
 }
 
 /* Upstreams "x0", "x1", ... of the plain pool. */
@@ -154,8 +170,50 @@
 	return fx != NULL && atoi(fx->send.upstream + 1) < CRASHED;
 }
 
-/* One request until it is at a live upstream, where it stays, or refused;
- * returns how many dead ones it met. */
+/* ---- sends under way ---- */
+
+/* Note where the node's last send goes; whether it is dead. */
+static bool
+note_send(relay_bench_t *node)
+{
+	bool dead = goes_to_dead(node);
+
+	if (relay_bench_send(node) == 0)
+		return false;
+	ck_assert_int_lt(pending_count, PENDING_MAX);
+	pending[pending_count++] = (pending_t){.node = node,
+	    .send = relay_bench_send(node),
+	    .dead = dead,
+	    .ends_at = node->now + (dead ? CONNECT_TIME : ANSWER_TIME)};
+	return dead;
+}
+
+/* Ends what is due, or all; returns how many sends meet a dead one anew. */
+static int
+end_pending(bool all)
+{
+	int met = 0;
+
+	for (int i = 0; i < pending_count; i++) {
+		pending_t one = pending[i];
+
+		if (one.node->now < one.ends_at && !all)
+			continue;
+		pending[i--] = pending[--pending_count];
+		if (one.dead) {
+			relay_bench_end(
+			    one.node, one.send, DFF_SEND_UNSENT, NULL);
+			met += note_send(one.node);
+			continue;
+		}
+		relay_bench_head(one.node, one.send, 200, false);
+		relay_bench_end(one.node, one.send, DFF_SEND_DONE, NULL);
+	}
+	return met;
+}
+
+/* One request until it is at a live upstream, or refused; dead ones refuse
+ * connections at once. Returns how many dead ones it met. */
 static int
 play_request(relay_bench_t *node, uint64_t content)
 {
@@ -167,6 +225,7 @@
 		relay_bench_end(
 		    node, relay_bench_send(node), DFF_SEND_UNSENT, NULL);
 	}
+	(void)note_send(node);
 	return met;
 }
 
@@ -179,6 +238,7 @@
 	for (uint64_t i = 0; i < 400 && met < CRASHED; i++)
 		met += play_request(node, i);
 	ck_assert_int_eq(met, CRASHED);
+	(void)end_pending(true);
 }
 
 /* How many dead upstreams a node's next requests meet. */
@@ -189,6 +249,7 @@
 
 	for (uint64_t i = 0; i < 50; i++)
 		met += play_request(node, 1000 + i);
+	(void)end_pending(true);
 	return met;
 }
 
@@ -234,50 +295,6 @@
 
 /* ---- the load ---- */
 
-#define CONNECT_TIME (350 * DFF_MSEC)
-#define PENDING_MAX  1000
-
-/* A send to a dark upstream: its connection hangs, then fails. */
-typedef struct pending {
-	relay_bench_t *node;
-	uint64_t send;
-	dff_time_t fails_at;
-} pending_t;
-
-static pending_t pending[PENDING_MAX];
-static int pending_count;
-
-/* Note where the node's last send goes; whether it is dark. */
-static bool
-note_send(relay_bench_t *node)
-{
-	if (relay_bench_send(node) == 0 || !goes_to_dead(node))
-		return false;
-	ck_assert_int_lt(pending_count, PENDING_MAX);
-	pending[pending_count++] = (pending_t){.node = node,
-	    .send = relay_bench_send(node),
-	    .fails_at = node->now + CONNECT_TIME};
-	return true;
-}
-
-/* Connections that hang fail; returns how many sends are dark again. */
-static int
-fail_pending(void)
-{
-	int met = 0;
-
-	for (int i = 0; i < pending_count; i++) {
-		pending_t one = pending[i];
-
-		if (one.node->now < one.fails_at)
-			continue;
-		pending[i--] = pending[--pending_count];
-		relay_bench_end(one.node, one.send, DFF_SEND_UNSENT, NULL);
-		met += note_send(one.node);
-	}
-	return met;
-}
-
 /* Requests at all nodes, one each in @gap, for 3 s, in which the records of
  * the dark upstreams stand; returns how many sends meet one. */
 static int
@@ -285,14 +302,13 @@
 {
 	int met = 0;
 
-	pending_count = 0;
 	for (int i = 0; i < 3 * DFF_SEC / gap; i++) {
 		for (int k = 0; k < net.count; k++) {
 			(void)relay_bench_open(net.nodes[k], "/order/x",
 			    (uint64_t)(i * net.count + k));
 			met += note_send(net.nodes[k]);
 			relay_net_pass(&net, gap / net.count);
-			met += fail_pending();
+			met += end_pending(false);
 		}
 	}
 	return met;
@@ -314,17 +330,145 @@
 }
 END_TEST
 
-/* By itself each node would try each at once and twice again. */
+/* By itself each node would find each of them. */
 START_TEST(idle_nodes_hear_of_dark_upstreams)
 {
-	enum {
-		NODES = 12,
-		TRIALS = 3
-	};
+	int nodes = 12;
+
+	start_nodes(nodes, CRASHED * 3);
+	ck_assert_int_lt(play_crash(300 * DFF_MSEC), nodes * CRASHED);
+}
+END_TEST
+
+/* ---- upstreams that fall silent on kept connections ---- */
 
-	start_nodes(NODES, CRASHED * 3);
-	ck_assert_int_le(
-	    play_crash(180 * DFF_MSEC), NODES * CRASHED * TRIALS / 2);
+/* Sends an order; returns the upstream that it goes to, and in @anew
+ * whether a new connection is asked for. */
+static const char *
+send_order(uint64_t content, bool *anew)
+{
+	const dff_relay_effect_t *fx;
+
+	(void)relay_bench_open(bench, "/order/x", content);
+	fx = relay_bench_find(bench, DFF_RELAY_FX_SEND);
+	*anew = fx->send.anew;
+	return fx->send.upstream;
+}
+
+/* Whether one of the next requests goes to an upstream, and @anew of it; the
+ * others are answered. */
+static bool
+gets_work(const char *id, bool *anew)
+{
+	uint64_t sends[20];
+	size_t count = 0;
+	bool found = false;
+
+	while (!found && count < G_N_ELEMENTS(sends)) {
+		found = strcmp(send_order(100 + count, anew), id) == 0;
+		sends[count++] = relay_bench_send(bench);
+	}
+	for (size_t i = 0; i < count - found; i++) {
+		relay_bench_head(bench, sends[i], 200, false);
+		relay_bench_end(bench, sends[i], DFF_SEND_DONE, NULL);
+	}
+	return found;
+}
+
+START_TEST(silent_upstream_gets_no_new_work)
+{
+	char silent[DFF_NAME_MAX];
+	bool anew;
+
+	add_upstreams(bench, 3);
+	g_strlcpy(silent, send_order(1, &anew), sizeof(silent));
+	ck_assert(gets_work(silent, &anew));
+	ck_assert(!anew);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	ck_assert(!gets_work(silent, &anew));
+	/* Then one request tries it, on a connection of its own. */
+	relay_bench_wait(bench, 600 * DFF_MSEC);
+	ck_assert(gets_work(silent, &anew));
+	ck_assert(anew);
+	ck_assert(!gets_work(silent, &anew));
+}
+END_TEST
+
+START_TEST(late_byte_ends_the_silence)
+{
+	char silent[DFF_NAME_MAX];
+	uint64_t send;
+	bool anew;
+
+	add_upstreams(bench, 3);
+	g_strlcpy(silent, send_order(1, &anew), sizeof(silent));
+	send = relay_bench_send(bench);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	ck_assert(!gets_work(silent, &anew));
+	relay_bench_head(bench, send, 200, false);
+	ck_assert(gets_work(silent, &anew));
+	ck_assert(!anew);
+}
+END_TEST
+
+START_TEST(upstream_that_answers_others_is_not_silent)
+{
+	char slow[DFF_NAME_MAX];
+	uint64_t other = 0;
+	bool anew;
+
+	add_upstreams(bench, 2);
+	g_strlcpy(slow, send_order(1, &anew), sizeof(slow));
+	for (uint64_t i = 2; i < 20 && other == 0; i++) {
+		if (strcmp(send_order(i, &anew), slow) == 0)
+			other = relay_bench_send(bench);
+	}
+	relay_bench_head(bench, other, 200, false);
+	for (int i = 0; i < 10; i++) {
+		relay_bench_wait(bench, 200 * DFF_MSEC);
+		relay_bench_data(bench, other, "x");
+	}
+	ck_assert(gets_work(slow, &anew));
+}
+END_TEST
+
+/* A stop of this node itself: what came in meanwhile is not read yet. */
+START_TEST(node_that_was_stopped_blames_nobody)
+{
+	const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
+	char id[DFF_NAME_MAX];
+	uint64_t send;
+	bool anew;
+
+	add_upstreams(bench, 2);
+	g_strlcpy(id, send_order(1, &anew), sizeof(id));
+	send = relay_bench_send(bench);
+	relay_bench_wait(bench, 200 * DFF_MSEC);
+	bench->now += 2 * DFF_SEC;
+	relay_bench_step(bench, &wake);
+	relay_bench_head(bench, send, 200, false);
+	ck_assert(gets_work(id, &anew));
+}
+END_TEST
+
+START_TEST(prompt_at_a_silent_engine_is_read_elsewhere)
+{
+	char silent[DFF_NAME_MAX];
+
+	relay_bench_upstream(bench, "d1", "llm", DFF_ROLE_DECODE, "a", 1);
+	relay_bench_upstream(bench, "q1", "llm", DFF_ROLE_PREFILL, "a", 1);
+	relay_bench_upstream(bench, "q2", "llm", DFF_ROLE_PREFILL, "a", 1);
+	(void)relay_bench_open_prompt(bench, "/talk/x", 7, 10000, 8, 900);
+	ck_assert_int_eq(relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.step,
+	    DFF_STEP_PREFILL);
+	g_strlcpy(silent,
+	    relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.upstream,
+	    sizeof(silent));
+	/* Before four times the predicted time, about 250 ms, are over. */
+	relay_bench_wait(bench, 950 * DFF_MSEC);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_CANCEL), 1);
+	ck_assert_str_ne(
+	    relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.upstream, silent);
 }
 END_TEST
 
@@ -346,6 +490,11 @@
 	tcase_add_test(tcase, busy_nodes_try_dark_upstreams_one_by_one);
 	tcase_add_test(tcase, idle_nodes_hear_of_dark_upstreams);
 	tcase_add_test(tcase, any_answer_shows_that_an_upstream_is_reached);
+	tcase_add_test(tcase, silent_upstream_gets_no_new_work);
+	tcase_add_test(tcase, late_byte_ends_the_silence);
+	tcase_add_test(tcase, upstream_that_answers_others_is_not_silent);
+	tcase_add_test(tcase, node_that_was_stopped_blames_nobody);
+	tcase_add_test(tcase, prompt_at_a_silent_engine_is_read_elsewhere);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
