Relay: callers that are turned away are told to return when there is room

Cause: the time to come back was that by which the queue was too long, and half of it as spread, often 100 to 300 ms. Meanwhile the engines got new work, and all that were turned away together came back together.

Now the queue is taken to shrink at half its speed, nobody is told less than 0.3 s, and the spread is as long as the shrinking and 0.5 s more.

Evidence: callers_that_are_turned_away_find_room_later plays bursts of 1.5 times what the engines read, callers return once: 361 of 593 were turned away again before, 121 of 482 now (bound: a third), and 1,265 instead of 1,093 are in their aim. A shorter form (0.2 s, spread 0.2 s) left 203 of 480 turned away again.

--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -31,6 +31,13 @@
 /* Share of its aim that a generation may wait for others' prompts: beyond,
  * it would be late for certain and make those behind it late. */
 #define QUEUE_SHARE 0.8
+/* A queue that gets new work all the while takes this many times its excess to
+ * shrink, and no less than the reading of a long prompt. */
+#define RETURN_FACTOR 2
+#define RETURN_MIN    (300 * DFF_MSEC)
+/* Callers that are turned away together return over this time, and over the
+ * time that the queue takes to shrink. */
+#define RETURN_SPREAD (500 * DFF_MSEC)
 /* In a large fleet the load of other failure domains is known late: their
  * upstreams must look better by this much. */
 #define FAR_TIME (80 * DFF_MSEC)
@@ -251,11 +258,16 @@
 	ask->prefilled_at = call->handle[0] != '\0' ? call->prefilled_at : 0;
 }
 
-/* How long until the predicted wait has shrunk to what is of use. */
+/* How long until the predicted wait, @over too long now, is of use again;
+ * spread, so that those turned away together do not return together. */
 static dff_time_t
 time_to_return(step_t *step, dff_time_t over)
 {
-	return over + (dff_time_t)(dff_rand_unit(step->ctx) * (double)over / 2);
+	dff_time_t shrinks = RETURN_FACTOR * over;
+	double spread = (double)(shrinks + RETURN_SPREAD);
+
+	return RETURN_MIN + shrinks +
+	    (dff_time_t)(dff_rand_unit(step->ctx) * spread);
 }
 
 /* Memory that has lapsed at its engine is not asked for. */
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -49,8 +49,16 @@
 	int status;
 	uint64_t shared;
 	uint32_t own;
+	bool again; /* its caller was turned away before */
 } asked_t;
 
+/* A caller who was turned away, until it returns. */
+typedef struct turned_away {
+	dff_time_t returns_at;
+	uint64_t shared;
+	uint32_t own;
+} turned_away_t;
+
 typedef struct frame {
 	int from;
 	char addr[DFF_ADDR_MAX];
@@ -61,6 +69,8 @@
 static engine_t engines[ENGINES];
 static asked_t asked[RELAYS][CALLS];
 static GQueue frames = G_QUEUE_INIT;
+static GQueue away = G_QUEUE_INIT; /* turned_away_t */
+static bool callers_return;
 /* Which engines are to tell a relay what they keep. */
 static bool lists[RELAYS][ENGINES];
 static dff_time_t now;
@@ -108,6 +118,7 @@
 {
 	memset(asked, 0, sizeof(asked));
 	memset(lists, 0, sizeof(lists));
+	callers_return = false;
 	now = 1000 * DFF_SEC;
 	dice = g_rand_new_with_seed(1);
 	tokens_read = 0;
@@ -141,6 +152,7 @@
 		g_hash_table_unref(engines[e].kept);
 	}
 	g_queue_clear_full(&frames, free_frame);
+	g_queue_clear_full(&away, g_free);
 	g_rand_free(dice);
 }
 
@@ -329,6 +341,21 @@
 	}
 }
 
+/* Its caller comes back once, when it was told to. */
+static void
+turn_away(const asked_t *one, dff_time_t retry_after)
+{
+	turned_away_t *caller;
+
+	if (!callers_return || one->again || one->status != 503)
+		return;
+	caller = g_new0(turned_away_t, 1);
+	caller->returns_at = now + retry_after;
+	caller->shared = one->shared;
+	caller->own = one->own;
+	g_queue_push_tail(&away, caller);
+}
+
 static void
 take_effect(int relay, const dff_relay_effect_t *fx)
 {
@@ -345,6 +372,8 @@
 	case DFF_RELAY_FX_ANSWER:
 		asked[relay][fx->answer.call].answered = now;
 		asked[relay][fx->answer.call].status = fx->answer.status;
+		turn_away(
+		    &asked[relay][fx->answer.call], fx->answer.retry_after);
 		break;
 	case DFF_RELAY_FX_PASS_HEAD:
 		asked[relay][fx->pass.call].first = now;
@@ -418,7 +447,7 @@
 }
 
 static void
-ask(int relay, uint64_t shared, uint32_t own)
+ask_as(int relay, uint64_t shared, uint32_t own, bool again)
 {
 	uint64_t call = relays[relay]->next_call + 1;
 	asked_t *one = &asked[relay][call];
@@ -427,11 +456,37 @@
 	one->at = now;
 	one->shared = shared;
 	one->own = own;
+	one->again = again;
 	(void)relay_bench_open_prompt(relays[relay], "/talk/x", shared, SHARED,
 	    1000000 + call * RELAYS + (uint64_t)relay, own);
 	take_effects(relay);
 }
 
+static void
+ask(int relay, uint64_t shared, uint32_t own)
+{
+	ask_as(relay, shared, own, false);
+}
+
+/* Callers whose time has come return, at any node. */
+static void
+take_returns(void)
+{
+	GList *next;
+
+	for (GList *link = away.head; link != NULL; link = next) {
+		turned_away_t *caller = link->data;
+
+		next = link->next;
+		if (caller->returns_at > now)
+			continue;
+		g_queue_delete_link(&away, link);
+		ask_as(g_rand_int_range(dice, 0, RELAYS), caller->shared,
+		    caller->own, true);
+		g_free(caller);
+	}
+}
+
 /*
  * Requests for some time: @per_s in all, for one of @parts shared parts;
  * most own parts have 500 tokens, one in ten 6,000.
@@ -453,6 +508,7 @@
 			    own);
 			chance -= 1;
 		}
+		take_returns();
 		tick();
 	}
 }
@@ -465,6 +521,8 @@
 	int failed;
 	int long_asked;
 	int long_served;
+	int again;
+	int again_refused;
 } tally_t;
 
 /* Requests that were asked from @since on. */
@@ -480,6 +538,9 @@
 			if (one->at < since)
 				continue;
 			tally->asked++;
+			tally->again += one->again;
+			tally->again_refused +=
+			    one->again && one->status == 503;
 			tally->long_asked += one->own > 1000;
 			tally->long_served += served && one->own > 1000;
 			if (served && one->first - one->at <= AIM)
@@ -554,6 +615,30 @@
 }
 END_TEST
 
+/* Load answered: bursts of 1.5 times what the engines can read, 1 s long.
+ * Who is turned away comes back once, and mostly finds room then. */
+START_TEST(callers_that_are_turned_away_find_room_later)
+{
+	double capacity = (PREFILL + (ENGINES - PREFILL) / 2.0) * TICK_TOKENS *
+	    DFF_SEC / TICK;
+	double per_s = capacity / (0.9 * 500 + 0.1 * 6000);
+	tally_t tally;
+
+	callers_return = true;
+	load(3 * DFF_SEC, 60, 20);
+	for (int i = 0; i < 4; i++) {
+		load(DFF_SEC, 1.5 * per_s, 20);
+		load(2 * DFF_SEC, 0.3 * per_s, 20);
+	}
+	load(3 * DFF_SEC, 0, 20);
+	count(&tally);
+	ck_assert_int_gt(tally.again, 50);
+	ck_assert_msg(3 * tally.again_refused <= tally.again,
+	    "%d of %d were turned away again", tally.again_refused,
+	    tally.again);
+}
+END_TEST
+
 /* Load answered: new parts, each asked for by all nodes while the first of
  * them still has it read: who fetches it then reads it again. */
 START_TEST(part_that_is_being_read_is_not_read_elsewhere)
@@ -627,6 +712,7 @@
 	tcase_set_timeout(tcase, 300);
 	tcase_add_test(tcase, shared_parts_are_read_about_once);
 	tcase_add_test(tcase, overload_serves_in_time_what_it_lets_in);
+	tcase_add_test(tcase, callers_that_are_turned_away_find_room_later);
 	tcase_add_test(tcase, part_that_is_being_read_is_not_read_elsewhere);
 	tcase_add_test(tcase, nodes_that_start_again_have_little_read_anew);
 	tcase_add_test(tcase, burst_is_spread_over_the_engines);
