--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -1,578 +1,23 @@
 /*
- * The relay under load: four relays before six engines that read prompts
- * one after the other, in virtual time. Checked is what callers get.
+ * The relay under load, played in virtual time. Checked is what callers get.
  */
 #include <check.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "fake/relay_bench.h"
-
-#define RELAYS	4
-#define ENGINES 6
-#define PREFILL 2 /* the first engines; the others decode */
-#define CALLS	8192
-#define TICK	(2 * DFF_MSEC)
-/* Tokens that a prefill engine reads in one tick; others read half, and
- * half of that between the steps of answers. */
-#define TICK_TOKENS 100.0
-/* Time from the first byte to the end of an answer. */
-#define ANSWER_TIME (200 * DFF_MSEC)
-#define AIM	    (300 * DFF_MSEC)
-/* Tokens of the shared part of each prompt. */
-#define SHARED 8000
-
-/* What an engine has to do for a send. */
-typedef struct job {
-	int relay;
-	uint64_t send;
-	dff_step_t step;
-	uint64_t shared;
-	uint32_t own;
-	int donor; /* engine to fetch from; -1 for none */
-	bool started;
-	double tokens; /* still to be read */
-	dff_time_t ends; /* of its answer, once it began */
-} job_t;
-
-typedef struct engine {
-	GQueue queue; /* job_t that wait or are read */
-	GQueue answers; /* job_t whose answer has begun */
-	GHashTable *kept; /* shared parts */
-} engine_t;
-
-/* One request of a caller. */
-typedef struct asked {
-	dff_time_t at;
-	dff_time_t first; /* of its first byte; 0 before */
-	dff_time_t answered; /* by the relay itself; 0 if not */
-	int status;
-	uint64_t shared;
-	uint32_t own;
-	bool again; /* its caller was turned away before */
-} asked_t;
-
-/* A caller who was turned away, until it returns. */
-typedef struct turned_away {
-	dff_time_t returns_at;
-	uint64_t shared;
-	uint32_t own;
-} turned_away_t;
-
-typedef struct frame {
-	int from;
-	char addr[DFF_ADDR_MAX];
-	GByteArray *bytes;
-} frame_t;
-
-static relay_bench_t *relays[RELAYS];
-static engine_t engines[ENGINES];
-static asked_t asked[RELAYS][CALLS];
-static GQueue frames = G_QUEUE_INIT;
-static GQueue away = G_QUEUE_INIT; /* turned_away_t */
-static bool callers_return;
-/* Which engines are to tell a relay what they keep. */
-static bool lists[RELAYS][ENGINES];
-static dff_time_t now;
-static GRand *dice;
-static double tokens_read;
-static double shared_read;
-
-static void take_effects(int relay);
-
-static int
-engine_of(const char *id)
-{
-	return atoi(id + 1);
-}
-
-/* Relays that know nothing yet. */
-static void
-start_relays(void)
-{
-	char addr[RELAYS][32];
-
-	for (int i = 0; i < RELAYS; i++) {
-		(void)g_snprintf(addr[i], sizeof(addr[i]), "10.0.0.%d:7000", i);
-		relays[i] = relay_bench_new_as(addr[i], "a", addr[i], 100);
-		relay_bench_load_route(relays[i], 1);
-		for (int e = 0; e < ENGINES; e++) {
-			char id[8];
-
-			(void)g_snprintf(id, sizeof(id), "e%d", e);
-			relay_bench_upstream(relays[i], id, "llm",
-			    e < PREFILL ? DFF_ROLE_PREFILL : DFF_ROLE_DECODE,
-			    "a", 1);
-			take_effects(i);
-		}
-	}
-	for (int i = 0; i < RELAYS; i++) {
-		for (int k = 0; k < RELAYS; k++)
-			dff_relay_add_peer(
-			    relays[i]->relay, addr[k], "a", 100, now);
-	}
-}
-
-static void
-setup(void)
-{
-	memset(asked, 0, sizeof(asked));
-	memset(lists, 0, sizeof(lists));
-	callers_return = false;
-	now = 1000 * DFF_SEC;
-	dice = g_rand_new_with_seed(1);
-	tokens_read = 0;
-	shared_read = 0;
-	for (int e = 0; e < ENGINES; e++) {
-		g_queue_init(&engines[e].queue);
-		g_queue_init(&engines[e].answers);
-		engines[e].kept =
-		    g_hash_table_new(g_direct_hash, g_direct_equal);
-	}
-	start_relays();
-}
-
-static void
-free_frame(void *data)
-{
-	frame_t *frame = data;
-
-	g_byte_array_unref(frame->bytes);
-	g_free(frame);
-}
-
-static void
-teardown(void)
-{
-	for (int i = 0; i < RELAYS; i++)
-		relay_bench_drop(relays[i]);
-	for (int e = 0; e < ENGINES; e++) {
-		g_queue_clear_full(&engines[e].queue, g_free);
-		g_queue_clear_full(&engines[e].answers, g_free);
-		g_hash_table_unref(engines[e].kept);
-	}
-	g_queue_clear_full(&frames, free_frame);
-	g_queue_clear_full(&away, g_free);
-	g_rand_free(dice);
-}
-
-/* ---- engines ---- */
-
-static int
-engine_at(const char *addr)
-{
-	for (int e = 0; e < ENGINES; e++) {
-		char one[DFF_ADDR_MAX];
-
-		(void)g_snprintf(one, sizeof(one), "10.9.0.%u:80", '0' + e);
-		if (strcmp(one, addr) == 0)
-			return e;
-	}
-	return -1;
-}
-
-static void
-enqueue(int relay, const dff_relay_send_t *send)
-{
-	const asked_t *call = &asked[relay][send->call];
-	job_t *job = g_new0(job_t, 1);
-
-	job->relay = relay;
-	job->send = send->send;
-	job->step = send->step;
-	job->shared = call->shared;
-	job->own = call->own;
-	job->donor = engine_at(send->donor);
-	g_queue_push_tail(&engines[engine_of(send->upstream)].queue, job);
-}
-
-static bool
-keeps(int e, uint64_t shared)
-{
-	return e >= 0 &&
-	    g_hash_table_contains(
-		engines[e].kept, GUINT_TO_POINTER((guint)shared));
-}
-
-/* What it has to read is known once it is its turn. */
-static void
-start_job(int e, job_t *job)
-{
-	bool kept = keeps(e, job->shared) || keeps(job->donor, job->shared);
-
-	if (job->started)
-		return;
-	job->started = true;
-	if (job->step == DFF_STEP_DECODE)
-		return;
-	job->tokens = job->own + (kept ? 0 : SHARED);
-	tokens_read += job->tokens;
-	shared_read += kept ? 0 : SHARED;
-}
-
-static void
-forget_job(GQueue *queue, int relay, uint64_t send)
-{
-	for (GList *link = queue->head; link != NULL; link = link->next) {
-		job_t *job = link->data;
-
-		if (job->relay != relay || job->send != send)
-			continue;
-		g_queue_delete_link(queue, link);
-		g_free(job);
-		return;
-	}
-}
-
-/* A job's prompt was read. */
-static void
-begin_answer(engine_t *engine, job_t *job)
-{
-	int relay = job->relay;
-	uint64_t send = job->send;
-	char handle[32];
-
-	(void)g_hash_table_add(
-	    engine->kept, GUINT_TO_POINTER((guint)job->shared));
-	if (job->step == DFF_STEP_PREFILL) {
-		g_free(job);
-		(void)g_snprintf(
-		    handle, sizeof(handle), "h%" G_GUINT64_FORMAT, send);
-		relay_bench_head(relays[relay], send, 200, false);
-		take_effects(relay);
-		relay_bench_end(relays[relay], send, DFF_SEND_DONE, handle);
-	} else {
-		job->ends = now + ANSWER_TIME;
-		g_queue_push_tail(&engine->answers, job);
-		relay_bench_head(relays[relay], send, 200, false);
-	}
-	take_effects(relay);
-}
-
-static double
-tick_tokens(const engine_t *engine, bool decodes)
-{
-	if (!decodes)
-		return TICK_TOKENS;
-	return engine->answers.length == 0 ? TICK_TOKENS / 2 : TICK_TOKENS / 4;
-}
-
-static void
-run_engine(int e)
-{
-	engine_t *engine = &engines[e];
-	double left = tick_tokens(engine, e >= PREFILL);
-	job_t *job;
-
-	while ((job = g_queue_peek_head(&engine->queue)) != NULL) {
-		double part;
-
-		start_job(e, job);
-		part = MIN(left, job->tokens);
-		job->tokens -= part;
-		left -= part;
-		if (job->tokens > 0)
-			break;
-		(void)g_queue_pop_head(&engine->queue);
-		begin_answer(engine, job);
-	}
-	while ((job = g_queue_peek_head(&engine->answers)) != NULL &&
-	    job->ends <= now) {
-		int relay = job->relay;
-		uint64_t send = job->send;
-
-		(void)g_queue_pop_head(&engine->answers);
-		g_free(job);
-		relay_bench_end(relays[relay], send, DFF_SEND_DONE, NULL);
-		take_effects(relay);
-	}
-}
-
-/* ---- relays ---- */
-
-static void
-keep_frame(int relay, const dff_relay_frame_t *fx)
-{
-	frame_t *frame = g_new0(frame_t, 1);
-
-	frame->from = relay;
-	g_strlcpy(frame->addr, fx->addr, sizeof(frame->addr));
-	frame->bytes = g_byte_array_new();
-	g_byte_array_append(frame->bytes, fx->bytes, (guint)fx->len);
-	g_queue_push_tail(&frames, frame);
-}
-
-/* An engine tells which parts it keeps. */
-static void
-tell_kept(int relay, int e)
-{
-	char id[8];
-	dff_relay_event_t event = {.type = DFF_RELAY_KEPT};
-	GArray *parts = g_array_new(FALSE, FALSE, sizeof(dff_part_t));
-	GHashTableIter iter;
-	gpointer key;
-
-	(void)g_snprintf(id, sizeof(id), "e%d", e);
-	g_hash_table_iter_init(&iter, engines[e].kept);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		dff_part_t part = {GPOINTER_TO_UINT(key), SHARED};
-
-		g_array_append_val(parts, part);
-	}
-	event.kept.upstream = id;
-	event.kept.parts = (const dff_part_t *)(void *)parts->data;
-	event.kept.count = parts->len;
-	relay_bench_step(relays[relay], &event);
-	take_effects(relay);
-	g_array_unref(parts);
-}
-
-/* Answers come after the step that asked. */
-static void
-answer_lists(void)
-{
-	for (int i = 0; i < RELAYS; i++) {
-		for (int e = 0; e < ENGINES; e++) {
-			if (!lists[i][e])
-				continue;
-			lists[i][e] = false;
-			tell_kept(i, e);
-		}
-	}
-}
-
-/* Its caller comes back once, when it was told to. */
-static void
-turn_away(const asked_t *one, dff_time_t retry_after)
-{
-	turned_away_t *caller;
-
-	if (!callers_return || one->again || one->status != 503)
-		return;
-	caller = g_new0(turned_away_t, 1);
-	caller->returns_at = now + retry_after;
-	caller->shared = one->shared;
-	caller->own = one->own;
-	g_queue_push_tail(&away, caller);
-}
-
-static void
-take_effect(int relay, const dff_relay_effect_t *fx)
-{
-	switch (fx->type) {
-	case DFF_RELAY_FX_SEND:
-		enqueue(relay, &fx->send);
-		break;
-	case DFF_RELAY_FX_CANCEL:
-		for (int e = 0; e < ENGINES; e++) {
-			forget_job(&engines[e].queue, relay, fx->cancel);
-			forget_job(&engines[e].answers, relay, fx->cancel);
-		}
-		break;
-	case DFF_RELAY_FX_ANSWER:
-		asked[relay][fx->answer.call].answered = now;
-		asked[relay][fx->answer.call].status = fx->answer.status;
-		turn_away(
-		    &asked[relay][fx->answer.call], fx->answer.retry_after);
-		break;
-	case DFF_RELAY_FX_PASS_HEAD:
-		asked[relay][fx->pass.call].first = now;
-		break;
-	case DFF_RELAY_FX_FRAME:
-		keep_frame(relay, &fx->frame);
-		break;
-	case DFF_RELAY_FX_PASS_DATA:
-	case DFF_RELAY_FX_PASS_END:
-	case DFF_RELAY_FX_BREAK:
-	case DFF_RELAY_FX_FREE:
-	case DFF_RELAY_FX_LIST:
-		lists[relay][engine_of(fx->list.upstream)] = true;
-		break;
-	case DFF_RELAY_FX_FORGET:
-	case DFF_RELAY_FX_FETCH:
-		break;
-	}
-}
-
-static void
-take_effects(int relay)
-{
-	GArray *fx = relays[relay]->fx;
-
-	relays[relay]->fx =
-	    g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
-	for (guint i = 0; i < fx->len; i++)
-		take_effect(relay, &g_array_index(fx, dff_relay_effect_t, i));
-	g_array_unref(fx);
-}
-
-static void
-deliver_frames(void)
-{
-	frame_t *frame;
-
-	while ((frame = g_queue_pop_head(&frames)) != NULL) {
-		int to = atoi(frame->addr + strlen("10.0.0."));
-		dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
-		char addr[32];
-
-		(void)g_snprintf(
-		    addr, sizeof(addr), "10.0.0.%d:7000", frame->from);
-		event.beat.addr = addr;
-		event.beat.bytes = frame->bytes->data;
-		event.beat.len = frame->bytes->len;
-		relay_bench_step(relays[to], &event);
-		take_effects(to);
-		free_frame(frame);
-	}
-}
-
-static void
-tick(void)
-{
-	const dff_relay_event_t wake = {.type = DFF_RELAY_WAKE};
-
-	now += TICK;
-	for (int i = 0; i < RELAYS; i++) {
-		relays[i]->now = now;
-		if (dff_relay_wake(relays[i]->relay) > now)
-			continue;
-		relay_bench_step(relays[i], &wake);
-		take_effects(i);
-	}
-	deliver_frames();
-	answer_lists();
-	for (int e = 0; e < ENGINES; e++)
-		run_engine(e);
-}
-
-static void
-ask_as(int relay, uint64_t shared, uint32_t own, bool again)
-{
-	uint64_t call = relays[relay]->next_call + 1;
-	asked_t *one = &asked[relay][call];
-
-	ck_assert_uint_lt(call, CALLS);
-	one->at = now;
-	one->shared = shared;
-	one->own = own;
-	one->again = again;
-	(void)relay_bench_open_prompt(relays[relay], "/talk/x", shared, SHARED,
-	    1000000 + call * RELAYS + (uint64_t)relay, own);
-	take_effects(relay);
-}
-
-static void
-ask(int relay, uint64_t shared, uint32_t own)
-{
-	ask_as(relay, shared, own, false);
-}
-
-/* Callers whose time has come return, at any node. */
-static void
-take_returns(void)
-{
-	GList *next;
-
-	for (GList *link = away.head; link != NULL; link = next) {
-		turned_away_t *caller = link->data;
-
-		next = link->next;
-		if (caller->returns_at > now)
-			continue;
-		g_queue_delete_link(&away, link);
-		ask_as(g_rand_int_range(dice, 0, RELAYS), caller->shared,
-		    caller->own, true);
-		g_free(caller);
-	}
-}
-
-/*
- * Requests for some time: @per_s in all, for one of @parts shared parts;
- * most own parts have 500 tokens, one in ten 6,000.
- */
-static void
-load(dff_time_t time, double per_s, int parts)
-{
-	dff_time_t end = now + time;
-
-	while (now < end) {
-		double chance = per_s * (double)TICK / DFF_SEC;
-
-		while (g_rand_double(dice) < chance) {
-			uint32_t own =
-			    g_rand_int_range(dice, 0, 10) == 0 ? 6000 : 500;
-
-			ask(g_rand_int_range(dice, 0, RELAYS),
-			    (uint64_t)g_rand_int_range(dice, 1, parts + 1),
-			    own);
-			chance -= 1;
-		}
-		take_returns();
-		tick();
-	}
-}
-
-typedef struct tally {
-	int asked;
-	int in_aim;
-	int late;
-	int refused;
-	int failed;
-	int long_asked;
-	int long_served;
-	int again;
-	int again_refused;
-} tally_t;
-
-/* Requests that were asked from @since on. */
-static void
-count_since(tally_t *tally, dff_time_t since)
-{
-	memset(tally, 0, sizeof(*tally));
-	for (int i = 0; i < RELAYS; i++) {
-		for (uint64_t c = 1; c <= relays[i]->next_call; c++) {
-			const asked_t *one = &asked[i][c];
-			bool served = one->first != 0;
-
-			if (one->at < since)
-				continue;
-			tally->asked++;
-			tally->again += one->again;
-			tally->again_refused +=
-			    one->again && one->status == 503;
-			tally->long_asked += one->own > 1000;
-			tally->long_served += served && one->own > 1000;
-			if (served && one->first - one->at <= AIM)
-				tally->in_aim++;
-			else if (served)
-				tally->late++;
-			else if (one->status == 503)
-				tally->refused++;
-			else
-				tally->failed++;
-		}
-	}
-}
-
-static void
-count(tally_t *tally)
-{
-	count_since(tally, 0);
-}
+#include "fake/relay_play.h"
 
 /* Load answered: shared parts that would take more time than there is if
  * each request had them read. */
 START_TEST(shared_parts_are_read_about_once)
 {
-	tally_t tally;
+	play_tally_t tally;
 
-	load(20 * DFF_SEC, 60, 40);
-	load(2 * DFF_SEC, 0, 40);
-	count(&tally);
+	play_load(20 * DFF_SEC, 60, 40);
+	play_load(2 * DFF_SEC, 0, 40);
+	play_count(&tally, 0);
 	/* 40 parts; a few more where two nodes ask in the same moment. */
-	ck_assert_msg(shared_read <= 60.0 * SHARED, "read %.0f times",
-	    shared_read / SHARED);
+	ck_assert_msg(
+	    play_shared_read() <= 60.0, "read %.0f times", play_shared_read());
 	ck_assert_msg(tally.in_aim >= 0.9 * tally.asked,
 	    "in aim %d of %d, late %d, refused %d", tally.in_aim, tally.asked,
 	    tally.late, tally.refused);
@@ -584,29 +29,20 @@
  * nearly always in time; who is not hears it at once. */
 START_TEST(overload_serves_in_time_what_it_lets_in)
 {
-	double capacity = (PREFILL + (ENGINES - PREFILL) / 2.0) * TICK_TOKENS *
-	    DFF_SEC / TICK;
-	double per_s = 2 * capacity / (0.9 * 500 + 0.1 * 6000);
-	tally_t tally;
+	double per_s = 2 * play_capacity();
+	play_tally_t tally;
 
-	load(3 * DFF_SEC, 60, 20);
-	load(8 * DFF_SEC, per_s, 20);
-	load(2 * DFF_SEC, 0, 20);
-	count(&tally);
+	play_load(3 * DFF_SEC, 60, 20);
+	play_load(8 * DFF_SEC, per_s, 20);
+	play_load(2 * DFF_SEC, 0, 20);
+	play_count(&tally, 0);
 	ck_assert_int_eq(tally.failed, 0);
 	ck_assert_msg(tally.late <= 0.25 * tally.asked,
 	    "late %d of %d, in aim %d", tally.late, tally.asked, tally.in_aim);
 	ck_assert_msg(tally.in_aim >= 0.3 * tally.asked,
 	    "in aim %d of %d, late %d, refused %d", tally.in_aim, tally.asked,
 	    tally.late, tally.refused);
-	for (int i = 0; i < RELAYS; i++) {
-		for (uint64_t c = 1; c <= relays[i]->next_call; c++) {
-			const asked_t *one = &asked[i][c];
-
-			if (one->status == 503)
-				ck_assert_int_le(one->answered - one->at, TICK);
-		}
-	}
+	ck_assert_int_le(play_slowest_refusal(), PLAY_TICK);
 	/* Long prompts are not starved. */
 	ck_assert_msg(2 * tally.long_served * tally.asked >=
 		(tally.in_aim + tally.late) * tally.long_asked,
@@ -619,19 +55,17 @@
  * Who is turned away comes back once, and mostly finds room then. */
 START_TEST(callers_that_are_turned_away_find_room_later)
 {
-	double capacity = (PREFILL + (ENGINES - PREFILL) / 2.0) * TICK_TOKENS *
-	    DFF_SEC / TICK;
-	double per_s = capacity / (0.9 * 500 + 0.1 * 6000);
-	tally_t tally;
+	double per_s = play_capacity();
+	play_tally_t tally;
 
-	callers_return = true;
-	load(3 * DFF_SEC, 60, 20);
+	play_return_callers();
+	play_load(3 * DFF_SEC, 60, 20);
 	for (int i = 0; i < 4; i++) {
-		load(DFF_SEC, 1.5 * per_s, 20);
-		load(2 * DFF_SEC, 0.3 * per_s, 20);
+		play_load(DFF_SEC, 1.5 * per_s, 20);
+		play_load(2 * DFF_SEC, 0.3 * per_s, 20);
 	}
-	load(3 * DFF_SEC, 0, 20);
-	count(&tally);
+	play_load(3 * DFF_SEC, 0, 20);
+	play_count(&tally, 0);
 	ck_assert_int_gt(tally.again, 50);
 	ck_assert_msg(3 * tally.again_refused <= tally.again,
 	    "%d of %d were turned away again", tally.again_refused,
@@ -646,14 +80,14 @@
 	const int parts = 30;
 
 	for (int part = 1; part <= parts; part++) {
-		for (int i = 0; i < RELAYS; i++) {
-			ask(i, (uint64_t)part, 500);
-			load(16 * DFF_MSEC, 0, 1);
+		for (int i = 0; i < PLAY_RELAYS; i++) {
+			play_ask(i, (uint64_t)part, 500);
+			play_load(16 * DFF_MSEC, 0, 1);
 		}
-		load(600 * DFF_MSEC, 0, 1);
+		play_load(600 * DFF_MSEC, 0, 1);
 	}
-	ck_assert_msg(shared_read <= 1.1 * parts * SHARED,
-	    "%d parts read %.0f times", parts, shared_read / SHARED);
+	ck_assert_msg(play_shared_read() <= 1.1 * parts,
+	    "%d parts read %.0f times", parts, play_shared_read());
 }
 END_TEST
 
@@ -662,17 +96,14 @@
 {
 	double before;
 
-	load(4 * DFF_SEC, 60, 20);
-	load(2 * DFF_SEC, 0, 20);
-	before = shared_read;
-	for (int i = 0; i < RELAYS; i++)
-		relay_bench_drop(relays[i]);
-	start_relays();
-	memset(asked, 0, sizeof(asked));
-	load(3 * DFF_SEC, 60, 20);
-	load(2 * DFF_SEC, 0, 20);
-	ck_assert_msg(shared_read - before <= 2.0 * SHARED,
-	    "read %.0f times again", (shared_read - before) / SHARED);
+	play_load(4 * DFF_SEC, 60, 20);
+	play_load(2 * DFF_SEC, 0, 20);
+	before = play_shared_read();
+	play_restart_relays();
+	play_load(3 * DFF_SEC, 60, 20);
+	play_load(2 * DFF_SEC, 0, 20);
+	ck_assert_msg(play_shared_read() - before <= 2.0,
+	    "read %.0f times again", play_shared_read() - before);
 }
 END_TEST
 
@@ -680,20 +111,17 @@
 START_TEST(burst_is_spread_over_the_engines)
 {
 	dff_time_t warm;
-	tally_t tally;
-	size_t longest = 0;
+	play_tally_t tally;
 
-	load(3 * DFF_SEC, 40, 4);
-	warm = now;
+	play_load(3 * DFF_SEC, 40, 4);
+	warm = play_now();
 	for (int i = 0; i < 24; i++) {
-		ask(i % RELAYS, (uint64_t)(i % 4 + 1), 500);
-		tick();
+		play_ask(i % PLAY_RELAYS, (uint64_t)(i % 4 + 1), 500);
+		play_tick();
 	}
-	for (int e = 0; e < ENGINES; e++)
-		longest = MAX(longest, engines[e].queue.length);
-	ck_assert_uint_le(longest, 8);
-	load(2 * DFF_SEC, 0, 4);
-	count_since(&tally, warm);
+	ck_assert_uint_le(play_longest_queue(), 8);
+	play_load(2 * DFF_SEC, 0, 4);
+	play_count(&tally, warm);
 	ck_assert_int_eq(tally.asked, 24);
 	ck_assert_msg(tally.in_aim >= 0.95 * tally.asked, "in aim %d of %d",
 	    tally.in_aim, tally.asked);
@@ -708,7 +136,7 @@
 	SRunner *runner;
 	int failed;
 
-	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_checked_fixture(tcase, play_setup, play_teardown);
 	tcase_set_timeout(tcase, 300);
 	tcase_add_test(tcase, shared_parts_are_read_about_once);
 	tcase_add_test(tcase, overload_serves_in_time_what_it_lets_in);
