Relay: a stream that has begun tries upstreams that were out of reach too

A request that fails to reach an upstream is refused at once when all that is left was out of reach lately. That also held for a stream whose answer had begun and broke off: it was cut though its resumption had other engines to try. Nothing can be refused there any more, so each is tried.

Evidence: stream_that_has_begun_goes_on_trying failed before (cut after the first of two).

--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -309,7 +309,8 @@
 		return;
 	}
 	/* All that could take it were out of reach lately, as this one was. */
-	if (place.shunned && call->unreached > 0) {
+	if (place.shunned && call->unreached > 0 &&
+	    call->fate != DFF_FATE_BEGUN) {
 		relay_call_give_up(
 		    step, call, DFF_TROUBLE_BUSY, DFF_SEC, "unreachable");
 		return;
--- a/test/test_relay_unreachable.c
+++ b/test/test_relay_unreachable.c
@@ -93,6 +93,35 @@
 }
 END_TEST
 
+/* What its caller has of a stream is worth a try at each that is left. */
+START_TEST(stream_that_has_begun_goes_on_trying)
+{
+	uint64_t send;
+
+	for (int i = 0; i < 3; i++) {
+		char id[] = {'e', (char)('0' + i), '\0'};
+
+		relay_bench_upstream(bench, id, "llm", DFF_ROLE_MIXED, "a", 1);
+	}
+	/* Another request finds two of three out of reach. */
+	(void)relay_bench_open(bench, "/talk/x", 1);
+	for (int i = 0; i < 2; i++)
+		relay_bench_end(
+		    bench, relay_bench_send(bench), DFF_SEND_UNSENT, NULL);
+	(void)relay_bench_open(bench, "/resume/x", 2);
+	send = relay_bench_send(bench);
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_data(bench, send, "id: 1\ndata: a\n\n");
+	relay_bench_end(bench, send, DFF_SEND_BROKEN, NULL);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_ptr_null(relay_bench_find(bench, DFF_RELAY_FX_BREAK));
+		relay_bench_end(
+		    bench, relay_bench_send(bench), DFF_SEND_UNSENT, NULL);
+	}
+	ck_assert_ptr_nonnull(relay_bench_find(bench, DFF_RELAY_FX_BREAK));
+}
+END_TEST
+
 START_TEST(rejected_sends_are_bounded_as_before)
 {
 	int tried = 0;
@@ -483,6 +512,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, request_passes_many_dead_upstreams);
 	tcase_add_test(tcase, request_is_refused_when_all_were_out_of_reach);
+	tcase_add_test(tcase, stream_that_has_begun_goes_on_trying);
 	tcase_add_test(tcase, rejected_sends_are_bounded_as_before);
 	tcase_add_test(tcase, what_two_peers_cannot_reach_is_left_alone);
 	tcase_add_test(tcase, one_peer_alone_is_not_believed);
