Relay: sums of domains come more rarely in fleets of more than 100 nodes

Each sum of a domain is handed on to all other nodes, at each beat and 12 ms after a send to another domain.

Now both times grow with the number of nodes beyond 100, with the times that depend on them (silence of a domain, how long a part is told). Sites of up to 100 nodes are as they were.

--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -160,7 +160,8 @@
 
 		if (up == NULL || !is_far(relay, up))
 			continue;
-		relay->tell_far_at = step->now + TELL_FAR_TOGETHER;
+		relay->tell_far_at =
+		    step->now + peers_sum_time(relay, TELL_FAR_TOGETHER);
 		dff_timers_set(relay->timers, DFF_TIMER_MEMBER_TELL, TELL_FAR,
 		    relay->tell_far_at);
 		return;
@@ -181,7 +182,7 @@
 		return beat->sequence > peer->sequence;
 	if (!beat->summary && beat->incarnation > peer->incarnation)
 		return true;
-	return now - peer->heard > SUCCEED_BEATS * beat_interval(relay);
+	return now - peer->heard > SUCCEED_BEATS * peer_interval(relay, peer);
 }
 
 static void
@@ -318,14 +319,14 @@
 }
 
 static void
-add_parts(const GArray *parts, draft_t *draft, dff_time_t now)
+add_parts(const GArray *parts, draft_t *draft, dff_time_t told, dff_time_t now)
 {
 	/* The newest first: older ones were told before. */
 	for (guint i = parts->len; i-- > 0 && draft->beat.n_kept < PARTS_MAX;) {
 		const told_part_t *part = &g_array_index(parts, told_part_t, i);
 		Dff__RelayKept *row;
 
-		if (now - part->at > PART_TELL)
+		if (now - part->at > told)
 			break;
 		row = &draft->parts[draft->beat.n_kept++];
 		dff__relay_kept__init(row);
@@ -395,7 +396,7 @@
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;)
 		add_load(&draft, up, up->running, up->backlog, up->memory);
 	forget_old_parts(relay->told_parts, step->now);
-	add_parts(relay->told_parts, &draft, step->now);
+	add_parts(relay->told_parts, &draft, PART_TELL, step->now);
 	add_crashes(relay, &draft, step->now);
 	draft.beat.unreachable = draft.unreachable;
 	draft.beat.n_unreachable =
@@ -456,7 +457,8 @@
 	}
 	if (!far) {
 		forget_old_parts(relay->summary_parts, step->now);
-		add_parts(relay->summary_parts, &draft, step->now);
+		add_parts(relay->summary_parts, &draft,
+		    peers_sum_time(relay, PART_TELL), step->now);
 		add_crashes(relay, &draft, step->now);
 	}
 	return pack(relay, &draft);
@@ -562,8 +564,9 @@
 	peers_sweep(step);
 	unreachable_find_silent(step);
 	tell_own(step, true);
-	if (!peers_speaks(relay, step->now))
+	if (!peers_speaks(relay, step->now) || step->now < relay->sum_at)
 		return;
+	relay->sum_at = step->now + peers_sum_time(relay, beat_interval(relay));
 	tell_domains(step, false);
 	tell_domains(step, true);
 }
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -158,6 +158,7 @@
 	uint64_t known[DFF_FEED_COUNT]; /* read up to here */
 	dff_time_t fetched[DFF_FEED_COUNT]; /* last asked of a peer */
 	bool changed[DFF_FEED_COUNT]; /* a belief, since the last mark */
+	dff_time_t sum_at; /* this domain's sum is told then */
 	dff_time_t listened_at; /* last look for silent upstreams */
 	dff_time_t settled_at; /* missing records may return before this */
 	dff_time_t stop_at; /* asked to stop; 0 while it runs */
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -12,6 +12,8 @@
 #define MESH_MAX 12
 /* Frames are rarer in a large fleet. */
 #define LARGE_BEATS 2
+/* Up to so many nodes sums of domains come as often as beats. */
+#define FLEET_USUAL 100
 /* Nodes, of those that hear each other, that read the record source: one
  * more than needed, so that one may fail. */
 #define READERS 2
@@ -94,11 +96,25 @@
 	return relay->config.beat * (beat_is_large(relay) ? LARGE_BEATS : 1);
 }
 
+dff_time_t
+peers_sum_time(const dff_relay_t *relay, dff_time_t usual)
+{
+	return usual * MAX(relay->peers->len, FLEET_USUAL) / FLEET_USUAL;
+}
+
+dff_time_t
+peer_interval(const dff_relay_t *relay, const peer_t *peer)
+{
+	dff_time_t beat = beat_interval(relay);
+
+	return *peer->addr != '\0' ? beat : peers_sum_time(relay, beat);
+}
+
 bool
 peer_is_alive(const dff_relay_t *relay, const peer_t *peer, dff_time_t now)
 {
 	return peer->heard != 0 &&
-	    now - peer->heard < SILENT_BEATS * beat_interval(relay);
+	    now - peer->heard < SILENT_BEATS * peer_interval(relay, peer);
 }
 
 bool
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -32,6 +32,13 @@
 /** peers_speaks() - this node speaks for its domain, in a large fleet */
 bool peers_speaks(const dff_relay_t *relay, dff_time_t now);
 
+/** peers_sum_time() - a time of the sums of domains, in a fleet of this size:
+ *	they are handed on to all nodes, so more nodes hear them more rarely */
+dff_time_t peers_sum_time(const dff_relay_t *relay, dff_time_t usual);
+
+/** peer_interval() - time between a peer's beats, or a domain's sums */
+dff_time_t peer_interval(const dff_relay_t *relay, const peer_t *peer);
+
 /** peers_sweep() - forget silent peers, and their loads at once */
 void peers_sweep(step_t *step);
 
--- a/test/fake/relay_net.c
+++ b/test/fake/relay_net.c
@@ -45,6 +45,7 @@
 		relay_bench_drop(net->nodes[i]);
 	net->count = 0;
 	memset(net->cut, 0, sizeof(net->cut));
+	memset(net->told, 0, sizeof(net->told));
 }
 
 static int
@@ -72,6 +73,7 @@
 
 		if (one->type != DFF_RELAY_FX_FRAME)
 			continue;
+		net->told[from]++;
 		to = find_node(net, one->frame.addr);
 		if (to < 0 || net->cut[to] || net->cut[from])
 			continue;
--- a/test/fake/relay_net.h
+++ b/test/fake/relay_net.h
@@ -6,16 +6,18 @@
 
 #include "relay_bench.h"
 
-#define NODES_MAX 32
+#define NODES_MAX 320
 
 /**
  * struct relay_net - nodes of one fleet
  * @cut: nodes that hear and tell nothing
+ * @told: frames that each has sent
  */
 typedef struct relay_net {
 	relay_bench_t *nodes[NODES_MAX];
 	int count;
 	bool cut[NODES_MAX];
+	uint64_t told[NODES_MAX];
 } relay_net_t;
 
 /** relay_net_add() - one more node, named after its one-letter domain and
--- a/test/test_relay_beat.c
+++ b/test/test_relay_beat.c
@@ -301,6 +301,59 @@
 }
 END_TEST
 
+#define DOMAINS 8
+
+/*
+ * For 1 s a domain sends to an upstream of another, and all are told of it;
+ * returns how many frames the node that hands that on in a third has sent.
+ */
+static uint64_t
+count_handed_on(int nodes_each)
+{
+	uint64_t sends[200];
+	uint64_t before;
+
+	for (int i = 1; i <= nodes_each; i++) {
+		for (int k = 0; k < DOMAINS; k++) {
+			char domain[] = {(char)('a' + k), '\0'};
+
+			relay_net_add(&net, domain, i, i == 1 ? 200 : 10);
+		}
+	}
+	relay_net_introduce(&net);
+	for (int i = 0; i < net.count; i++) {
+		relay_bench_load_route(net.nodes[i], 1);
+		relay_bench_upstream(
+		    net.nodes[i], "d1", "llm", DFF_ROLE_DECODE, "b", 1);
+	}
+	relay_net_pass(&net, DFF_SEC);
+	before = net.told[2];
+	for (int i = 0; i < 200; i++) {
+		relay_bench_t *node = net.nodes[i % 8 * DOMAINS];
+
+		(void)relay_bench_open_prompt(
+		    node, "/talk/x", 1, 1, (uint64_t)(100 + i), 1);
+		sends[i] = relay_bench_send(node);
+		/* Eight are under way at any moment. */
+		if (i >= 8)
+			relay_bench_end(
+			    node, sends[i - 8], DFF_SEND_BROKEN, NULL);
+		relay_net_pass(&net, 5 * DFF_MSEC);
+	}
+	return net.told[2] - before;
+}
+
+/* What takes a node's link and processor is the same in a fleet four times
+ * as large, but for its own beats. */
+START_TEST(frames_handed_on_do_not_grow_with_the_fleet)
+{
+	uint64_t usual = count_handed_on(10);
+
+	relay_net_drop(&net);
+	ck_assert_uint_le(count_handed_on(40), 2 * usual);
+}
+END_TEST
+
 START_TEST(next_node_speaks_when_the_relay_dies)
 {
 	for (int i = 1; i <= 10; i++) {
@@ -359,6 +412,7 @@
 	tcase_add_test(tcase, read_without_a_change_is_not_told);
 	tcase_add_test(tcase, sends_are_known_to_peers_within_20_ms);
 	tcase_add_test(tcase, sums_reach_other_domains_once);
+	tcase_add_test(tcase, frames_handed_on_do_not_grow_with_the_fleet);
 	tcase_add_test(tcase, next_node_speaks_when_the_relay_dies);
 	tcase_add_test(tcase, frame_that_cannot_be_read_is_counted);
 	suite_add_tcase(suite, tcase);
