--- a/Makefile
+++ b/Makefile
@@ -145,7 +145,8 @@
 	    $(TEST_PACKAGES)
 
 check:
-	@pkg-config --exists $(LIBS) check || $(MAKE) deps
+	@pkg-config --exists $(LIBS) check && command -v strace >/dev/null || \
+	    $(MAKE) deps
 	$(MAKE) MODE=plain tests
 	$(MAKE) MODE=asan tests
 	test/run build/plain build/asan
