--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -269,7 +269,9 @@
 }
 END_TEST
 
-START_TEST(kept_connection_is_used_again)
+/* Two requests to one server, the second @anew, take so many connections. */
+static void
+ask_twice(bool anew, int connections)
 {
 	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
 	seen_t seen;
@@ -277,31 +279,25 @@
 	stub_start(STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
 	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
 	for (int i = 0; i < 2; i++) {
-		ask(client, REQUEST, &seen);
+		ask_on(client, REQUEST, anew && i == 1, &seen);
 		ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+		ck_assert_str_eq(seen.body->str, i == 0 ? "a" : "b");
 		(void)g_string_free(seen.body, TRUE);
 	}
-	ck_assert_int_eq(stub.count, 1);
-	ck_assert_uint_eq(dff_h1c_opened(client), 1);
+	ck_assert_int_eq(stub.count, connections);
+	ck_assert_uint_eq(dff_h1c_opened(client), (uint64_t)connections);
 	dff_h1c_drop(client);
 }
+
+START_TEST(kept_connection_is_used_again)
+{
+	ask_twice(false, 1);
+}
 END_TEST
 
 START_TEST(kept_connection_is_closed_for_one_made_anew)
 {
-	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
-	seen_t seen;
-
-	stub_start(STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
-	    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
-	for (int i = 0; i < 2; i++) {
-		ask_on(client, REQUEST, i == 1, &seen);
-		ck_assert_int_eq(seen.end, DFF_H1C_DONE);
-		ck_assert_str_eq(seen.body->str, i == 0 ? "a" : "b");
-		(void)g_string_free(seen.body, TRUE);
-	}
-	ck_assert_int_eq(stub.count, 2);
-	dff_h1c_drop(client);
+	ask_twice(true, 2);
 }
 END_TEST
 
