--- a/test/test_relay_place.c
+++ b/test/test_relay_place.c
@@ -101,19 +101,29 @@
 }
 END_TEST
 
-/* A busy engine that keeps the shared part gives it to an idle one. */
-START_TEST(kept_part_is_fetched_by_an_idle_engine)
+/* Where a prompt goes whose shared part was read 0.7 s ago by an engine with
+ * @backlog tokens ahead, beside an idle engine and one that decodes. */
+static const char *
+place_beside_keeper(uint64_t backlog, upstream_t **keeper)
 {
 	dff_prompt_t before = make_prompt(13000, 100);
 	dff_prompt_t prompt = make_prompt(13000, 4000);
-	upstream_t *keeper = add_engine("keeper", DFF_ROLE_PREFILL);
 
+	*keeper = add_engine("keeper", DFF_ROLE_PREFILL);
 	(void)add_engine("idle", DFF_ROLE_PREFILL);
 	(void)add_engine("decoder", DFF_ROLE_DECODE);
-	upstream_keep(keeper, &before, 500000, 0);
-	upstream_note_read(keeper, &before, 300 * DFF_MSEC);
-	keeper->backlog = 40000;
-	ck_assert_str_eq(place_prompt(&prompt, DFF_SEC), "idle");
+	upstream_keep(*keeper, &before, 500000, 0);
+	upstream_note_read(*keeper, &before, 300 * DFF_MSEC);
+	(*keeper)->backlog = backlog;
+	return place_prompt(&prompt, DFF_SEC);
+}
+
+/* A busy engine that keeps the shared part gives it to an idle one. */
+START_TEST(kept_part_is_fetched_by_an_idle_engine)
+{
+	upstream_t *keeper;
+
+	ck_assert_str_eq(place_beside_keeper(40000, &keeper), "idle");
 	ck_assert_ptr_eq(upstreams_get(ups, place.donor), keeper);
 	ck_assert_uint_le(place.uncached, 4000);
 }
@@ -123,16 +133,9 @@
  * second copy. */
 START_TEST(kept_part_is_not_copied_for_a_short_queue)
 {
-	dff_prompt_t before = make_prompt(13000, 100);
-	dff_prompt_t prompt = make_prompt(13000, 4000);
-	upstream_t *keeper = add_engine("keeper", DFF_ROLE_PREFILL);
+	upstream_t *keeper;
 
-	(void)add_engine("idle", DFF_ROLE_PREFILL);
-	(void)add_engine("decoder", DFF_ROLE_DECODE);
-	upstream_keep(keeper, &before, 500000, 0);
-	upstream_note_read(keeper, &before, 300 * DFF_MSEC);
-	keeper->backlog = 4000;
-	ck_assert_str_eq(place_prompt(&prompt, DFF_SEC), "keeper");
+	ck_assert_str_eq(place_beside_keeper(4000, &keeper), "keeper");
 	ck_assert_uint_eq(place.donor, 0);
 }
 END_TEST
