Relay: the log tells which crash counted for which request, and which did not

Now: content= in 'send broke off', upstream= and age_ms= in 'upstream crashed during request', one line for a broken run that is not put down to a crash, one when a peer tells a higher count, and counters dff_relay_runs_crashed_total and dff_relay_breaks_forgotten_total. No decision changes.

--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -195,8 +195,8 @@
 	word_load(step, peer, beat);
 	take_parts(step, beat);
 	for (size_t i = 0; i < beat->n_crashes; i++)
-		suspect_load(relay, beat->crashes[i]->content,
-		    beat->crashes[i]->count, step->now);
+		suspect_load(step, peer, beat->crashes[i]->content,
+		    beat->crashes[i]->count);
 	if (!beat->brief)
 		take_marks(step, peer, beat);
 	if (!beat->summary) {
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -25,6 +25,8 @@
 	COUNT_UNREACHABLE,
 	COUNT_BUDGET_EMPTY,
 	COUNT_POISON,
+	COUNT_RUNS_CRASHED,
+	COUNT_BREAKS_FORGOTTEN,
 	COUNT_LEAVING_SAID,
 	COUNT_AWAY_SAID,
 	COUNT_BEATS_IN,
@@ -291,8 +293,9 @@
 void suspect_note(step_t *step, const call_t *call);
 /** suspect_confirm() - an upstream crashed: whose runs broke off there? */
 void suspect_confirm(step_t *step, dff_handle_t upstream);
+/** suspect_load() - a peer tells how many upstreams a request broke */
 void suspect_load(
-    dff_relay_t *relay, uint64_t content, uint32_t count, dff_time_t now);
+    step_t *step, const peer_t *peer, uint64_t content, uint32_t count);
 bool suspect_is_poison(
     const dff_relay_t *relay, uint64_t content, dff_time_t now);
 void suspect_sweep(dff_relay_t *relay, dff_time_t now);
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -204,9 +204,10 @@
 
 	step->relay->counts[COUNT_BROKEN]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
-	    "send broke off id=%s upstream=%s step=%d head=%d after_ms=%" G_GINT64_FORMAT,
+	    "send broke off id=%s upstream=%s step=%d head=%d "
+	    "after_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x",
 	    call->id, send->id, (int)send->step, send->head_seen,
-	    (step->now - send->at) / DFF_MSEC);
+	    (step->now - send->at) / DFF_MSEC, call->content);
 	if (up != NULL)
 		upstream_note_result(up, false);
 	send_avoid(call, send->upstream);
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -35,6 +35,35 @@
 	g_array_append_val(step->relay->broken_runs, run);
 }
 
+static void
+log_crash(step_t *step, const broken_run_t *run, uint32_t crashes)
+{
+	const upstream_t *up =
+	    upstreams_get(step->relay->upstreams, run->upstream);
+
+	step->relay->counts[COUNT_RUNS_CRASHED]++;
+	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+	    "upstream crashed during request content=%016" G_GINT64_MODIFIER
+	    "x upstream=%s crashes=%u age_ms=%" G_GINT64_FORMAT,
+	    run->content, up != NULL ? up->news.id : "-", crashes,
+	    (step->now - run->at) / DFF_MSEC);
+}
+
+/* Nothing said in time that its upstream had crashed. */
+static void
+log_forgotten(step_t *step, const broken_run_t *run)
+{
+	const upstream_t *up =
+	    upstreams_get(step->relay->upstreams, run->upstream);
+
+	step->relay->counts[COUNT_BREAKS_FORGOTTEN]++;
+	dff_log(step->ctx, DFF_LOG_INFO, "call",
+	    "broken run is not put down to a crash content=%016" G_GINT64_MODIFIER
+	    "x upstream=%s age_ms=%" G_GINT64_FORMAT,
+	    run->content, up != NULL ? up->news.id : "-",
+	    (step->now - run->at) / DFF_MSEC);
+}
+
 void
 suspect_confirm(step_t *step, dff_handle_t upstream)
 {
@@ -49,26 +78,31 @@
 			continue;
 		g_array_remove_index_fast(runs, i);
 		if (run.upstream != upstream ||
-		    step->now - run.at >= CONFIRM_TIME)
+		    step->now - run.at >= CONFIRM_TIME) {
+			log_forgotten(step, &run);
 			continue;
+		}
 		suspect = take_suspect(step->relay, run.content);
 		suspect->count++;
 		suspect->last = step->now;
-		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-		    "upstream crashed during request content=%016" G_GINT64_MODIFIER
-		    "x crashes=%u",
-		    run.content, suspect->count);
+		log_crash(step, &run, suspect->count);
 	}
 }
 
 void
 suspect_load(
-    dff_relay_t *relay, uint64_t content, uint32_t count, dff_time_t now)
+    step_t *step, const peer_t *peer, uint64_t content, uint32_t count)
 {
-	suspect_t *suspect = take_suspect(relay, content);
+	suspect_t *suspect = take_suspect(step->relay, content);
 
+	if (count > suspect->count)
+		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+		    "peer tells of crashes content=%016" G_GINT64_MODIFIER
+		    "x crashes=%u before=%u told_by=%s",
+		    content, count, suspect->count,
+		    peer->node != NULL ? peer->node : peer->addr);
 	suspect->count = MAX(suspect->count, count);
-	suspect->last = now;
+	suspect->last = step->now;
 }
 
 bool
