--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -90,8 +90,7 @@
 }
 
 void
-suspect_load(
-    step_t *step, const peer_t *peer, uint64_t content, uint32_t count)
+suspect_load(step_t *step, const peer_t *peer, uint64_t content, uint32_t count)
 {
 	suspect_t *suspect = take_suspect(step->relay, content);
 
