Relay: crashes under one request are counted by upstream and add up

Callers saw: copies of a request that arrived together ended upstream after upstream, and a request that shared an upstream with them twice was refused for good.

Cause: a count a content, joined between nodes by the maximum. Crashes of several upstreams that several nodes saw at one moment counted as one. Class: a counter that is merged as if one node held it. Besides, each node told a suspect for 2 s after it had last been told of it, so that two nodes told each other for ever and a refusal never ended; and nothing cleared a content that was answered.

Change: evidence is a row a content and upstream, with a count and an age. Crashes of one upstream come one after the other, so rows are joined by the maximum; rows of several upstreams add up. News is told for 2 s after it was learned, at once after a crash, and what gets a request refused in each frame that tells all, by its age, so that nodes that start or were cut off learn it and it lapses everywhere. A refusal lasts 60 s, twice as long with each further crash, and Retry-After says how long. An answer clears its content, and peers are told. Thirty rows a frame in place of ten, the rest in the next.

Ruled out: a number of observers a content, which counts one crash seen by several nodes several times.

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4287,7 +4287,7 @@
   (ProtobufCMessageInit) dff__relay_kept__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dff__relay_crash__field_descriptors[5] =
 {
   {
     "content",
@@ -4301,9 +4301,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayCrash, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "count",
-    2,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -4313,15 +4325,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayCrash, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_crash__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = answered */
   0,   /* field[0] = content */
-  1,   /* field[1] = count */
+  2,   /* field[2] = count */
+  1,   /* field[1] = upstream */
 };
-static const ProtobufCIntRange dff__relay_crash__number_ranges[1 + 1] =
+static const ProtobufCIntRange dff__relay_crash__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 3, 1 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dff__relay_crash__descriptor =
 {
@@ -4331,10 +4371,10 @@
   "Dff__RelayCrash",
   "dff",
   sizeof(Dff__RelayCrash),
-  2,
+  5,
   dff__relay_crash__field_descriptors,
   dff__relay_crash__field_indices_by_name,
-  1,  dff__relay_crash__number_ranges,
+  2,  dff__relay_crash__number_ranges,
   (ProtobufCMessageInit) dff__relay_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -648,13 +648,25 @@
    */
   uint64_t content;
   /*
-   * upstreams that it broke
+   * which crashed during it; with answered: none
+   */
+  uint32_t upstream;
+  /*
+   * times that it did
    */
   uint32_t count;
+  /*
+   * of its last crash, or of the answer
+   */
+  uint32_t age_ms;
+  /*
+   * an upstream answered: crashes before do not count
+   */
+  protobuf_c_boolean answered;
 };
 #define DFF__RELAY_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_crash__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/source/relay/beat.c
+++ b/source/relay/beat.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/suspect.h"
 #include "relay/word.h"
 
 /* Time between fetches of one feed: an answer takes some round trips. */
@@ -195,8 +196,7 @@
 	word_load(step, peer, beat);
 	take_parts(step, beat);
 	for (size_t i = 0; i < beat->n_crashes; i++)
-		suspect_load(step, peer, beat->crashes[i]->content,
-		    beat->crashes[i]->count);
+		suspect_load(step, peer, beat->crashes[i]);
 	if (!beat->brief)
 		take_marks(step, peer, beat);
 	if (!beat->summary) {
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/parts.h"
+#include "relay/suspect.h"
 
 /* When to come back while no routing is known: it is read within seconds. */
 #define RETRY_UNKNOWN (500 * DFF_MSEC)
@@ -68,6 +68,7 @@
 {
 	dff_relay_t *relay = step->relay;
 	const dff_route_t *route;
+	dff_time_t refused;
 	call_t *call;
 
 	relay->counts[COUNT_REQUESTS]++;
@@ -85,10 +86,10 @@
 		answer_open(step, open, 404, 0, "no_route");
 		return;
 	}
-	if (suspect_is_poison(relay, open->content, step->now) &&
-	    !DFF_FAULT(RELAY_POISON_SERVED)) {
+	refused = suspect_refused_for(relay, open->content, step->now);
+	if (refused > 0) {
 		relay->counts[COUNT_POISON]++;
-		answer_open(step, open, 503, RETRY_MAX, "breaks_upstreams");
+		answer_open(step, open, 503, refused, "breaks_upstreams");
 		return;
 	}
 	call = new_call(step, open, route);
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -71,18 +71,8 @@
 	dff_time_t at;
 } told_part_t;
 
-/** struct suspect - a request that broke upstreams */
-typedef struct suspect {
-	uint32_t count;
-	dff_time_t last;
-} suspect_t;
-
-/** struct broken_run - a run that broke off, and where */
-typedef struct broken_run {
-	uint64_t content;
-	dff_handle_t upstream;
-	dff_time_t at;
-} broken_run_t;
+/** typedef suspects_t - requests that break upstreams: suspect.h */
+typedef struct suspects suspects_t;
 
 /** struct send - a request under way at an upstream */
 typedef struct send {
@@ -151,8 +141,7 @@
 	GPtrArray *peers; /* peer_t */
 	GArray *told_parts; /* told_part_t, newest last */
 	GArray *summary_parts; /* those of the whole domain, at its relay */
-	GHashTable *suspects; /* content hash, boxed, to suspect_t */
-	GArray *broken_runs; /* broken_run_t, not yet put down to a crash */
+	suspects_t *suspects;
 	GPtrArray *frames; /* GByteArray, those made in this step */
 	GByteArray *passing; /* bytes of the last DFF_RELAY_FX_PASS_DATA */
 	uint64_t next_send;
@@ -287,17 +276,4 @@
 /** word_take_aside() - the same from an answer to no request */
 void word_take_aside(step_t *step, const dff_relay_aside_t *aside);
 
-/* ---- suspect.c: requests that break upstreams ---- */
-
-/** suspect_note() - its run broke off */
-void suspect_note(step_t *step, const call_t *call);
-/** suspect_confirm() - an upstream crashed: whose runs broke off there? */
-void suspect_confirm(step_t *step, dff_handle_t upstream);
-/** suspect_load() - a peer tells how many upstreams a request broke */
-void suspect_load(
-    step_t *step, const peer_t *peer, uint64_t content, uint32_t count);
-bool suspect_is_poison(
-    const dff_relay_t *relay, uint64_t content, dff_time_t now);
-void suspect_sweep(dff_relay_t *relay, dff_time_t now);
-
 #endif
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/parts.h"
+#include "relay/suspect.h"
 
 /* Defaults for a small fleet. */
 #define BEAT_DEFAULT   (100 * DFF_MSEC)
@@ -58,9 +58,7 @@
 	relay->peers = g_ptr_array_new();
 	relay->told_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
 	relay->summary_parts = g_array_new(FALSE, FALSE, sizeof(told_part_t));
-	relay->suspects =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	relay->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
+	relay->suspects = suspects_new();
 	relay->frames =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->passing = g_byte_array_new();
@@ -89,8 +87,7 @@
 	dff_timers_drop(relay->timers);
 	g_array_unref(relay->told_parts);
 	g_array_unref(relay->summary_parts);
-	g_hash_table_unref(relay->suspects);
-	g_array_unref(relay->broken_runs);
+	suspects_drop(relay->suspects);
 	g_ptr_array_unref(relay->frames);
 	g_byte_array_unref(relay->passing);
 	dff_hist_drop(relay->first_byte);
@@ -234,7 +231,7 @@
 	dff_relay_t *relay = step->relay;
 
 	upstreams_sweep(relay->upstreams, step->now);
-	suspect_sweep(relay, step->now);
+	suspect_sweep(step);
 	dff_timers_set(relay->timers, DFF_TIMER_FLEET_TICK, TICK_SWEEP,
 	    step->now + SWEEP_EVERY);
 }
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -5,6 +5,7 @@
 
 #include "base/fault.h"
 #include "relay/send.h"
+#include "relay/suspect.h"
 
 /* Largest answer that is held back until it is whole. */
 #define HELD_MAX (1u << 20)
@@ -220,7 +221,7 @@
 	if (call->fate != DFF_FATE_BEGUN)
 		call->fate = DFF_FATE_OPEN;
 	call->handle[0] = '\0';
-	if (suspect_is_poison(step->relay, call->content, step->now)) {
+	if (suspect_refused_for(step->relay, call->content, step->now) > 0) {
 		relay_call_give_up(
 		    step, call, DFF_TROUBLE_LOST, 0, "breaks_upstreams");
 		return;
@@ -327,6 +328,8 @@
 		    step, call, DFF_TROUBLE_LOST, 0, "no_signature");
 		return;
 	}
+	if (good)
+		suspect_clear(step, call->content);
 	pass_whole(step, call);
 	send_uncount(step, call);
 	relay_call_close(step, call);
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -1,52 +1,169 @@
 /*
  * Requests that break the upstreams that run them. Load answered: one
- * request that crashes each upstream and comes again at any node.
+ * request that crashes each upstream and comes again at any node, also as
+ * several copies at one moment.
+ *
+ * Evidence is kept for each content and upstream. Crashes of one upstream
+ * come one after the other, so that what nodes know of it is joined by the
+ * maximum; crashes of several upstreams add up, whoever saw them. Contents
+ * that merely shared an upstream with such a request are cleared by their next
+ * answer.
  */
-#include "relay/parts.h"
+#include "relay/suspect.h"
+
+#include <string.h>
+
+#include "base/fault.h"
 
 /* Upstreams that one request may break before it is refused. */
 #define BREAKS_MAX 2
-/* How long a suspect is remembered: callers come again for some time. */
-#define SUSPECT_LIFE (60 * DFF_SEC)
+/* A request is refused for so long after its last crash; twice as long with
+ * each further one, up to the most. */
+#define REFUSE_TIME	 (60 * DFF_SEC)
+#define REFUSE_DOUBLINGS 6
+/* A crash is remembered for this many times as long as it gets a request
+ * refused, so that the next one counts as a further one. */
+#define REMEMBER_FACTOR 2
+/* Requests that are remembered. */
+#define SUSPECTS_MAX 4096
 /* A run that broke off is put down to a crash if its upstream is found dead
  * or started anew within this time: its record lapses in less. */
 #define CONFIRM_TIME (5 * DFF_SEC)
+/* News is told for so long after this node learned it: some frames, as they
+ * get lost. */
+#define NEWS_TELL (2 * DFF_SEC)
+
+/* Crashes of one upstream during one request. */
+typedef struct crash {
+	uint32_t upstream; /* hash of its id */
+	uint32_t count;
+	dff_time_t at; /* the last one */
+	dff_time_t learned_at;
+} crash_t;
+
+typedef struct suspect {
+	GArray *crashes; /* crash_t, one row an upstream */
+	dff_time_t answered_at; /* crashes up to then do not count */
+	dff_time_t answer_learned_at;
+} suspect_t;
+
+/* A run that broke off, not yet put down to a crash. */
+typedef struct broken_run {
+	uint64_t content;
+	dff_handle_t upstream;
+	dff_time_t sent_at;
+	dff_time_t at;
+} broken_run_t;
+
+struct suspects {
+	GHashTable *by_content; /* content hash, boxed, to suspect_t */
+	GArray *broken_runs; /* broken_run_t */
+	uint32_t first_row; /* of those that fit no frame together */
+};
+
+static void
+free_suspect(void *data)
+{
+	suspect_t *suspect = data;
+
+	g_array_unref(suspect->crashes);
+	g_free(suspect);
+}
+
+suspects_t *
+suspects_new(void)
+{
+	suspects_t *suspects = g_new0(suspects_t, 1);
 
+	suspects->by_content = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, free_suspect);
+	suspects->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
+	return suspects;
+}
+
+void
+suspects_drop(suspects_t *suspects)
+{
+	g_hash_table_unref(suspects->by_content);
+	g_array_unref(suspects->broken_runs);
+	g_free(suspects);
+}
+
+/* ---- evidence ---- */
+
+/* The row of a content, made if there is none; NULL if there are too many. */
 static suspect_t *
-take_suspect(dff_relay_t *relay, uint64_t content)
+take_suspect(suspects_t *suspects, uint64_t content)
 {
-	suspect_t *suspect = g_hash_table_lookup(relay->suspects, &content);
+	suspect_t *suspect =
+	    g_hash_table_lookup(suspects->by_content, &content);
 
 	if (suspect != NULL)
 		return suspect;
+	if (g_hash_table_size(suspects->by_content) >= SUSPECTS_MAX)
+		return NULL;
 	suspect = g_new0(suspect_t, 1);
-	g_hash_table_insert(
-	    relay->suspects, g_memdup2(&content, sizeof(content)), suspect);
+	suspect->crashes = g_array_new(FALSE, FALSE, sizeof(crash_t));
+	g_hash_table_insert(suspects->by_content,
+	    g_memdup2(&content, sizeof(content)), suspect);
 	return suspect;
 }
 
-void
-suspect_note(step_t *step, const call_t *call)
+static crash_t *
+take_crash(suspect_t *suspect, uint32_t upstream)
 {
-	broken_run_t run = {.content = call->content,
-	    .upstream = call->send.upstream,
-	    .at = step->now};
+	crash_t none = {.upstream = upstream};
+
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		crash_t *crash = &g_array_index(suspect->crashes, crash_t, i);
 
-	g_array_append_val(step->relay->broken_runs, run);
+		if (crash->upstream == upstream)
+			return crash;
+	}
+	g_array_append_val(suspect->crashes, none);
+	return &g_array_index(
+	    suspect->crashes, crash_t, suspect->crashes->len - 1);
 }
 
-static void
-log_crash(step_t *step, const broken_run_t *run, uint32_t crashes)
+static uint32_t
+count_crashes(const suspect_t *suspect)
 {
-	const upstream_t *up =
-	    upstreams_get(step->relay->upstreams, run->upstream);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < suspect->crashes->len; i++)
+		count += g_array_index(suspect->crashes, crash_t, i).count;
+	return count;
+}
+
+static dff_time_t
+last_crash(const suspect_t *suspect)
+{
+	dff_time_t last = 0;
+
+	for (guint i = 0; i < suspect->crashes->len; i++)
+		last =
+		    MAX(last, g_array_index(suspect->crashes, crash_t, i).at);
+	return last;
+}
+
+/* How long after its last crash a request with so many is refused. */
+static dff_time_t
+refuse_time(uint32_t crashes)
+{
+	if (crashes < BREAKS_MAX)
+		return REFUSE_TIME;
+	return REFUSE_TIME << MIN(crashes - BREAKS_MAX, REFUSE_DOUBLINGS);
+}
 
+static void
+log_crash(
+    step_t *step, const broken_run_t *run, const upstream_t *up, uint32_t count)
+{
 	step->relay->counts[COUNT_RUNS_CRASHED]++;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
 	    "upstream crashed during request content=%016" G_GINT64_MODIFIER
 	    "x upstream=%s crashes=%u age_ms=%" G_GINT64_FORMAT,
-	    run->content, up != NULL ? up->news.id : "-", crashes,
-	    (step->now - run->at) / DFF_MSEC);
+	    run->content, up->news.id, count, (step->now - run->at) / DFF_MSEC);
 }
 
 /* Nothing said in time that its upstream had crashed. */
@@ -64,65 +181,229 @@
 	    (step->now - run->at) / DFF_MSEC);
 }
 
+static void
+note_crash(step_t *step, const broken_run_t *run, const upstream_t *up)
+{
+	suspect_t *suspect = take_suspect(step->relay->suspects, run->content);
+	crash_t *crash;
+
+	if (suspect == NULL)
+		return;
+	crash = take_crash(suspect, up->hash);
+	/* What was sent before its last crash met that one. */
+	if (crash->count > 0 && run->sent_at <= crash->at)
+		return;
+	crash->count++;
+	crash->at = run->at;
+	crash->learned_at = step->now;
+	log_crash(step, run, up, count_crashes(suspect));
+	tell_note_send(step);
+}
+
+void
+suspect_note(step_t *step, const call_t *call)
+{
+	broken_run_t run = {.content = call->content,
+	    .upstream = call->send.upstream,
+	    .sent_at = call->send.at,
+	    .at = step->now};
+
+	g_array_append_val(step->relay->suspects->broken_runs, run);
+}
+
 void
 suspect_confirm(step_t *step, dff_handle_t upstream)
 {
-	GArray *runs = step->relay->broken_runs;
+	const upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
+	GArray *runs = step->relay->suspects->broken_runs;
 
-	for (guint i = runs->len; i-- > 0;) {
+	for (guint i = runs->len; up != NULL && i-- > 0;) {
 		broken_run_t run = g_array_index(runs, broken_run_t, i);
-		suspect_t *suspect;
 
-		if (run.upstream != upstream &&
-		    step->now - run.at < CONFIRM_TIME)
+		if (run.upstream != upstream)
 			continue;
 		g_array_remove_index_fast(runs, i);
-		if (run.upstream != upstream ||
-		    step->now - run.at >= CONFIRM_TIME) {
+		if (step->now - run.at < CONFIRM_TIME)
+			note_crash(step, &run, up);
+		else
 			log_forgotten(step, &run);
-			continue;
-		}
-		suspect = take_suspect(step->relay, run.content);
-		suspect->count++;
-		suspect->last = step->now;
-		log_crash(step, &run, suspect->count);
+	}
+}
+
+/* ---- answers ---- */
+
+/* Crashes before an answer were no fault of the request. */
+static void
+drop_crashes(suspect_t *suspect, dff_time_t answered_at, dff_time_t now)
+{
+	if (answered_at <= suspect->answered_at)
+		return;
+	suspect->answered_at = answered_at;
+	suspect->answer_learned_at = now;
+	for (guint i = suspect->crashes->len; i-- > 0;) {
+		if (g_array_index(suspect->crashes, crash_t, i).at <=
+		    answered_at)
+			g_array_remove_index_fast(suspect->crashes, i);
 	}
 }
 
 void
-suspect_load(step_t *step, const peer_t *peer, uint64_t content, uint32_t count)
+suspect_clear(step_t *step, uint64_t content)
 {
-	suspect_t *suspect = take_suspect(step->relay, content);
+	suspects_t *suspects = step->relay->suspects;
+	suspect_t *suspect =
+	    g_hash_table_lookup(suspects->by_content, &content);
 
-	if (count > suspect->count)
-		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-		    "peer tells of crashes content=%016" G_GINT64_MODIFIER
-		    "x crashes=%u before=%u told_by=%s",
-		    content, count, suspect->count,
-		    peer->node != NULL ? peer->node : peer->addr);
-	suspect->count = MAX(suspect->count, count);
-	suspect->last = step->now;
+	if (suspect == NULL || suspect->crashes->len == 0)
+		return;
+	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+	    "request is answered, its crashes do not count any more "
+	    "content=%016" G_GINT64_MODIFIER "x crashes=%u",
+	    content, count_crashes(suspect));
+	drop_crashes(suspect, step->now, step->now);
+	tell_note_send(step);
 }
 
-bool
-suspect_is_poison(const dff_relay_t *relay, uint64_t content, dff_time_t now)
+/* ---- the verdict ---- */
+
+dff_time_t
+suspect_refused_for(const dff_relay_t *relay, uint64_t content, dff_time_t now)
 {
 	const suspect_t *suspect =
-	    g_hash_table_lookup(relay->suspects, &content);
+	    g_hash_table_lookup(relay->suspects->by_content, &content);
+	uint32_t crashes;
+	dff_time_t until;
 
-	return suspect != NULL && suspect->count >= BREAKS_MAX &&
-	    now - suspect->last < SUSPECT_LIFE;
+	if (suspect == NULL)
+		return 0;
+	crashes = count_crashes(suspect);
+	until = last_crash(suspect) + refuse_time(crashes);
+	if (crashes < BREAKS_MAX || DFF_FAULT(RELAY_POISON_SERVED))
+		return 0;
+	return MAX(until - now, 0);
+}
+
+static bool
+is_over(const suspect_t *suspect, dff_time_t now)
+{
+	dff_time_t life = REMEMBER_FACTOR * refuse_time(count_crashes(suspect));
+
+	return now - MAX(last_crash(suspect), suspect->answered_at) >= life;
 }
 
 void
-suspect_sweep(dff_relay_t *relay, dff_time_t now)
+suspect_sweep(step_t *step)
 {
+	suspects_t *suspects = step->relay->suspects;
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, relay->suspects);
+	for (guint i = suspects->broken_runs->len; i-- > 0;) {
+		const broken_run_t run =
+		    g_array_index(suspects->broken_runs, broken_run_t, i);
+
+		if (step->now - run.at < CONFIRM_TIME)
+			continue;
+		log_forgotten(step, &run);
+		g_array_remove_index_fast(suspects->broken_runs, i);
+	}
+	g_hash_table_iter_init(&iter, suspects->by_content);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now - ((suspect_t *)value)->last >= SUSPECT_LIFE)
+		if (is_over(value, step->now))
 			g_hash_table_iter_remove(&iter);
 	}
 }
+
+/* ---- peers ---- */
+
+void
+suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row)
+{
+	dff_time_t at = step->now - (dff_time_t)row->age_ms * DFF_MSEC;
+	suspect_t *suspect = take_suspect(step->relay->suspects, row->content);
+	crash_t *crash;
+
+	if (suspect == NULL)
+		return;
+	if (row->answered) {
+		drop_crashes(suspect, at, step->now);
+		return;
+	}
+	if (at <= suspect->answered_at)
+		return;
+	crash = take_crash(suspect, row->upstream);
+	if (row->count <= crash->count)
+		return;
+	crash->count = row->count;
+	crash->at = at;
+	crash->learned_at = step->now;
+	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+	    "peer tells of a crash during request content=%016" G_GINT64_MODIFIER
+	    "x crashes=%u age_ms=%u told_by=%s",
+	    row->content, count_crashes(suspect), row->age_ms,
+	    peer->node != NULL ? peer->node : peer->addr);
+}
+
+static void
+add_row(Dff__RelayCrash *row, uint64_t content, dff_time_t age)
+{
+	dff__relay_crash__init(row);
+	row->content = content;
+	row->age_ms = (uint32_t)(age / DFF_MSEC);
+}
+
+/* Rows of one content; those that do not fit are counted all the same. */
+static uint32_t
+list_suspect(uint64_t content, const suspect_t *suspect, bool refused,
+    Dff__RelayCrash *rows, uint32_t room, dff_time_t now)
+{
+	uint32_t count = 0;
+
+	if (suspect->answered_at != 0 &&
+	    now - suspect->answer_learned_at < NEWS_TELL && count++ < room) {
+		add_row(rows, content, now - suspect->answered_at);
+		rows->answered = true;
+	}
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		const crash_t *crash =
+		    &g_array_index(suspect->crashes, crash_t, i);
+
+		if (!refused && now - crash->learned_at >= NEWS_TELL)
+			continue;
+		if (count++ >= room)
+			continue;
+		add_row(&rows[count - 1], content, now - crash->at);
+		rows[count - 1].upstream = crash->upstream;
+		rows[count - 1].count = crash->count;
+	}
+	return count;
+}
+
+size_t
+suspect_list(
+    dff_relay_t *relay, Dff__RelayCrash *rows, bool changes, dff_time_t now)
+{
+	suspects_t *suspects = relay->suspects;
+	uint32_t skip = suspects->first_row;
+	uint32_t passed = 0;
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, suspects->by_content);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint64_t content = *(uint64_t *)key;
+		bool refused =
+		    !changes && suspect_refused_for(relay, content, now) > 0;
+		uint32_t listed = list_suspect(content, value, refused,
+		    &rows[count], CRASHES_MAX - count, now);
+
+		passed += listed;
+		if (passed <= skip)
+			continue;
+		count = MIN(count + listed, CRASHES_MAX);
+	}
+	suspects->first_row = skip + count < passed ? skip + count : 0;
+	return count;
+}
--- /dev/null
+++ b/source/relay/suspect.h
@@ -0,0 +1,52 @@
+/*
+ * Requests that break the upstreams that run them.
+ */
+#ifndef DFF_RELAY_SUSPECT_H
+#define DFF_RELAY_SUSPECT_H
+
+#include "proto/dragonflyfall.pb-c.h"
+#include "relay/parts.h"
+
+/* Rows of one frame. */
+#define CRASHES_MAX 30
+
+/** suspects_new() - none; the caller drops it */
+suspects_t *suspects_new(void);
+
+/** suspects_drop() - free all */
+void suspects_drop(suspects_t *suspects);
+
+/** suspect_note() - a call's run broke off */
+void suspect_note(step_t *step, const call_t *call);
+
+/** suspect_confirm() - an upstream crashed: whose runs broke off there? */
+void suspect_confirm(step_t *step, dff_handle_t upstream);
+
+/** suspect_clear() - a request with this content was answered */
+void suspect_clear(step_t *step, uint64_t content);
+
+/**
+ * suspect_refused_for() - whether a content broke too many upstreams
+ *
+ * Return: time for which requests with it are refused; 0 if they are served.
+ */
+dff_time_t suspect_refused_for(
+    const dff_relay_t *relay, uint64_t content, dff_time_t now);
+
+/** suspect_sweep() - forget what is long ago */
+void suspect_sweep(step_t *step);
+
+/** suspect_load() - a peer's evidence */
+void suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row);
+
+/**
+ * suspect_list() - evidence for a frame
+ * @rows: room for CRASHES_MAX
+ * @changes: news only, else also what gets requests refused
+ *
+ * Return: how many. What does not fit is for the next frame.
+ */
+size_t suspect_list(
+    dff_relay_t *relay, Dff__RelayCrash *rows, bool changes, dff_time_t now);
+
+#endif
--- a/source/relay/tell.c
+++ b/source/relay/tell.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/suspect.h"
 #include "relay/word.h"
 
 /* Sends that were begun within this time are told in one frame. */
@@ -31,11 +32,8 @@
 /* Sends to other domains' upstreams are summed for so long. */
 #define TELL_FAR_TOGETHER (12 * DFF_MSEC)
 /* Rows of one frame. */
-#define LOADS_MAX   80
-#define PARTS_MAX   100
-#define CRASHES_MAX 10
-/* A crash is told for so long after it was noticed. */
-#define CRASH_TELL (2 * DFF_SEC)
+#define LOADS_MAX 80
+#define PARTS_MAX 100
 /* Subjects of the timer that tells sends. */
 #define TELL_OWN 0
 #define TELL_FAR 1
@@ -173,28 +171,6 @@
 	}
 }
 
-static void
-add_crashes(const dff_relay_t *relay, draft_t *draft, dff_time_t now)
-{
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, relay->suspects);
-	while (draft->beat.n_crashes < CRASHES_MAX &&
-	    g_hash_table_iter_next(&iter, &key, &value)) {
-		const suspect_t *suspect = value;
-		Dff__RelayCrash *row;
-
-		if (now - suspect->last > CRASH_TELL)
-			continue;
-		row = &draft->crashes[draft->beat.n_crashes++];
-		dff__relay_crash__init(row);
-		row->content = *(uint64_t *)key;
-		row->count = suspect->count;
-	}
-}
-
 /* The frame lives until the next step. */
 static GByteArray *
 pack(dff_relay_t *relay, draft_t *draft)
@@ -265,7 +241,8 @@
 	forget_old_parts(relay->told_parts, step->now);
 	add_parts(relay->told_parts, &draft,
 	    draft.beat.changes ? relay->told_at : step->now - PART_TELL);
-	add_crashes(relay, &draft, step->now);
+	draft.beat.n_crashes = suspect_list(
+	    relay, draft.crashes, extent != EXTENT_WHOLE, step->now);
 	relay->told_at = step->now;
 	return pack(relay, &draft);
 }
@@ -311,7 +288,8 @@
 		forget_old_parts(relay->summary_parts, step->now);
 		add_parts(relay->summary_parts, &draft,
 		    step->now - peers_sum_time(relay, SUM_PART_TELL));
-		add_crashes(relay, &draft, step->now);
+		draft.beat.n_crashes =
+		    suspect_list(relay, draft.crashes, false, step->now);
 		add_feeds(step, &draft, peers_source_heard(relay));
 		draft.beat.n_words =
 		    word_list(relay, WITNESS_PEER, draft.words, step->now);
