Relay: a run that breaks off is followed by a look whether its upstream listens

Callers saw: while the record source was down, slow or turned nodes away, a request that crashed each upstream that ran it was sent on and on: their streams on those upstreams broke off with it.

Cause: a verdict that waits for news that may not come. A broken run was put down to a crash only by a record that lapsed or changed, or by a refused connection that some other request happened to meet, within 5 s.

Change: after a run broke off the node connects to the upstream at once. A refused connection confirms the crash within a round trip, whatever the source says; it is told to peers in the next frame. A connection that stands is kept for the next request, and acquits those that broke off before from a record that is merely missing. Where neither is heard, and where a caller leaves or its time ends while the upstream is silent, the run waits 30 s for its record. If one more crash would get the content refused, the next try waits for the probe: 350 ms at most. An upstream that is leaving ends its last runs with itself: these make no suspect.

Ruled out: counting each break without asking, which refuses requests whose answers get lost (answers_that_are_lost_make_no_suspect).

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -196,6 +196,27 @@
  *	is called any more */
 void dff_h1c_cancel(dff_h1c_req_t *req);
 
+/** enum dff_h1c_reach - what became of a connection that was tried */
+typedef enum dff_h1c_reach {
+	DFF_H1C_REACHED, /* it stands and is kept for a request */
+	DFF_H1C_REFUSED, /* nobody listens there */
+	DFF_H1C_SILENT, /* neither, within the time */
+} dff_h1c_reach_t;
+
+/** dff_h1c_probed_t() - the end of a probe of a peer */
+typedef void (*dff_h1c_probed_t)(
+    void *arg, const char *peer, dff_h1c_reach_t reach);
+
+/**
+ * dff_h1c_probe() - see whether a server takes connections
+ * @call: its address, peer and connect time count
+ * @done: called once, never from inside this call or dff_h1c_drop()
+ *
+ * Return: 0, or a negative error number if it cannot be tried.
+ */
+int dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call,
+    dff_h1c_probed_t done, void *arg);
+
 /** dff_h1c_forget() - close the kept connections to one name */
 void dff_h1c_forget(dff_h1c_t *h1c, const char *peer);
 
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -273,6 +273,19 @@
 	uint32_t tokens;
 } dff_relay_end_t;
 
+/** enum dff_reach - what became of a connection that was tried */
+typedef enum dff_reach {
+	DFF_REACH_TAKEN, /* the upstream takes connections */
+	DFF_REACH_REFUSED, /* nobody listens at its address */
+	DFF_REACH_SILENT, /* neither, within the time */
+} dff_reach_t;
+
+/** struct dff_relay_probed - the end of a DFF_RELAY_FX_PROBE */
+typedef struct dff_relay_probed {
+	const char *upstream; /* id, borrowed */
+	dff_reach_t reach;
+} dff_relay_probed_t;
+
 /** enum dff_relay_event_type - tag of struct dff_relay_event */
 typedef enum dff_relay_event_type {
 	DFF_RELAY_WAKE, /* the moment asked for has come, and what had arrived
@@ -289,6 +302,7 @@
 	DFF_RELAY_BEAT, /* a peer's frame arrived */
 	DFF_RELAY_KEPT, /* an engine told which parts it keeps */
 	DFF_RELAY_ASIDE, /* an upstream's word, not in a request's answer */
+	DFF_RELAY_PROBED, /* an upstream takes connections, or not */
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
 
@@ -328,6 +342,7 @@
 		dff_relay_beat_t beat;
 		dff_relay_kept_t kept;
 		dff_relay_aside_t aside;
+		dff_relay_probed_t probed;
 	};
 } dff_relay_event_t;
 
@@ -405,6 +420,13 @@
 	char addr[DFF_ADDR_MAX];
 } dff_relay_list_t;
 
+/** struct dff_relay_probe - does an upstream take connections? */
+typedef struct dff_relay_probe {
+	char upstream[DFF_NAME_MAX];
+	char addr[DFF_ADDR_MAX];
+	dff_time_t connect_time;
+} dff_relay_probe_t;
+
 /** struct dff_relay_frame - a frame for a peer */
 typedef struct dff_relay_frame {
 	char addr[DFF_ADDR_MAX];
@@ -430,6 +452,7 @@
 	DFF_RELAY_FX_BREAK, /* close, so that it does not look whole */
 	DFF_RELAY_FX_FREE,
 	DFF_RELAY_FX_LIST,
+	DFF_RELAY_FX_PROBE, /* connect, and tell DFF_RELAY_PROBED */
 	DFF_RELAY_FX_FORGET, /* close kept connections to an upstream */
 	DFF_RELAY_FX_FRAME,
 	DFF_RELAY_FX_FETCH, /* get a feed's records from a peer */
@@ -446,6 +469,7 @@
 		uint64_t call; /* DFF_RELAY_FX_BREAK */
 		dff_relay_free_t release;
 		dff_relay_list_t list;
+		dff_relay_probe_t probe;
 		char upstream[DFF_NAME_MAX]; /* DFF_RELAY_FX_FORGET */
 		dff_relay_frame_t frame;
 		dff_relay_fetch_t fetch;
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -36,13 +36,21 @@
 	return NULL;
 }
 
-static conn_t *
-open_conn(dff_h1c_t *h1c, const char *key, const struct sockaddr *sa)
+/* Connections are kept for one peer at one address. */
+static char *
+make_key(const dff_h1c_call_t *call)
+{
+	return g_strdup_printf("%s %s", call->addr, call->peer);
+}
+
+conn_t *
+h1_conn_open(
+    dff_h1c_t *h1c, const dff_h1c_call_t *call, const struct sockaddr *sa)
 {
 	conn_t *conn = g_new0(conn_t, 1);
 
 	conn->h1c = h1c;
-	conn->key = g_strdup(key);
+	conn->key = make_key(call);
 	conn->link.data = conn;
 	conn->connect.data = conn;
 	conn->keep_ms = KEEP_DEFAULT_MSEC;
@@ -94,16 +102,15 @@
 	if (call->anew)
 		dff_h1c_forget(h1c, call->peer);
 	req = new_req(h1c, call, handlers, arg);
-	key = g_strdup_printf("%s %s", call->addr, call->peer);
+	key = make_key(call);
 	req->conn = take_kept(h1c, key);
+	g_free(key);
 	if (req->conn != NULL) {
 		req->conn->req = req;
 		h1_conn_send(req->conn);
-		g_free(key);
 		return req;
 	}
-	req->conn = open_conn(h1c, key, (const struct sockaddr *)&sa);
-	g_free(key);
+	req->conn = h1_conn_open(h1c, call, (const struct sockaddr *)&sa);
 	if (req->conn == NULL) {
 		h1_req_end(req, DFF_H1C_UNSENT);
 		return req;
@@ -181,6 +188,7 @@
 	h1c->handles = 1;
 	g_queue_init(&h1c->idle);
 	g_queue_init(&h1c->reqs);
+	g_queue_init(&h1c->probes);
 	(void)uv_timer_init(loop, &h1c->sweep);
 	(void)uv_timer_start(&h1c->sweep, on_sweep, SWEEP_MSEC, SWEEP_MSEC);
 	uv_unref((uv_handle_t *)&h1c->sweep);
@@ -206,6 +214,8 @@
 	h1c->dropped = true;
 	while ((link = h1c->reqs.head) != NULL)
 		dff_h1c_cancel(link->data);
+	while ((link = h1c->probes.head) != NULL)
+		h1_probe_drop(link->data);
 	while ((link = h1c->idle.head) != NULL)
 		h1_conn_close(link->data);
 	uv_close((uv_handle_t *)&h1c->sweep, on_sweep_closed);
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -50,8 +50,8 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
-static void
-keep_conn(conn_t *conn)
+void
+h1_conn_keep(conn_t *conn)
 {
 	conn->req = NULL;
 	conn->idle = true;
@@ -218,7 +218,7 @@
 	if (conn->last || conn->strays > 0)
 		h1_conn_close(conn);
 	else
-		keep_conn(conn);
+		h1_conn_keep(conn);
 	h1_req_end(req, DFF_H1C_DONE);
 }
 
@@ -343,6 +343,14 @@
 	h1_conn_fail(conn);
 }
 
+int
+h1_conn_listen(conn_t *conn)
+{
+	conn->h1c->opened++;
+	dff_tcp_set_options(&conn->tcp, UNACKED_MSEC);
+	return uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read);
+}
+
 void
 h1_conn_connected(uv_connect_t *connect, int status)
 {
@@ -350,15 +358,10 @@
 
 	if (conn->closing)
 		return;
-	if (status < 0) {
+	if (conn->probe != NULL)
+		h1_probe_connected(conn, status);
+	else if (status < 0 || h1_conn_listen(conn) != 0)
 		h1_conn_fail(conn);
-		return;
-	}
-	conn->h1c->opened++;
-	dff_tcp_set_options(&conn->tcp, UNACKED_MSEC);
-	if (uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read) != 0) {
-		h1_conn_fail(conn);
-		return;
-	}
-	h1_conn_send(conn);
+	else
+		h1_conn_send(conn);
 }
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -6,6 +6,8 @@
 
 #include "net/h1_head.h"
 
+typedef struct probe probe_t;
+
 typedef struct conn {
 	uv_tcp_t tcp; /* first, so that a handle is a connection */
 	dff_h1c_t *h1c;
@@ -13,6 +15,7 @@
 	char *key; /* address and peer */
 	h1_reader_t reader;
 	dff_h1c_req_t *req;
+	probe_t *probe; /* which it was made for, until it stands */
 	uv_connect_t connect;
 	uint64_t idle_since;
 	uint64_t keep_ms;
@@ -30,6 +33,7 @@
 	uv_loop_t *loop;
 	GQueue idle;
 	GQueue reqs;
+	GQueue probes; /* probe_t */
 	uv_timer_t sweep;
 	uint64_t opened;
 	int ending; /* requests that ended, their handlers not called yet */
@@ -55,6 +59,17 @@
 	bool cancelled;
 };
 
+/* A connection that is made to see whether its server takes it. */
+struct probe {
+	dff_h1c_t *h1c;
+	conn_t *conn;
+	GList link;
+	uv_timer_t timer;
+	char *peer;
+	dff_h1c_probed_t done;
+	void *arg;
+};
+
 typedef struct write_req {
 	uv_write_t super; /* first, so that a uv request is ours */
 	conn_t *conn;
@@ -64,6 +79,23 @@
 /** h1_free_when_done() - free a dropped client once nothing is left of it */
 void h1_free_when_done(dff_h1c_t *h1c);
 
+/** h1_conn_open() - begin to connect as a call says; NULL if that fails */
+conn_t *h1_conn_open(
+    dff_h1c_t *h1c, const dff_h1c_call_t *call, const struct sockaddr *sa);
+
+/** h1_conn_listen() - a connection stands: read what comes; negative if that
+ *	fails */
+int h1_conn_listen(conn_t *conn);
+
+/** h1_conn_keep() - it is free for the next request */
+void h1_conn_keep(conn_t *conn);
+
+/** h1_probe_connected() - the connection of a probe was made, or not */
+void h1_probe_connected(conn_t *conn, int status);
+
+/** h1_probe_drop() - end a probe without a call back */
+void h1_probe_drop(probe_t *probe);
+
 /** h1_conn_connected() - a uv_connect_cb: send the request that waits */
 void h1_conn_connected(uv_connect_t *connect, int status);
 
--- /dev/null
+++ b/source/net/h1_probe.c
@@ -0,0 +1,92 @@
+/*
+ * Whether a server takes connections. The connection that shows it is kept
+ * for a later request.
+ */
+#include "net/address.h"
+#include "net/h1_conn.h"
+
+static void
+on_probe_closed(uv_handle_t *handle)
+{
+	probe_t *probe = handle->data;
+	dff_h1c_t *h1c = probe->h1c;
+
+	g_free(probe->peer);
+	g_free(probe);
+	h1c->handles--;
+	h1_free_when_done(h1c);
+}
+
+void
+h1_probe_drop(probe_t *probe)
+{
+	conn_t *conn = probe->conn;
+
+	probe->conn = NULL;
+	if (conn != NULL) {
+		conn->probe = NULL;
+		h1_conn_close(conn);
+	}
+	g_queue_unlink(&probe->h1c->probes, &probe->link);
+	uv_close((uv_handle_t *)&probe->timer, on_probe_closed);
+}
+
+static void
+end_probe(probe_t *probe, dff_h1c_reach_t reach)
+{
+	h1_probe_drop(probe);
+	/* It is freed by its timer's end, a turn later. */
+	probe->done(probe->arg, probe->peer, reach);
+}
+
+static void
+on_probe_late(uv_timer_t *timer)
+{
+	end_probe(timer->data, DFF_H1C_SILENT);
+}
+
+void
+h1_probe_connected(conn_t *conn, int status)
+{
+	probe_t *probe = conn->probe;
+
+	if (status == 0 && h1_conn_listen(conn) == 0) {
+		probe->conn = NULL;
+		conn->probe = NULL;
+		h1_conn_keep(conn);
+		end_probe(probe, DFF_H1C_REACHED);
+		return;
+	}
+	end_probe(probe,
+	    status == UV_ECONNREFUSED ? DFF_H1C_REFUSED : DFF_H1C_SILENT);
+}
+
+int
+dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, dff_h1c_probed_t done,
+    void *arg)
+{
+	struct sockaddr_storage sa;
+	probe_t *probe;
+	conn_t *conn;
+
+	if (dff_address_parse(call->addr, &sa) < 0)
+		return -EINVAL;
+	conn = h1_conn_open(h1c, call, (const struct sockaddr *)&sa);
+	if (conn == NULL)
+		return -ECONNABORTED;
+	probe = g_new0(probe_t, 1);
+	probe->h1c = h1c;
+	probe->conn = conn;
+	probe->peer = g_strdup(call->peer);
+	probe->link.data = probe;
+	probe->timer.data = probe;
+	probe->done = done;
+	probe->arg = arg;
+	conn->probe = probe;
+	h1c->handles++;
+	(void)uv_timer_init(h1c->loop, &probe->timer);
+	g_queue_push_tail_link(&h1c->probes, &probe->link);
+	(void)uv_timer_start(&probe->timer, on_probe_late,
+	    (uint64_t)(call->connect_time / DFF_MSEC), 0);
+	return 0;
+}
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -231,6 +231,9 @@
 	case DFF_RELAY_FX_LIST:
 		run_list_kept(run, &fx->list);
 		break;
+	case DFF_RELAY_FX_PROBE:
+		run_probe(run, &fx->probe);
+		break;
 	case DFF_RELAY_FX_FORGET:
 		dff_h1c_forget(run->client, fx->upstream);
 		break;
--- a/source/net/run_parts.h
+++ b/source/net/run_parts.h
@@ -87,6 +87,9 @@
 /** run_list_kept() - ask an engine which parts it keeps */
 void run_list_kept(dff_run_t *run, const dff_relay_list_t *fx);
 
+/** run_probe() - see whether an upstream takes connections */
+void run_probe(dff_run_t *run, const dff_relay_probe_t *fx);
+
 /** run_free_memory() - tell an engine that its memory is not needed */
 void run_free_memory(dff_run_t *run, const dff_relay_free_t *release);
 
--- a/source/net/run_sends.c
+++ b/source/net/run_sends.c
@@ -302,3 +302,48 @@
 	start_aside(
 	    run, fx->upstream, fx->addr, run->wire.encode_list(fx), &handlers);
 }
+
+/* ---- probes ---- */
+
+static void
+feed_probed(dff_run_t *run, const char *upstream, dff_reach_t reach)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
+
+	event.probed.upstream = upstream;
+	event.probed.reach = reach;
+	dff_run_feed(run, &event);
+}
+
+static void
+on_probed(void *arg, const char *upstream, dff_h1c_reach_t reach)
+{
+	dff_run_t *run = arg;
+
+	switch (reach) {
+	case DFF_H1C_REACHED:
+		feed_probed(run, upstream, DFF_REACH_TAKEN);
+		break;
+	case DFF_H1C_REFUSED:
+		feed_probed(run, upstream, DFF_REACH_REFUSED);
+		break;
+	case DFF_H1C_SILENT:
+		feed_probed(run, upstream, DFF_REACH_SILENT);
+		break;
+	}
+}
+
+void
+run_probe(dff_run_t *run, const dff_relay_probe_t *fx)
+{
+	dff_h1c_call_t call = {.addr = fx->addr,
+	    .peer = fx->upstream,
+	    .connect_time = fx->connect_time};
+
+	if (dff_h1c_probe(run->client, &call, on_probed, run) == 0)
+		return;
+	dff_log(run->ctx, DFF_LOG_WARNING, "upstream",
+	    "connection cannot be tried upstream=%s addr=%s", fx->upstream,
+	    fx->addr);
+	feed_probed(run, fx->upstream, DFF_REACH_SILENT);
+}
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -15,6 +15,7 @@
     [COUNT_UNREACHABLE] = "sends_unreachable",
     [COUNT_BUDGET_EMPTY] = "budget_empty",
     [COUNT_POISON] = "refused_poison",
+    [COUNT_PROBES] = "probes",
     [COUNT_RUNS_CRASHED] = "runs_crashed",
     [COUNT_BREAKS_FORGOTTEN] = "breaks_forgotten",
     [COUNT_LEAVING_SAID] = "upstreams_leaving_said",
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -25,6 +25,7 @@
 	COUNT_UNREACHABLE,
 	COUNT_BUDGET_EMPTY,
 	COUNT_POISON,
+	COUNT_PROBES,
 	COUNT_RUNS_CRASHED,
 	COUNT_BREAKS_FORGOTTEN,
 	COUNT_LEAVING_SAID,
@@ -122,6 +123,7 @@
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
 	send_t send;
+	dff_handle_t awaits; /* upstream whose probe decides what follows */
 	GByteArray *held; /* bytes that may not be passed on yet */
 	dff_time_t first_at; /* first byte passed on */
 	dff_time_t last_at; /* last bytes of a stream */
@@ -202,6 +204,9 @@
 void relay_send_head(step_t *step, const dff_relay_head_t *head);
 void relay_send_data(step_t *step, const dff_relay_data_t *data);
 void relay_send_end(step_t *step, const dff_relay_end_t *end);
+/** relay_send_probed() - it is known whether an upstream takes connections:
+ *	requests that broke off there and waited for that go on */
+void relay_send_probed(step_t *step, dff_handle_t upstream);
 
 /** relay_call_give_up() - the final answer, at once */
 void relay_call_give_up(step_t *step, call_t *call, dff_trouble_t trouble,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -188,9 +188,10 @@
 		forget_connections(step, up->news.id);
 	else
 		kept_note_engine(step, up);
-	if (effect == NEWS_RESTARTED || effect == NEWS_GONE ||
-	    effect == NEWS_MISSING)
-		suspect_confirm(step, handle);
+	if (effect == NEWS_RESTARTED)
+		suspect_confirm(step, handle, true);
+	else if (effect == NEWS_GONE || effect == NEWS_MISSING)
+		suspect_confirm(step, handle, false);
 }
 
 void
@@ -322,6 +323,9 @@
 	case DFF_RELAY_ASIDE:
 		word_take_aside(&step, &event->aside);
 		break;
+	case DFF_RELAY_PROBED:
+		suspect_take_probe(&step, &event->probed);
+		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
 		break;
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -198,8 +198,37 @@
 	try_again(step, call, DFF_TROUBLE_BUSY, "rejected");
 }
 
+/* A further try waits where it may be the one too many. */
 static void
-take_break(step_t *step, call_t *call, upstream_t *up)
+go_on_after_break(step_t *step, call_t *call, dff_handle_t upstream)
+{
+	if (suspect_hangs_on_probe(step, call->content, upstream) &&
+	    (call->fate < DFF_FATE_OPEN || send_may_repeat(call))) {
+		call->awaits = upstream;
+		return;
+	}
+	call->awaits = 0;
+	if (call->fate < DFF_FATE_OPEN)
+		try_again(step, call, DFF_TROUBLE_BUSY, "prefill_broken");
+	else
+		try_again(step, call, DFF_TROUBLE_LOST, "broken");
+}
+
+void
+relay_send_probed(step_t *step, dff_handle_t upstream)
+{
+	call_t *call;
+
+	for (dff_handle_t h = 0; (h = dff_table_next(step->relay->calls, h,
+				      (void **)&call)) != 0;) {
+		if (call->awaits == upstream)
+			go_on_after_break(step, call, upstream);
+	}
+}
+
+/* @closed: its connection broke; else this node gave up waiting */
+static void
+take_break(step_t *step, call_t *call, upstream_t *up, bool closed)
 {
 	send_t *send = &call->send;
 
@@ -214,10 +243,12 @@
 	send_avoid(call, send->upstream);
 	if (send->step == DFF_STEP_PREFILL) {
 		call->arrivals++;
-		try_again(step, call, DFF_TROUBLE_BUSY, "prefill_broken");
+		go_on_after_break(step, call, send->upstream);
 		return;
 	}
 	suspect_note(step, call);
+	if (closed)
+		suspect_probe(step, send->upstream);
 	if (call->fate != DFF_FATE_BEGUN)
 		call->fate = DFF_FATE_OPEN;
 	call->handle[0] = '\0';
@@ -226,7 +257,7 @@
 		    step, call, DFF_TROUBLE_LOST, 0, "breaks_upstreams");
 		return;
 	}
-	try_again(step, call, DFF_TROUBLE_LOST, "broken");
+	go_on_after_break(step, call, send->upstream);
 }
 
 static void
@@ -241,7 +272,7 @@
 	    send->id, send->addr);
 	if (up != NULL)
 		upstream_note_unreachable(up, step->now);
-	suspect_confirm(step, send->upstream);
+	suspect_confirm(step, send->upstream, true);
 	send_avoid(call, send->upstream);
 	if (send->step != DFF_STEP_PREFILL) {
 		call->arrivals--;
@@ -360,7 +391,7 @@
 	    end->handle[0] != '\0')
 		take_prefill(step, call, end);
 	else
-		take_break(step, call, up);
+		take_break(step, call, up, true);
 }
 
 void
@@ -378,5 +409,5 @@
 		return;
 	up = upstreams_get(step->relay->upstreams, call->send.upstream);
 	relay_send_cancel(step, call);
-	take_break(step, call, up);
+	take_break(step, call, up, false);
 }
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -2,6 +2,7 @@
 
 #include "base/fault.h"
 #include "relay/send.h"
+#include "relay/suspect.h"
 
 /* Sends of one request that left this node, rejected and failed ones
  * counted. */
@@ -99,10 +100,15 @@
 void
 relay_send_cancel(step_t *step, call_t *call)
 {
+	const upstream_t *up;
 	dff_relay_effect_t *fx;
 
 	if (call->send.number == 0)
 		return;
+	up = upstreams_get(step->relay->upstreams, call->send.upstream);
+	/* Its end may look like this where nothing is heard any more. */
+	if (up != NULL && up->silent)
+		suspect_note(step, call);
 	fx = relay_add_fx(step, DFF_RELAY_FX_CANCEL);
 	fx->cancel = call->send.number;
 	send_uncount(step, call);
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -29,6 +29,11 @@
 /* A run that broke off is put down to a crash if its upstream is found dead
  * or started anew within this time: its record lapses in less. */
 #define CONFIRM_TIME (5 * DFF_SEC)
+/* The same where nothing is heard of the upstream: the record source may be
+ * out of reach meanwhile. */
+#define CONFIRM_TIME_SILENT (30 * DFF_SEC)
+/* Longest time for the connection of a probe: some round trips. */
+#define PROBE_TIME (350 * DFF_MSEC)
 /* News is told for so long after this node learned it: some frames, as they
  * get lost. */
 #define NEWS_TELL (2 * DFF_SEC)
@@ -53,6 +58,8 @@
 	dff_handle_t upstream;
 	dff_time_t sent_at;
 	dff_time_t at;
+	bool silent; /* its upstream did not take a connection since */
+	bool taken; /* it did */
 } broken_run_t;
 
 struct suspects {
@@ -200,19 +207,31 @@
 	tell_note_send(step);
 }
 
+static dff_time_t
+confirm_time(const broken_run_t *run)
+{
+	return run->silent ? CONFIRM_TIME_SILENT : CONFIRM_TIME;
+}
+
 void
 suspect_note(step_t *step, const call_t *call)
 {
+	const upstream_t *up =
+	    upstreams_get(step->relay->upstreams, call->send.upstream);
 	broken_run_t run = {.content = call->content,
 	    .upstream = call->send.upstream,
 	    .sent_at = call->send.at,
 	    .at = step->now};
 
+	/* Who leaves ends its last runs with itself. */
+	if (up == NULL || up->news.leaving)
+		return;
+	run.silent = up->silent;
 	g_array_append_val(step->relay->suspects->broken_runs, run);
 }
 
 void
-suspect_confirm(step_t *step, dff_handle_t upstream)
+suspect_confirm(step_t *step, dff_handle_t upstream, bool sure)
 {
 	const upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
 	GArray *runs = step->relay->suspects->broken_runs;
@@ -220,16 +239,86 @@
 	for (guint i = runs->len; up != NULL && i-- > 0;) {
 		broken_run_t run = g_array_index(runs, broken_run_t, i);
 
-		if (run.upstream != upstream)
+		if (run.upstream != upstream || (run.taken && !sure))
 			continue;
 		g_array_remove_index_fast(runs, i);
-		if (step->now - run.at < CONFIRM_TIME)
+		if (step->now - run.at < confirm_time(&run))
 			note_crash(step, &run, up);
 		else
 			log_forgotten(step, &run);
 	}
 }
 
+/* ---- probes ---- */
+
+void
+suspect_probe(step_t *step, dff_handle_t upstream)
+{
+	upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
+	dff_relay_effect_t *fx;
+
+	if (up == NULL || up->probing || up->news.leaving ||
+	    DFF_FAULT(RELAY_BREAKS_UNPROBED))
+		return;
+	up->probing = true;
+	step->relay->counts[COUNT_PROBES]++;
+	fx = relay_add_fx(step, DFF_RELAY_FX_PROBE);
+	g_strlcpy(fx->probe.upstream, up->news.id, sizeof(fx->probe.upstream));
+	g_strlcpy(fx->probe.addr, up->news.addr, sizeof(fx->probe.addr));
+	fx->probe.connect_time = PROBE_TIME;
+}
+
+static const char *
+reach_name(dff_reach_t reach)
+{
+	switch (reach) {
+	case DFF_REACH_TAKEN:
+		return "taken";
+	case DFF_REACH_REFUSED:
+		return "refused";
+	case DFF_REACH_SILENT:
+		return "silent";
+	}
+	g_assert_not_reached();
+}
+
+/* What a probe says of runs that broke off before. */
+static void
+mark_runs(suspects_t *suspects, dff_handle_t upstream, dff_reach_t reach)
+{
+	for (guint i = 0; i < suspects->broken_runs->len; i++) {
+		broken_run_t *run =
+		    &g_array_index(suspects->broken_runs, broken_run_t, i);
+
+		if (run->upstream != upstream)
+			continue;
+		run->taken = reach == DFF_REACH_TAKEN;
+		run->silent = reach == DFF_REACH_SILENT;
+	}
+}
+
+void
+suspect_take_probe(step_t *step, const dff_relay_probed_t *probed)
+{
+	dff_relay_t *relay = step->relay;
+	dff_handle_t handle;
+	upstream_t *up =
+	    upstreams_find_id(relay->upstreams, probed->upstream, &handle);
+
+	if (up == NULL)
+		return;
+	up->probing = false;
+	dff_log(step->ctx, DFF_LOG_INFO, "upstream",
+	    "connection tried after a run broke off id=%s reach=%s",
+	    up->news.id, reach_name(probed->reach));
+	mark_runs(relay->suspects, handle, probed->reach);
+	if (probed->reach != DFF_REACH_TAKEN)
+		upstream_note_unreachable(up, step->now);
+	if (probed->reach == DFF_REACH_REFUSED)
+		suspect_confirm(step, handle, true);
+	relay_send_probed(step, handle);
+}
+
 /* ---- answers ---- */
 
 /* Crashes before an answer were no fault of the request. */
@@ -283,6 +372,18 @@
 	return MAX(until - now, 0);
 }
 
+bool
+suspect_hangs_on_probe(
+    const step_t *step, uint64_t content, dff_handle_t upstream)
+{
+	const upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
+	const suspect_t *suspect =
+	    g_hash_table_lookup(step->relay->suspects->by_content, &content);
+
+	return up != NULL && up->probing && suspect != NULL &&
+	    count_crashes(suspect) + 1 >= BREAKS_MAX;
+}
+
 static bool
 is_over(const suspect_t *suspect, dff_time_t now)
 {
@@ -302,7 +403,7 @@
 		const broken_run_t run =
 		    g_array_index(suspects->broken_runs, broken_run_t, i);
 
-		if (step->now - run.at < CONFIRM_TIME)
+		if (step->now - run.at < confirm_time(&run))
 			continue;
 		log_forgotten(step, &run);
 		g_array_remove_index_fast(suspects->broken_runs, i);
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -16,11 +16,26 @@
 /** suspects_drop() - free all */
 void suspects_drop(suspects_t *suspects);
 
-/** suspect_note() - a call's run broke off */
+/** suspect_note() - a call's run is over without an answer */
 void suspect_note(step_t *step, const call_t *call);
 
-/** suspect_confirm() - an upstream crashed: whose runs broke off there? */
-void suspect_confirm(step_t *step, dff_handle_t upstream);
+/** suspect_probe() - a run broke off: does its upstream still listen? */
+void suspect_probe(step_t *step, dff_handle_t upstream);
+
+/** suspect_take_probe() - it does, or not */
+void suspect_take_probe(step_t *step, const dff_relay_probed_t *probed);
+
+/**
+ * suspect_confirm() - an upstream crashed: whose runs ended there?
+ * @sure: it is known to have ended; else its record is missing, which says
+ *	nothing against those that took a connection after the run broke off
+ */
+void suspect_confirm(step_t *step, dff_handle_t upstream, bool sure);
+
+/** suspect_hangs_on_probe() - one more crash of that upstream would get the
+ *	content refused, and whether it crashed is known soon */
+bool suspect_hangs_on_probe(
+    const step_t *step, uint64_t content, dff_handle_t upstream);
 
 /** suspect_clear() - a request with this content was answered */
 void suspect_clear(step_t *step, uint64_t content);
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -51,6 +51,7 @@
  * @due: by then some byte of any answer must have come; 0 if none is awaited
  * @kept: id of a part (uint64_t) to kept part
  * @kept_tokens: sum over @kept
+ * @probing: a connection to it is being tried
  * @asked: whether it was asked what it keeps, or left out
  */
 typedef struct upstream {
@@ -76,6 +77,7 @@
 	dff_time_t awaited;
 	dff_time_t due;
 	bool silent;
+	bool probing;
 	GHashTable *kept;
 	uint64_t kept_tokens;
 	bool asked;
@@ -122,6 +124,10 @@
 /** upstreams_find() - by the hash of its id; NULL if unknown */
 upstream_t *upstreams_find(const upstreams_t *upstreams, uint32_t hash);
 
+/** upstreams_find_id() - by its id; NULL if unknown */
+upstream_t *upstreams_find_id(
+    const upstreams_t *upstreams, const char *id, dff_handle_t *handle);
+
 /** upstreams_next() - walk; begin with 0, ends with 0 */
 dff_handle_t upstreams_next(
     const upstreams_t *upstreams, dff_handle_t handle, upstream_t **row);
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -219,6 +219,15 @@
 	return g_hash_table_lookup(ups->by_hash, GUINT_TO_POINTER(hash));
 }
 
+upstream_t *
+upstreams_find_id(const upstreams_t *ups, const char *id, dff_handle_t *handle)
+{
+	const dff_handle_t *found = g_hash_table_lookup(ups->by_id, id);
+
+	*handle = found != NULL ? *found : 0;
+	return found != NULL ? dff_table_get(ups->table, *found) : NULL;
+}
+
 dff_handle_t
 upstreams_next(const upstreams_t *ups, dff_handle_t handle, upstream_t **row)
 {
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -28,6 +28,7 @@
 typedef enum job_state {
 	JOB_WAITS, /* until it leaves its node */
 	JOB_RUNS,
+	JOB_HANGS, /* until its node gives up */
 	JOB_BREAKS, /* its end is told at the next tick */
 	JOB_UNREACHED,
 } job_state_t;
@@ -42,10 +43,16 @@
 	dff_time_t ends_at;
 } job_t;
 
+typedef struct probe {
+	int node;
+	int upstream;
+} probe_t;
+
 static crash_plan_t plan;
 static relay_net_t net;
 static upstream_play_t ups[UPSTREAMS_MAX];
 static GArray *jobs;
+static GArray *probes; /* probe_t, answered at the next tick */
 static uint64_t contents[NODES_MAX][CALLS_MAX];
 static int statuses[NODES_MAX];
 static crash_tally_t tally;
@@ -119,7 +126,7 @@
 		job_t *job = &g_array_index(jobs, job_t, i);
 
 		if (job->upstream == upstream && job->state == JOB_RUNS)
-			job->state = JOB_BREAKS;
+			job->state = plan.dark ? JOB_HANGS : JOB_BREAKS;
 	}
 }
 
@@ -216,15 +223,19 @@
 
 /* A job that runs has come to its end. */
 static void
-finish(const job_t *job)
+finish(guint index)
 {
-	if (crashes(job)) {
-		crash(job->upstream);
-		end_job(job, DFF_SEND_BROKEN);
-	} else if (plan.lost != 0 && ++runs % plan.lost == 0)
-		end_job(job, DFF_SEND_BROKEN);
+	job_t job = g_array_index(jobs, job_t, index);
+
+	if (crashes(&job)) {
+		crash(job.upstream);
+		return;
+	}
+	g_array_remove_index(jobs, index);
+	if (plan.lost != 0 && ++runs % plan.lost == 0)
+		end_job(&job, DFF_SEND_BROKEN);
 	else
-		answer(job);
+		answer(&job);
 }
 
 /* A send leaves unless its node thinks better of it. */
@@ -253,18 +264,42 @@
 			i++;
 			continue;
 		}
-		if (job.state == JOB_RUNS && now() < job.ends_at) {
+		if (job.state == JOB_HANGS ||
+		    (job.state == JOB_RUNS && now() < job.ends_at)) {
 			i++;
 			continue;
 		}
+		if (job.state == JOB_RUNS) {
+			finish(i);
+			continue;
+		}
 		g_array_remove_index(jobs, i);
-		if (job.state == JOB_RUNS)
-			finish(&job);
+		end_job(&job,
+		    job.state == JOB_BREAKS ? DFF_SEND_BROKEN :
+					      DFF_SEND_UNSENT);
+	}
+}
+
+static void
+run_probes(void)
+{
+	GArray *due = probes;
+
+	probes = g_array_new(FALSE, FALSE, sizeof(probe_t));
+	for (guint i = 0; i < due->len; i++) {
+		const probe_t *probe = &g_array_index(due, probe_t, i);
+		const upstream_play_t *up = &ups[probe->upstream];
+		dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
+
+		event.probed.upstream = up->id;
+		if (up->alive)
+			event.probed.reach = DFF_REACH_TAKEN;
 		else
-			end_job(&job,
-			    job.state == JOB_BREAKS ? DFF_SEND_BROKEN :
-						      DFF_SEND_UNSENT);
+			event.probed.reach =
+			    plan.dark ? DFF_REACH_SILENT : DFF_REACH_REFUSED;
+		feed(probe->node, &event);
 	}
+	g_array_unref(due);
 }
 
 static void
@@ -282,21 +317,34 @@
 
 /* ---- nodes ---- */
 
+static int
+find_upstream(const char *id)
+{
+	for (int i = 0; i < plan.upstreams; i++) {
+		if (strcmp(ups[i].id, id) == 0)
+			return i;
+	}
+	ck_abort_msg("no upstream %s", id);
+}
+
+static void
+start_probe(int node, const dff_relay_probe_t *fx)
+{
+	probe_t probe = {node, find_upstream(fx->upstream)};
+
+	g_array_append_val(probes, probe);
+}
+
 static void
 start_send(int node, const dff_relay_send_t *fx)
 {
 	job_t job = {.node = node,
-	    .upstream = -1,
+	    .upstream = find_upstream(fx->upstream),
 	    .send = fx->send,
 	    .content = contents[node][fx->call],
 	    .step = fx->step,
 	    .state = JOB_WAITS};
 
-	for (int i = 0; i < plan.upstreams; i++) {
-		if (strcmp(ups[i].id, fx->upstream) == 0)
-			job.upstream = i;
-	}
-	ck_assert_int_ge(job.upstream, 0);
 	statuses[node] = 0;
 	g_array_append_val(jobs, job);
 }
@@ -347,6 +395,9 @@
 	case DFF_RELAY_FX_FRAME:
 		deliver(node, &fx->frame);
 		break;
+	case DFF_RELAY_FX_PROBE:
+		start_probe(node, &fx->probe);
+		break;
 	case DFF_RELAY_FX_PASS_HEAD:
 	case DFF_RELAY_FX_PASS_DATA:
 	case DFF_RELAY_FX_FREE:
@@ -391,6 +442,7 @@
 	third_at = 0;
 	runs = 0;
 	jobs = g_array_new(FALSE, FALSE, sizeof(job_t));
+	probes = g_array_new(FALSE, FALSE, sizeof(probe_t));
 	for (int i = 0; i < plan.upstreams; i++) {
 		(void)snprintf(ups[i].id, sizeof(ups[i].id), "u%d", i);
 		ups[i].born = 1;
@@ -412,6 +464,7 @@
 {
 	relay_net_drop(&net);
 	g_array_unref(jobs);
+	g_array_unref(probes);
 }
 
 void
@@ -427,6 +480,7 @@
 				feed(i, &wake);
 		}
 		run_upstreams();
+		run_probes();
 		run_jobs();
 	}
 }
--- a/test/fake/crash_play.h
+++ b/test/fake/crash_play.h
@@ -22,6 +22,7 @@
  * @lost: each so many-th harmless run breaks off; 0 for none
  * @engines: they read prompts and decode, half of them each
  * @spares_readers: engines that read a prompt do not crash under it
+ * @dark: who crashes falls silent: nothing breaks off
  */
 typedef struct crash_plan {
 	int nodes;
@@ -31,6 +32,7 @@
 	uint32_t lost;
 	bool engines;
 	bool spares_readers;
+	bool dark;
 } crash_plan_t;
 
 /**
--- a/test/fake/relay_play.c
+++ b/test/fake/relay_play.c
@@ -383,6 +383,7 @@
 	case DFF_RELAY_FX_LIST:
 		lists[relay][engine_of(fx->list.upstream)] = true;
 		break;
+	case DFF_RELAY_FX_PROBE:
 	case DFF_RELAY_FX_FORGET:
 	case DFF_RELAY_FX_FETCH:
 		break;
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -261,6 +261,76 @@
 }
 END_TEST
 
+/* ---- probes ---- */
+
+typedef struct probed {
+	dff_h1c_reach_t reach;
+	bool done;
+} probed_t;
+
+static void
+on_probed(void *arg, const char *peer, dff_h1c_reach_t reach)
+{
+	probed_t *probed = arg;
+
+	ck_assert_str_eq(peer, "stub");
+	ck_assert(!probed->done);
+	probed->reach = reach;
+	probed->done = true;
+}
+
+static const dff_h1c_call_t probe_call = {
+    .addr = STUB_ADDR, .peer = "stub", .connect_time = 300 * DFF_MSEC};
+
+START_TEST(probe_finds_that_nobody_listens)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	probed_t probed = {.done = false};
+
+	ck_assert_int_eq(
+	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	run_until(&probed.done, DFF_SEC);
+	ck_assert(probed.done);
+	ck_assert_int_eq(probed.reach, DFF_H1C_REFUSED);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(connection_of_a_probe_serves_the_next_request)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	probed_t probed = {.done = false};
+	seen_t seen;
+
+	stub_start(
+	    STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", NULL);
+	ck_assert_int_eq(
+	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	run_until(&probed.done, DFF_SEC);
+	ck_assert(probed.done);
+	ck_assert_int_eq(probed.reach, DFF_H1C_REACHED);
+	ask(client, REQUEST, &seen);
+	ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+	ck_assert_int_eq(stub.count, 1);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(probe_of_a_dropped_client_calls_nobody)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	probed_t probed = {.done = false};
+
+	stub_start(STUB_STAYS, NULL, NULL);
+	ck_assert_int_eq(
+	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	dff_h1c_drop(client);
+	run_until(&probed.done, 50 * DFF_MSEC);
+	ck_assert(!probed.done);
+}
+END_TEST
+
 START_TEST(answer_to_an_earlier_request_is_passed_over)
 {
 	expect("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold"
@@ -591,6 +661,9 @@
 	tcase_add_test(tcase, torn_chunks_are_broken);
 	tcase_add_test(tcase, bytes_that_are_no_answer_are_broken);
 	tcase_add_test(tcase, refused_connection_is_unsent);
+	tcase_add_test(tcase, probe_finds_that_nobody_listens);
+	tcase_add_test(tcase, connection_of_a_probe_serves_the_next_request);
+	tcase_add_test(tcase, probe_of_a_dropped_client_calls_nobody);
 	tcase_add_test(tcase, answer_to_an_earlier_request_is_passed_over);
 	tcase_add_test(tcase, kept_connection_is_used_again);
 	tcase_add_test(tcase, kept_connection_is_closed_for_one_made_anew);
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -112,6 +112,19 @@
 }
 END_TEST
 
+START_TEST(crashes_that_look_like_silence_count)
+{
+	crash_plan_t plan = usual;
+
+	plan.dark = true;
+	plan.back = 6 * DFF_SEC;
+	plan.lapse = 5 * DFF_SEC;
+	crash_play_start(&plan);
+	ask_again_and_again("/order/x", 1, 4 * DFF_SEC, plan.nodes);
+	check_few_ends(3);
+}
+END_TEST
+
 START_TEST(prompt_ends_few_of_the_engines_that_read_it)
 {
 	crash_plan_t plan = usual;
@@ -261,6 +274,7 @@
 	    tcase, copies_at_once_in_a_large_fleet_end_no_more_later);
 	tcase_add_test(tcase, crashes_count_while_records_are_late);
 	tcase_add_test(tcase, crashes_count_while_no_record_is_heard);
+	tcase_add_test(tcase, crashes_that_look_like_silence_count);
 	tcase_add_test(tcase, prompt_ends_few_of_the_engines_that_read_it);
 	tcase_add_test(tcase, node_that_starts_learns_what_is_refused);
 	tcase_add_test(tcase, node_that_was_cut_off_learns_what_is_refused);
