Relay: each send asks whether its request was found out meanwhile

Callers saw: a request that had arrived before the verdict ended one more engine after it: its prompt was read, and its decode step left then.

Cause: the verdict was asked for on arrival only. Class: a check at the door of a path that has several steps. Change: it is asked for before each send and as the send leaves; what has not run is refused with the time that the refusal lasts, what may have run is told as lost. Retry-After of a refusal is no longer cut to 5 s, which was no true time to come back; estimates of queues keep that bound.

prompt_that_was_read_meanwhile_is_not_sent_on failed before (502, and with the planted fault RELAY_VERDICT_ON_ARRIVAL a third engine ends). Its first form let two copies share one crash, which counts once; copies are now told apart in time, with the same checks and one more. New: refusal_says_when_it_ends.

--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -5,9 +5,8 @@
 
 /* When to come back while no routing is known: it is read within seconds. */
 #define RETRY_UNKNOWN (500 * DFF_MSEC)
-/* Bounds of the time that a caller is told to stay away. */
+/* The least time that a caller is told to stay away. */
 #define RETRY_MIN (100 * DFF_MSEC)
-#define RETRY_MAX (5 * DFF_SEC)
 /* From this time after a stop new requests are refused: they could be cut by
  * the end of the process. Callers' new connections go elsewhere by then. */
 #define STOP_TAKES (3 * DFF_SEC)
@@ -156,8 +155,7 @@
 		fx->answer.call = call->number;
 		fx->answer.status = status;
 		if (status == 503)
-			fx->answer.retry_after =
-			    CLAMP(retry_after, RETRY_MIN, RETRY_MAX);
+			fx->answer.retry_after = MAX(retry_after, RETRY_MIN);
 	}
 	step->relay->counts[status == 503 ? COUNT_REFUSED : COUNT_FAILED]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -36,6 +36,8 @@
  * shrink, and no less than the reading of a long prompt. */
 #define RETURN_FACTOR 2
 #define RETURN_MIN    (300 * DFF_MSEC)
+/* An estimate of more than this says little. */
+#define RETURN_MAX (5 * DFF_SEC)
 /* Callers that are turned away together return over this time, and over the
  * time that the queue takes to shrink. */
 #define RETURN_SPREAD (500 * DFF_MSEC)
@@ -289,8 +291,9 @@
 	dff_time_t shrinks = RETURN_FACTOR * over;
 	double spread = (double)(shrinks + RETURN_SPREAD);
 
-	return RETURN_MIN + shrinks +
-	    (dff_time_t)(dff_rand_unit(step->ctx) * spread);
+	return MIN(RETURN_MIN + shrinks +
+		(dff_time_t)(dff_rand_unit(step->ctx) * spread),
+	    RETURN_MAX);
 }
 
 /* Memory that has lapsed at its engine is not asked for. */
@@ -303,6 +306,22 @@
 		call->handle[0] = '\0';
 }
 
+/* Other requests with its content may have been found out meanwhile. */
+static bool
+give_up_suspect(step_t *step, call_t *call)
+{
+	dff_time_t refused =
+	    suspect_refused_for(step->relay, call->content, step->now);
+
+	if (refused == 0 || DFF_FAULT(RELAY_VERDICT_ON_ARRIVAL))
+		return false;
+	step->relay->counts[COUNT_POISON]++;
+	relay_call_give_up(step, call,
+	    call->fate < DFF_FATE_OPEN ? DFF_TROUBLE_BUSY : DFF_TROUBLE_LOST,
+	    refused, "breaks_upstreams");
+	return true;
+}
+
 void
 relay_send_place(step_t *step, call_t *call)
 {
@@ -312,6 +331,8 @@
 	place_ask_t ask;
 	place_t place;
 
+	if (give_up_suspect(step, call))
+		return;
 	drop_lapsed_handle(step, call);
 	if (call->give_up - step->now < TIME_LEFT_MIN) {
 		relay_call_give_up(
@@ -375,7 +396,9 @@
 		return;
 	up = upstreams_get(relay->upstreams, call->send.upstream);
 	if (step->now < call->give_up && up != NULL &&
-	    upstream_accepts(up, step->now))
+	    upstream_accepts(up, step->now) &&
+	    (suspect_refused_for(relay, call->content, step->now) == 0 ||
+		DFF_FAULT(RELAY_VERDICT_ON_ARRIVAL)))
 		return;
 	if (DFF_FAULT(RELAY_DUE_UNCHECKED))
 		return;
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -55,6 +55,7 @@
 static GArray *probes; /* probe_t, answered at the next tick */
 static uint64_t contents[NODES_MAX][CALLS_MAX];
 static int statuses[NODES_MAX];
+static dff_time_t retries[NODES_MAX];
 static crash_tally_t tally;
 static dff_time_t third_at;
 static uint32_t runs;
@@ -353,6 +354,7 @@
 take_answer(int node, const dff_relay_answer_t *fx)
 {
 	statuses[node] = fx->status;
+	retries[node] = fx->retry_after;
 	if (contents[node][fx->call] == CRASH_CONTENT)
 		return;
 	tally.refused += fx->status == 503;
@@ -508,7 +510,7 @@
 {
 	(void)note_call(node, content);
 	(void)relay_bench_open_prompt(
-	    net.nodes[node], "/talk/x", 1, 1000, content, 100);
+	    net.nodes[node], "/talk/x", 1, 8000, content, 2000);
 	take_effects(node);
 }
 
@@ -549,3 +551,9 @@
 {
 	return statuses[node];
 }
+
+dff_time_t
+crash_play_retry_after(int node)
+{
+	return retries[node];
+}
--- a/test/fake/crash_play.h
+++ b/test/fake/crash_play.h
@@ -83,4 +83,7 @@
  *	request was sent on */
 int crash_play_status(int node);
 
+/** crash_play_retry_after() - when that answer said to come back */
+dff_time_t crash_play_retry_after(int node);
+
 #endif
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -178,6 +178,21 @@
 }
 END_TEST
 
+START_TEST(refusal_says_when_it_ends)
+{
+	dff_time_t left;
+
+	crash_play_start(&usual);
+	let_it_be_refused();
+	crash_play_ask(5, "/order/x", CRASH_CONTENT);
+	left = crash_play_retry_after(5);
+	ck_assert_int_gt(left, 30 * DFF_SEC);
+	crash_play_pass(left);
+	crash_play_ask(6, "/order/x", CRASH_CONTENT);
+	ck_assert_int_eq(crash_play_status(6), 0);
+}
+END_TEST
+
 START_TEST(refusal_ends_when_the_request_stays_away)
 {
 	crash_play_start(&usual);
@@ -196,15 +211,16 @@
 	plan.engines = true;
 	plan.spares_readers = true;
 	crash_play_start(&plan);
-	for (int i = 0; i < 2; i++) {
-		crash_play_prompt(i, CRASH_CONTENT);
-		crash_play_pass(130 * DFF_MSEC);
-	}
+	crash_play_prompt(0, CRASH_CONTENT);
+	crash_play_pass(160 * DFF_MSEC);
+	crash_play_prompt(1, CRASH_CONTENT);
+	crash_play_pass(130 * DFF_MSEC);
 	/* The second crash is noticed while this prompt is being read. */
 	crash_play_prompt(2, CRASH_CONTENT);
 	crash_play_pass(5 * DFF_SEC);
 	ck_assert_int_eq(crash_play_tally()->ended, 2);
 	ck_assert_int_eq(crash_play_status(2), 503);
+	ck_assert_int_gt(crash_play_retry_after(2), 30 * DFF_SEC);
 }
 END_TEST
 
@@ -278,6 +294,7 @@
 	tcase_add_test(tcase, prompt_ends_few_of_the_engines_that_read_it);
 	tcase_add_test(tcase, node_that_starts_learns_what_is_refused);
 	tcase_add_test(tcase, node_that_was_cut_off_learns_what_is_refused);
+	tcase_add_test(tcase, refusal_says_when_it_ends);
 	tcase_add_test(tcase, refusal_ends_when_the_request_stays_away);
 	tcase_add_test(tcase, prompt_that_was_read_meanwhile_is_not_sent_on);
 	tcase_add_test(tcase, neighbour_of_a_crash_is_served);
