Relay: a prompt that crashes the engine that reads it makes a suspect

Callers saw: a request whose prompt crashes each engine that begins to read it went to up to six engines an attempt, on each attempt, and each ended.

Cause: a prefill that broke off was taken as repeatable work that failed, never as evidence; only runs were noted.

Change: a prefill whose connection broke is noted and probed as a run is. One that is merely late says nothing of its engine.

--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -241,21 +241,16 @@
 	if (up != NULL)
 		upstream_note_result(up, false);
 	send_avoid(call, send->upstream);
-	if (send->step == DFF_STEP_PREFILL) {
-		call->arrivals++;
-		go_on_after_break(step, call, send->upstream);
-		return;
-	}
-	suspect_note(step, call);
 	if (closed)
 		suspect_probe(step, send->upstream);
-	if (call->fate != DFF_FATE_BEGUN)
-		call->fate = DFF_FATE_OPEN;
-	call->handle[0] = '\0';
-	if (suspect_refused_for(step->relay, call->content, step->now) > 0) {
-		relay_call_give_up(
-		    step, call, DFF_TROUBLE_LOST, 0, "breaks_upstreams");
-		return;
+	/* A prompt that is read late says nothing of its engine. */
+	if (closed || send->step != DFF_STEP_PREFILL)
+		suspect_note(step, call);
+	if (send->step == DFF_STEP_PREFILL)
+		call->arrivals++;
+	else {
+		call->handle[0] = '\0';
+		call->fate = MAX(call->fate, DFF_FATE_OPEN);
 	}
 	go_on_after_break(step, call, send->upstream);
 }
