Net: an answer that goes on beyond what is wanted is broken off

Cause: bytes without end. Heads, chunk extensions, trailers and early heads were bounded already (tests show it); bodies were not. What a prefill, a list of kept parts, a freed handle or the store sent beyond the most that is kept was thrown away and read on, for as long as the other side sent; a list cut that way was then decoded as if it were whole; an answer that belongs to another request was skipped without bound; and calls that belong to no request, and records that are written, had no end in time.

Change: a call of the client says how many bytes of body it wants and how long its answer may take; beyond that the connection is closed and the request ends as broken. Answers of another request: 1 MiB.

Tests, with real sockets and a server that floods until it is closed: nine kinds of flood and an answer that never ends.

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -171,6 +171,10 @@
  * @echo_value: the value
  * @connect_time: longest time for a connection to be made
  * @anew: close what is kept for this peer and connect
+ * @body_max: bytes of an answer's body beyond which it is broken off; 0 for
+ *	as many as come: the handlers have to tell when it is enough
+ * @answer_time: longest time from sending it to the end of its answer; 0 for
+ *	as long as it takes
  */
 typedef struct dff_h1c_call {
 	const char *addr;
@@ -180,6 +184,8 @@
 	const char *echo_value;
 	dff_time_t connect_time;
 	bool anew;
+	size_t body_max;
+	dff_time_t answer_time;
 } dff_h1c_call_t;
 
 /** dff_h1c_new() - a client; the caller drops it */
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -9,14 +9,6 @@
 /* Kept connections are looked over this often. */
 #define SWEEP_MSEC 250
 
-static void
-on_connect_late(uv_timer_t *timer)
-{
-	dff_h1c_req_t *req = timer->data;
-
-	h1_conn_fail(req->conn);
-}
-
 static conn_t *
 take_kept(dff_h1c_t *h1c, const char *key)
 {
@@ -81,6 +73,8 @@
 	    call->bytes->len > 5 && memcmp(call->bytes->data, "HEAD ", 5) == 0;
 	req->echo_name = g_strdup(call->echo_name);
 	req->echo_value = g_strdup(call->echo_value);
+	req->body_max = call->body_max;
+	req->answer_ms = (uint64_t)(call->answer_time / DFF_MSEC);
 	h1c->handles++;
 	(void)uv_timer_init(h1c->loop, &req->timer);
 	g_queue_push_tail_link(&h1c->reqs, &req->link);
@@ -116,7 +110,7 @@
 		return req;
 	}
 	req->conn->req = req;
-	(void)uv_timer_start(&req->timer, on_connect_late,
+	(void)uv_timer_start(&req->timer, h1_req_late,
 	    (uint64_t)(call->connect_time / DFF_MSEC), 0);
 	return req;
 }
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -14,6 +14,8 @@
 #define KEEP_PERCENT 70
 /* Answers to earlier requests that may come before the one that is due. */
 #define STRAY_MAX 4
+/* Bytes of the body of such an answer. */
+#define STRAY_BODY_MAX (1u << 20)
 
 void
 h1_free_when_done(dff_h1c_t *h1c)
@@ -105,6 +107,14 @@
 	(void)uv_timer_start(&req->timer, on_end, 0, 0);
 }
 
+void
+h1_req_late(uv_timer_t *timer)
+{
+	dff_h1c_req_t *req = timer->data;
+
+	h1_conn_fail(req->conn);
+}
+
 /* The connection failed; its request, if it has one, ends with it. */
 void
 h1_conn_fail(conn_t *conn)
@@ -154,6 +164,7 @@
 	uint64_t keep = stated_keep_ms(head);
 
 	head->status = parser->status_code;
+	conn->body_bytes = 0;
 	if (keep > 0)
 		conn->keep_ms = keep * KEEP_PERCENT / 100;
 	if (parser->status_code < 200)
@@ -173,10 +184,17 @@
 on_body(http_parser *parser, const char *at, size_t len)
 {
 	conn_t *conn = conn_of(parser);
+	dff_h1c_req_t *req = conn->req;
+	size_t most;
 
-	if (conn->req != NULL && !conn->stray &&
-	    conn->req->handlers.data != NULL)
-		conn->req->handlers.data(conn->req->arg, at, len);
+	if (req == NULL)
+		return 0;
+	conn->body_bytes += len;
+	most = conn->stray ? STRAY_BODY_MAX : req->body_max;
+	if (most != 0 && conn->body_bytes > most)
+		return -1;
+	if (!conn->stray && req->handlers.data != NULL)
+		req->handlers.data(req->arg, at, len);
 	return 0;
 }
 
@@ -329,6 +347,9 @@
 	uv_buf_t buf;
 
 	(void)uv_timer_stop(&req->timer);
+	if (req->answer_ms > 0)
+		(void)uv_timer_start(
+		    &req->timer, h1_req_late, req->answer_ms, 0);
 	write->conn = conn;
 	write->bytes = g_steal_pointer(&req->bytes);
 	buf = uv_buf_init((char *)write->bytes->data, write->bytes->len);
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -21,6 +21,7 @@
 	uint64_t keep_ms;
 	int writes; /* under way */
 	int strays;
+	size_t body_bytes; /* of the answer under way */
 	bool idle;
 	bool stray; /* the answer under way belongs to an earlier request */
 	bool last; /* the server closes after this answer */
@@ -52,6 +53,8 @@
 	GByteArray *bytes;
 	char *echo_name;
 	char *echo_value;
+	size_t body_max;
+	uint64_t answer_ms;
 	dff_h1c_end_t end;
 	bool sent;
 	bool head_only; /* a HEAD request: its answer bears no body */
@@ -108,6 +111,9 @@
 /** h1_conn_fail() - close; its request ends */
 void h1_conn_fail(conn_t *conn);
 
+/** h1_req_late() - a uv_timer_cb: the request's time is over */
+void h1_req_late(uv_timer_t *timer);
+
 /** h1_req_end() - tell the end of a request from the loop */
 void h1_req_end(dff_h1c_req_t *req, dff_h1c_end_t end);
 
--- a/source/net/run_sends.c
+++ b/source/net/run_sends.c
@@ -7,8 +7,10 @@
 
 /* Largest answer of a prefill. */
 #define PREFILL_MAX 4096
-/* Longest time for the connection of a call that belongs to no request. */
+/* Longest times for the connection of a call that belongs to no request, and
+ * for its answer. */
 #define ASIDE_CONNECT_TIME (300 * DFF_MSEC)
+#define ASIDE_ANSWER_TIME  (5 * DFF_SEC)
 /* Largest list of kept parts: some thousand of about 50 bytes. */
 #define LIST_MAX (1u << 20)
 
@@ -72,9 +74,8 @@
 	dff_relay_event_t event = {.type = DFF_RELAY_DATA};
 
 	if (send->step == DFF_STEP_PREFILL) {
-		if (send->body->len + len <= PREFILL_MAX)
-			g_byte_array_append(
-			    send->body, (const guint8 *)data, (guint)len);
+		g_byte_array_append(
+		    send->body, (const guint8 *)data, (guint)len);
 		return;
 	}
 	event.data.send = send->number;
@@ -147,6 +148,8 @@
 	g_hash_table_insert(run->sends, &send->number, send);
 	if (http.echo_value == NULL)
 		http.echo_name = NULL;
+	if (fx->step == DFF_STEP_PREFILL)
+		http.body_max = PREFILL_MAX;
 	http.bytes = run->wire.encode_send(head, dff_h1d_body(call->req), fx);
 	send->req = dff_h1c_start(run->client, &http, &send_handlers, send);
 	if (send->req == NULL) {
@@ -214,9 +217,7 @@
 {
 	aside_t *aside = arg;
 
-	if (aside->body->len + len <= LIST_MAX)
-		g_byte_array_append(
-		    aside->body, (const guint8 *)data, (guint)len);
+	g_byte_array_append(aside->body, (const guint8 *)data, (guint)len);
 }
 
 static void
@@ -226,7 +227,9 @@
 	dff_h1c_call_t http = {.addr = addr,
 	    .peer = upstream,
 	    .bytes = bytes,
-	    .connect_time = ASIDE_CONNECT_TIME};
+	    .connect_time = ASIDE_CONNECT_TIME,
+	    .body_max = LIST_MAX,
+	    .answer_time = ASIDE_ANSWER_TIME};
 	aside_t *aside = g_new0(aside_t, 1);
 
 	aside->run = run;
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -3,6 +3,7 @@
  * length or early, and requests that are cut, doubled or smuggled.
  */
 #include <check.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <stdlib.h>
@@ -261,6 +262,183 @@
 }
 END_TEST
 
+/* ---- bytes without end ---- */
+
+/* What a client may read of bytes that are no answer. */
+#define FLOOD_READ_MAX (4u << 20)
+/* Bytes of one write. */
+#define FLOOD_PIECE 16384
+
+typedef struct flood {
+	uv_write_t write;
+	uv_stream_t *stream;
+	GString *piece;
+	size_t bytes;
+	bool over; /* the other side closed */
+} flood_t;
+
+static flood_t flood;
+
+static void
+on_flooded(uv_write_t *write, int status)
+{
+	uv_buf_t buf =
+	    uv_buf_init(flood.piece->str, (unsigned)flood.piece->len);
+
+	if (status < 0) {
+		flood.over = true;
+		return;
+	}
+	flood.bytes += buf.len;
+	(void)uv_write(write, flood.stream, &buf, 1, on_flooded);
+}
+
+static void
+flood_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+	uv_buf_t first;
+
+	(void)buf;
+	if (got <= 0 || flood.stream != NULL)
+		return;
+	flood.stream = stream;
+	first = uv_buf_init((char *)(uintptr_t)stub.answers[0],
+	    (unsigned)strlen(stub.answers[0]));
+	(void)uv_write(&flood.write, stream, &first, 1, on_flooded);
+}
+
+static void
+flood_connection(uv_stream_t *listener, int status)
+{
+	uv_tcp_t *tcp = &stub.conns[stub.count++];
+
+	ck_assert_int_eq(status, 0);
+	(void)uv_tcp_init(&loop, tcp);
+	ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)tcp), 0);
+	(void)uv_read_start((uv_stream_t *)tcp, stub_alloc, flood_read);
+}
+
+/* A server that begins like an answer and then sends one piece for ever. */
+static void
+expect_flood_ends(const char *begin, const char *piece)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	dff_h1c_call_t call = {.addr = STUB_ADDR,
+	    .peer = "stub",
+	    .echo_name = "X-Id",
+	    .echo_value = "7",
+	    .connect_time = 300 * DFF_MSEC,
+	    .body_max = 4096};
+	seen_t seen = {.body = g_string_new(NULL)};
+
+	memset(&flood, 0, sizeof(flood));
+	flood.piece = g_string_new(NULL);
+	while (flood.piece->len < FLOOD_PIECE)
+		(void)g_string_append(flood.piece, piece);
+	stub_start(STUB_STAYS, begin, NULL);
+	stub.listener.connection_cb = flood_connection;
+	call.bytes = g_byte_array_new();
+	g_byte_array_append(
+	    call.bytes, (const guint8 *)REQUEST, sizeof(REQUEST) - 1);
+	ck_assert_ptr_nonnull(
+	    dff_h1c_start(client, &call, &client_handlers, &seen));
+	run_until(&seen.ended, 2 * DFF_SEC);
+	ck_assert(seen.ended);
+	run_until(&flood.over, 2 * DFF_SEC);
+	ck_assert(flood.over);
+	ck_assert_uint_lt(flood.bytes, FLOOD_READ_MAX);
+	(void)g_string_free(flood.piece, TRUE);
+	ck_assert_uint_le(seen.body->len, call.body_max);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+
+START_TEST(head_without_end_is_broken_off)
+{
+	expect_flood_ends("HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxxxxxxxxx");
+}
+END_TEST
+
+START_TEST(fields_without_end_are_broken_off)
+{
+	expect_flood_ends("HTTP/1.1 200 OK\r\n", "X: y\r\nX: y\r\nX: y\r\n");
+}
+END_TEST
+
+START_TEST(empty_lines_without_end_are_broken_off)
+{
+	expect_flood_ends("\r\n", "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n");
+}
+END_TEST
+
+START_TEST(early_heads_without_end_are_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 103 Early\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+END_TEST
+
+START_TEST(extension_of_a_chunk_without_end_is_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+	    "xxxxxxxxxxxxxxxxxxxxxxxxxx");
+}
+END_TEST
+
+START_TEST(trailers_without_end_are_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	    "X: y\r\nX: y\r\nX: y\r\n");
+}
+END_TEST
+
+START_TEST(body_beyond_what_is_wanted_is_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxxxxxxxxxxxx");
+}
+END_TEST
+
+START_TEST(chunks_beyond_what_is_wanted_are_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "8\r\nxxxxxxxx\r\n");
+}
+END_TEST
+
+START_TEST(answer_of_another_without_end_is_broken_off)
+{
+	expect_flood_ends(
+	    "HTTP/1.1 200 OK\r\nX-Id: 6\r\n\r\n", "xxxxxxxxxxxxxxxxxxxxxxxxxx");
+}
+END_TEST
+
+START_TEST(answer_that_takes_too_long_is_broken_off)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	dff_h1c_call_t call = {.addr = STUB_ADDR,
+	    .peer = "stub",
+	    .connect_time = 300 * DFF_MSEC,
+	    .answer_time = 100 * DFF_MSEC};
+	seen_t seen = {.body = g_string_new(NULL)};
+
+	stub_start(STUB_STAYS, "HTTP/1.1 200 OK\r\n", NULL);
+	call.bytes = g_byte_array_new();
+	g_byte_array_append(
+	    call.bytes, (const guint8 *)REQUEST, sizeof(REQUEST) - 1);
+	ck_assert_ptr_nonnull(
+	    dff_h1c_start(client, &call, &client_handlers, &seen));
+	run_until(&seen.ended, DFF_SEC);
+	ck_assert(seen.ended);
+	ck_assert_int_eq(seen.end, DFF_H1C_BROKEN);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+END_TEST
+
 /* ---- probes ---- */
 
 typedef struct probed {
@@ -621,6 +799,7 @@
 static void
 setup(void)
 {
+	(void)signal(SIGPIPE, SIG_IGN);
 	ctx = dff_ctx_new(1, DFF_LOG_ERR, NULL, NULL);
 	(void)uv_loop_init(&loop);
 }
@@ -661,6 +840,16 @@
 	tcase_add_test(tcase, torn_chunks_are_broken);
 	tcase_add_test(tcase, bytes_that_are_no_answer_are_broken);
 	tcase_add_test(tcase, refused_connection_is_unsent);
+	tcase_add_test(tcase, head_without_end_is_broken_off);
+	tcase_add_test(tcase, fields_without_end_are_broken_off);
+	tcase_add_test(tcase, empty_lines_without_end_are_broken_off);
+	tcase_add_test(tcase, early_heads_without_end_are_broken_off);
+	tcase_add_test(tcase, extension_of_a_chunk_without_end_is_broken_off);
+	tcase_add_test(tcase, trailers_without_end_are_broken_off);
+	tcase_add_test(tcase, body_beyond_what_is_wanted_is_broken_off);
+	tcase_add_test(tcase, chunks_beyond_what_is_wanted_are_broken_off);
+	tcase_add_test(tcase, answer_of_another_without_end_is_broken_off);
+	tcase_add_test(tcase, answer_that_takes_too_long_is_broken_off);
 	tcase_add_test(tcase, probe_finds_that_nobody_listens);
 	tcase_add_test(tcase, connection_of_a_probe_serves_the_next_request);
 	tcase_add_test(tcase, probe_of_a_dropped_client_calls_nobody);
