Relay: a stream that is no events any more is broken off

Cause: what came of a stream that has begun was passed on as it came, until its time was over: an upstream that sends bytes without end filled its caller's connection and the node's link for seconds.

Change: bytes are counted from the last whole event, and 64 KiB without an end break the stream off: its caller sees that it is not whole, or it resumes elsewhere after the last event where its kind allows that. Empty lines do not count as events. Slow streams are not touched: nothing is measured in time.

Tests: stream_of_bytes_without_end_is_broken_off (before: 4 MiB passed on, and no end), bytes_without_end_stay_out_of_a_stream_that_may_resume, bytes_count_from_the_last_whole_event.

--- a/source/relay/events.c
+++ b/source/relay/events.c
@@ -49,3 +49,22 @@
 		*last = id;
 	return whole;
 }
+
+void
+events_note(event_tail_t *tail, const char *bytes, size_t len)
+{
+	tail->bytes += len;
+	for (size_t i = 0; i < len; i++) {
+		if (bytes[i] == '\r')
+			continue;
+		if (bytes[i] != '\n') {
+			tail->newlines = 0;
+			tail->content = true;
+			continue;
+		}
+		if (++tail->newlines < 2 || !tail->content)
+			continue;
+		memset(tail, 0, sizeof(*tail));
+		tail->bytes = len - i - 1;
+	}
+}
--- a/source/relay/parts.h
+++ b/source/relay/parts.h
@@ -95,6 +95,13 @@
 	int status;
 } send_t;
 
+/** struct event_tail - what came of a stream since its last whole event */
+typedef struct event_tail {
+	size_t bytes;
+	uint32_t newlines; /* in a row, at its end */
+	bool content; /* it is more than newlines */
+} event_tail_t;
+
 /** struct call - a caller's request until its final answer */
 typedef struct call {
 	dff_handle_t self;
@@ -124,6 +131,7 @@
 	uint32_t avoid_count;
 	send_t send;
 	dff_handle_t awaits; /* upstream whose probe decides what follows */
+	event_tail_t tail; /* of the send's stream */
 	GByteArray *held; /* bytes that may not be passed on yet */
 	dff_time_t first_at; /* first byte passed on */
 	dff_time_t last_at; /* last bytes of a stream */
@@ -228,6 +236,9 @@
  *	@last is set to its number if it bears one */
 size_t events_whole(const GByteArray *bytes, int64_t *last);
 
+/** events_note() - more of a stream came */
+void events_note(event_tail_t *tail, const char *bytes, size_t len);
+
 /* ---- tell.c: frames to peers ---- */
 
 /** tell_beat() - tell peers, at each beat */
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -9,6 +9,8 @@
 
 /* Largest answer that is held back until it is whole. */
 #define HELD_MAX (1u << 20)
+/* Largest event of a stream. */
+#define EVENT_MAX (64u << 10)
 /* Times that a decode is tried with one handle. */
 #define HANDLE_TRIES 2
 
@@ -128,39 +130,6 @@
 	call->last_at = step->now;
 }
 
-void
-relay_send_data(step_t *step, const dff_relay_data_t *data)
-{
-	call_t *call = call_of_send(step->relay, data->send);
-	upstream_t *up;
-
-	if (call == NULL)
-		return;
-	up = upstreams_get(step->relay->upstreams, call->send.upstream);
-	if (up != NULL)
-		upstream_note_byte(up, step->now);
-	if (call->send.step == DFF_STEP_PREFILL)
-		return;
-	note_pause(step, call);
-	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
-		return;
-	if (call->fate == DFF_FATE_BEGUN && !call->route->resumable) {
-		pass(
-		    step, call, DFF_RELAY_FX_PASS_DATA, data->bytes, data->len);
-		return;
-	}
-	if (call->held->len + data->len > HELD_MAX) {
-		call->fate = MAX(call->fate, DFF_FATE_OPEN);
-		relay_call_give_up(
-		    step, call, DFF_TROUBLE_LOST, 0, "too_large");
-		return;
-	}
-	g_byte_array_append(
-	    call->held, (const guint8 *)data->bytes, (guint)data->len);
-	if (call->fate == DFF_FATE_BEGUN)
-		pass_events(step, call);
-}
-
 /* Send it again, or tell its caller what is known of it. */
 static void
 try_again(step_t *step, call_t *call, dff_trouble_t trouble, const char *why)
@@ -255,6 +224,53 @@
 	go_on_after_break(step, call, send->upstream);
 }
 
+/* More came of a stream: are these events? */
+static bool
+is_flood(call_t *call, const char *bytes, size_t len)
+{
+	events_note(&call->tail, bytes, len);
+	return call->tail.bytes > EVENT_MAX && !DFF_FAULT(RELAY_FLOOD_PASSES);
+}
+
+void
+relay_send_data(step_t *step, const dff_relay_data_t *data)
+{
+	call_t *call = call_of_send(step->relay, data->send);
+	upstream_t *up;
+
+	if (call == NULL)
+		return;
+	up = upstreams_get(step->relay->upstreams, call->send.upstream);
+	if (up != NULL)
+		upstream_note_byte(up, step->now);
+	if (call->send.step == DFF_STEP_PREFILL)
+		return;
+	note_pause(step, call);
+	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
+		return;
+	if (call->fate == DFF_FATE_BEGUN &&
+	    is_flood(call, data->bytes, data->len)) {
+		relay_send_cancel(step, call);
+		take_break(step, call, up, false);
+		return;
+	}
+	if (call->fate == DFF_FATE_BEGUN && !call->route->resumable) {
+		pass(
+		    step, call, DFF_RELAY_FX_PASS_DATA, data->bytes, data->len);
+		return;
+	}
+	if (call->held->len + data->len > HELD_MAX) {
+		call->fate = MAX(call->fate, DFF_FATE_OPEN);
+		relay_call_give_up(
+		    step, call, DFF_TROUBLE_LOST, 0, "too_large");
+		return;
+	}
+	g_byte_array_append(
+	    call->held, (const guint8 *)data->bytes, (guint)data->len);
+	if (call->fate == DFF_FATE_BEGUN)
+		pass_events(step, call);
+}
+
 static void
 take_unsent(step_t *step, call_t *call, upstream_t *up)
 {
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -169,6 +169,7 @@
 	send_t *send = &call->send;
 
 	memset(send, 0, sizeof(*send));
+	memset(&call->tail, 0, sizeof(call->tail));
 	send->number = ++relay->next_send;
 	send->step = place->step;
 	send->upstream = place->upstream;
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -340,6 +340,48 @@
 }
 END_TEST
 
+/* What callers get of a stream whose events end in bytes without end. */
+static size_t
+bytes_passed_of_flood(const char *target)
+{
+	char piece[1025] = {0};
+	size_t passed = 0;
+	uint64_t send;
+
+	relay_bench_upstream(bench, "e1", "llm", DFF_ROLE_MIXED, "a", 1);
+	memset(piece, 'x', sizeof(piece) - 1);
+	(void)relay_bench_open(bench, target, 1);
+	send = relay_bench_send(bench);
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_data(bench, send, "id: 1\ndata: a\n\n");
+	for (int i = 0; i < 4096; i++) {
+		relay_bench_data(bench, send, piece);
+		if (relay_bench_find(bench, DFF_RELAY_FX_CANCEL) != NULL)
+			return passed;
+		if (relay_bench_find(bench, DFF_RELAY_FX_PASS_DATA) != NULL)
+			passed += sizeof(piece) - 1;
+	}
+	ck_abort_msg("%zu bytes passed on, and no end", passed);
+}
+
+START_TEST(stream_of_bytes_without_end_is_broken_off)
+{
+	ck_assert_uint_le(bytes_passed_of_flood("/talk/x"), 65536);
+	ck_assert_ptr_nonnull(relay_bench_find(bench, DFF_RELAY_FX_BREAK));
+}
+END_TEST
+
+START_TEST(bytes_without_end_stay_out_of_a_stream_that_may_resume)
+{
+	const dff_relay_effect_t *fx;
+
+	ck_assert_uint_eq(bytes_passed_of_flood("/resume/x"), 0);
+	fx = relay_bench_find(bench, DFF_RELAY_FX_SEND);
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_int_eq(fx->send.after_event, 1);
+}
+END_TEST
+
 START_TEST(stream_resumes_after_the_last_whole_event)
 {
 	const dff_relay_effect_t *fx;
@@ -621,6 +663,9 @@
 	tcase_add_test(tcase, late_word_of_an_old_send_counts_for_nothing);
 	tcase_add_test(tcase, caller_that_leaves_stops_the_work);
 	tcase_add_test(tcase, stream_that_breaks_is_broken_for_its_caller);
+	tcase_add_test(tcase, stream_of_bytes_without_end_is_broken_off);
+	tcase_add_test(
+	    tcase, bytes_without_end_stay_out_of_a_stream_that_may_resume);
 	tcase_add_test(tcase, stream_resumes_after_the_last_whole_event);
 	tcase_add_test(tcase, error_of_a_resumption_stays_out_of_the_stream);
 	tcase_add_test(tcase, prefilled_memory_is_taken_over);
--- a/test/test_relay_events.c
+++ b/test/test_relay_events.c
@@ -57,6 +57,22 @@
 }
 END_TEST
 
+START_TEST(bytes_count_from_the_last_whole_event)
+{
+	event_tail_t tail = {0};
+
+	events_note(&tail, "id: 1\ndata: a\n", 14);
+	ck_assert_uint_eq(tail.bytes, 14);
+	events_note(&tail, "\ndata", 5);
+	ck_assert_uint_eq(tail.bytes, 4);
+	events_note(&tail, ": b\r\n\r\n", 7);
+	ck_assert_uint_eq(tail.bytes, 0);
+	/* Empty lines are no events. */
+	events_note(&tail, "\n\n\n\n\n\n", 6);
+	ck_assert_uint_eq(tail.bytes, 6);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -68,6 +84,7 @@
 	tcase_add_test(tcase, every_cut_gives_whole_events_only);
 	tcase_add_test(tcase, carriage_returns_end_events_too);
 	tcase_add_test(tcase, event_without_number_keeps_the_last);
+	tcase_add_test(tcase, bytes_count_from_the_last_whole_event);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
