Relay: a node tells the crashes that it saw, relays of domains what they heard

After a crash of many engines each node told all rows that it had heard to all nodes that had heard them too, in each frame for 2 s, in place of news of sends. Now: what it saw itself, in each frame; what gets requests refused, in those that tell all, so that a node that starts learns it; what it heard, in the sum of its domain. Runs that break off at one upstream within 500 ms met one crash: a copy on a connection not yet found dead does not count as a second.

--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -34,6 +34,9 @@
 #define CONFIRM_TIME_SILENT (30 * DFF_SEC)
 /* Longest time for the connection of a probe: some round trips. */
 #define PROBE_TIME (350 * DFF_MSEC)
+/* An upstream does not start again sooner: runs that break off there within
+ * this time met the same crash. */
+#define RESTART_MIN (500 * DFF_MSEC)
 /* News is told for so long after this node learned it: some frames, as they
  * get lost. */
 #define NEWS_TELL (2 * DFF_SEC)
@@ -44,12 +47,14 @@
 	uint32_t count;
 	dff_time_t at; /* the last one */
 	dff_time_t learned_at;
+	bool seen; /* by this node */
 } crash_t;
 
 typedef struct suspect {
 	GArray *crashes; /* crash_t, one row an upstream */
 	dff_time_t answered_at; /* crashes up to then do not count */
 	dff_time_t answer_learned_at;
+	bool answer_seen; /* by this node */
 } suspect_t;
 
 /* A run that broke off, not yet put down to a crash. */
@@ -197,8 +202,8 @@
 	if (suspect == NULL)
 		return;
 	crash = take_crash(suspect, up->hash);
-	/* What was sent before its last crash met that one. */
-	if (crash->count > 0 && run->sent_at <= crash->at)
+	crash->seen = true;
+	if (crash->count > 0 && run->sent_at <= crash->at + RESTART_MIN)
 		return;
 	crash->count++;
 	crash->at = run->at;
@@ -329,6 +334,7 @@
 		return;
 	suspect->answered_at = answered_at;
 	suspect->answer_learned_at = now;
+	suspect->answer_seen = false;
 	for (guint i = suspect->crashes->len; i-- > 0;) {
 		if (g_array_index(suspect->crashes, crash_t, i).at <=
 		    answered_at)
@@ -350,6 +356,7 @@
 	    "content=%016" G_GINT64_MODIFIER "x crashes=%u",
 	    content, count_crashes(suspect));
 	drop_crashes(suspect, step->now, step->now);
+	suspect->answer_seen = true;
 	tell_note_send(step);
 }
 
@@ -456,11 +463,11 @@
 /* Rows of one content; those that do not fit are counted all the same. */
 static uint32_t
 list_suspect(uint64_t content, const suspect_t *suspect, bool refused,
-    Dff__RelayCrash *rows, uint32_t room, dff_time_t now)
+    bool heard, Dff__RelayCrash *rows, uint32_t room, dff_time_t now)
 {
 	uint32_t count = 0;
 
-	if (suspect->answered_at != 0 &&
+	if (suspect->answered_at != 0 && (suspect->answer_seen || heard) &&
 	    now - suspect->answer_learned_at < NEWS_TELL && count++ < room) {
 		add_row(rows, content, now - suspect->answered_at);
 		rows->answered = true;
@@ -469,7 +476,9 @@
 		const crash_t *crash =
 		    &g_array_index(suspect->crashes, crash_t, i);
 
-		if (!refused && now - crash->learned_at >= NEWS_TELL)
+		if (!refused &&
+		    (now - crash->learned_at >= NEWS_TELL ||
+			!(crash->seen || heard)))
 			continue;
 		if (count++ >= room)
 			continue;
@@ -482,7 +491,7 @@
 
 size_t
 suspect_list(
-    dff_relay_t *relay, Dff__RelayCrash *rows, bool changes, dff_time_t now)
+    dff_relay_t *relay, Dff__RelayCrash *rows, evidence_t which, dff_time_t now)
 {
 	suspects_t *suspects = relay->suspects;
 	uint32_t skip = suspects->first_row;
@@ -495,10 +504,11 @@
 	g_hash_table_iter_init(&iter, suspects->by_content);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		uint64_t content = *(uint64_t *)key;
-		bool refused =
-		    !changes && suspect_refused_for(relay, content, now) > 0;
+		bool refused = which != EVIDENCE_SEEN &&
+		    suspect_refused_for(relay, content, now) > 0;
 		uint32_t listed = list_suspect(content, value, refused,
-		    &rows[count], CRASHES_MAX - count, now);
+		    which == EVIDENCE_HEARD, &rows[count], CRASHES_MAX - count,
+		    now);
 
 		passed += listed;
 		if (passed <= skip)
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -54,14 +54,20 @@
 /** suspect_load() - a peer's evidence */
 void suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row);
 
+/** enum evidence - which evidence a frame tells */
+typedef enum evidence {
+	EVIDENCE_SEEN, /* what this node saw itself, lately */
+	EVIDENCE_REFUSED, /* that, and all that gets requests refused */
+	EVIDENCE_HEARD, /* that, and what peers told lately */
+} evidence_t;
+
 /**
  * suspect_list() - evidence for a frame
  * @rows: room for CRASHES_MAX
- * @changes: news only, else also what gets requests refused
  *
  * Return: how many. What does not fit is for the next frame.
  */
-size_t suspect_list(
-    dff_relay_t *relay, Dff__RelayCrash *rows, bool changes, dff_time_t now);
+size_t suspect_list(dff_relay_t *relay, Dff__RelayCrash *rows, evidence_t which,
+    dff_time_t now);
 
 #endif
--- a/source/relay/tell.c
+++ b/source/relay/tell.c
@@ -241,8 +241,9 @@
 	forget_old_parts(relay->told_parts, step->now);
 	add_parts(relay->told_parts, &draft,
 	    draft.beat.changes ? relay->told_at : step->now - PART_TELL);
-	draft.beat.n_crashes = suspect_list(
-	    relay, draft.crashes, extent != EXTENT_WHOLE, step->now);
+	draft.beat.n_crashes = suspect_list(relay, draft.crashes,
+	    extent == EXTENT_WHOLE ? EVIDENCE_REFUSED : EVIDENCE_SEEN,
+	    step->now);
 	relay->told_at = step->now;
 	return pack(relay, &draft);
 }
@@ -288,8 +289,8 @@
 		forget_old_parts(relay->summary_parts, step->now);
 		add_parts(relay->summary_parts, &draft,
 		    step->now - peers_sum_time(relay, SUM_PART_TELL));
-		draft.beat.n_crashes =
-		    suspect_list(relay, draft.crashes, false, step->now);
+		draft.beat.n_crashes = suspect_list(
+		    relay, draft.crashes, EVIDENCE_HEARD, step->now);
 		add_feeds(step, &draft, peers_source_heard(relay));
 		draft.beat.n_words =
 		    word_list(relay, WITNESS_PEER, draft.words, step->now);
