Relay: evidence that gets a request refused outlives the fleet

Callers saw nothing yet: found while looking for the same cause elsewhere. Evidence lived in the nodes' memory only. Where all processes end at one moment, each such moment let the request end further upstreams: two when it came alone, as many as copies came at once.

A node that starts joins it by upstream as it joins what peers tell.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -286,6 +286,26 @@
 	dff_reach_t reach;
 } dff_relay_probed_t;
 
+/* Upstreams that one piece of evidence names. */
+#define DFF_EVIDENCE_MAX 8
+
+/**
+ * struct dff_evidence - upstreams that crashed under one request
+ * @content: hash of the request
+ * @age: time since the last crash
+ * @count: rows of @crashes
+ * @crashes: hash of an upstream's id, and how often it crashed
+ */
+typedef struct dff_evidence {
+	uint64_t content;
+	dff_time_t age;
+	size_t count;
+	struct {
+		uint32_t upstream;
+		uint32_t count;
+	} crashes[DFF_EVIDENCE_MAX];
+} dff_evidence_t;
+
 /** enum dff_relay_event_type - tag of struct dff_relay_event */
 typedef enum dff_relay_event_type {
 	DFF_RELAY_WAKE, /* the moment asked for has come, and what had arrived
@@ -302,6 +322,7 @@
 	DFF_RELAY_BEAT, /* a peer's frame arrived */
 	DFF_RELAY_KEPT, /* an engine told which parts it keeps */
 	DFF_RELAY_ASIDE, /* an upstream's word, not in a request's answer */
+	DFF_RELAY_EVIDENCE, /* what a DFF_RELAY_FX_KEEP kept was read */
 	DFF_RELAY_PROBED, /* an upstream takes connections, or not */
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
@@ -343,6 +364,7 @@
 		dff_relay_kept_t kept;
 		dff_relay_aside_t aside;
 		dff_relay_probed_t probed;
+		dff_evidence_t evidence;
 	};
 } dff_relay_event_t;
 
@@ -453,6 +475,7 @@
 	DFF_RELAY_FX_FREE,
 	DFF_RELAY_FX_LIST,
 	DFF_RELAY_FX_PROBE, /* connect, and tell DFF_RELAY_PROBED */
+	DFF_RELAY_FX_KEEP, /* keep evidence where it outlives the fleet */
 	DFF_RELAY_FX_FORGET, /* close kept connections to an upstream */
 	DFF_RELAY_FX_FRAME,
 	DFF_RELAY_FX_FETCH, /* get a feed's records from a peer */
@@ -470,6 +493,7 @@
 		dff_relay_free_t release;
 		dff_relay_list_t list;
 		dff_relay_probe_t probe;
+		dff_evidence_t evidence; /* DFF_RELAY_FX_KEEP */
 		char upstream[DFF_NAME_MAX]; /* DFF_RELAY_FX_FORGET */
 		dff_relay_frame_t frame;
 		dff_relay_fetch_t fetch;
--- a/include/dragonflyfall/relay_run.h
+++ b/include/dragonflyfall/relay_run.h
@@ -80,6 +80,10 @@
 void dff_run_on_fetch(dff_run_t *run,
     void (*fetch)(void *arg, const dff_relay_fetch_t *fetch), void *arg);
 
+/** dff_run_on_keep() - who keeps evidence for a fleet that starts anew */
+void dff_run_on_keep(dff_run_t *run,
+    void (*keep)(void *arg, const dff_evidence_t *evidence), void *arg);
+
 /** dff_run_drop() - close everything */
 void dff_run_drop(dff_run_t *run);
 
--- a/source/net/relay_run.c
+++ b/source/net/relay_run.c
@@ -234,6 +234,10 @@
 	case DFF_RELAY_FX_PROBE:
 		run_probe(run, &fx->probe);
 		break;
+	case DFF_RELAY_FX_KEEP:
+		if (run->keep != NULL)
+			run->keep(run->keep_arg, &fx->evidence);
+		break;
 	case DFF_RELAY_FX_FORGET:
 		dff_h1c_forget(run->client, fx->upstream);
 		break;
@@ -402,6 +406,14 @@
 	run->fetch_arg = arg;
 }
 
+void
+dff_run_on_keep(dff_run_t *run,
+    void (*keep)(void *arg, const dff_evidence_t *evidence), void *arg)
+{
+	run->keep = keep;
+	run->keep_arg = arg;
+}
+
 dff_relay_t *
 dff_run_relay(dff_run_t *run)
 {
--- a/source/net/run_parts.h
+++ b/source/net/run_parts.h
@@ -32,6 +32,8 @@
 	void *done_arg;
 	void (*fetch)(void *arg, const dff_relay_fetch_t *fetch);
 	void *fetch_arg;
+	void (*keep)(void *arg, const dff_evidence_t *evidence);
+	void *keep_arg;
 	bool ready; /* as last told */
 	char frame[65536];
 };
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -323,6 +323,9 @@
 	case DFF_RELAY_ASIDE:
 		word_take_aside(&step, &event->aside);
 		break;
+	case DFF_RELAY_EVIDENCE:
+		suspect_load_evidence(&step, &event->evidence);
+		break;
 	case DFF_RELAY_PROBED:
 		suspect_take_probe(&step, &event->probed);
 		break;
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -193,6 +193,41 @@
 	    (step->now - run->at) / DFF_MSEC);
 }
 
+/* What gets a request refused outlives a fleet that starts anew as a whole. */
+static void
+keep_evidence(step_t *step, uint64_t content, const suspect_t *suspect)
+{
+	dff_relay_effect_t *fx;
+	dff_evidence_t *evidence;
+
+	if (count_crashes(suspect) < BREAKS_MAX ||
+	    DFF_FAULT(RELAY_EVIDENCE_UNKEPT))
+		return;
+	fx = relay_add_fx(step, DFF_RELAY_FX_KEEP);
+	evidence = &fx->evidence;
+	evidence->content = content;
+	evidence->age = step->now - last_crash(suspect);
+	for (guint i = 0; i < suspect->crashes->len && i < DFF_EVIDENCE_MAX;
+	     i++) {
+		const crash_t *crash =
+		    &g_array_index(suspect->crashes, crash_t, i);
+
+		evidence->crashes[i].upstream = crash->upstream;
+		evidence->crashes[i].count = crash->count;
+		evidence->count++;
+	}
+}
+
+static bool
+saw_crash(const suspect_t *suspect)
+{
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		if (g_array_index(suspect->crashes, crash_t, i).seen)
+			return true;
+	}
+	return false;
+}
+
 static void
 note_crash(step_t *step, const broken_run_t *run, const upstream_t *up)
 {
@@ -209,6 +244,7 @@
 	crash->at = run->at;
 	crash->learned_at = step->now;
 	log_crash(step, run, up, count_crashes(suspect));
+	keep_evidence(step, run->content, suspect);
 	tell_note_send(step);
 }
 
@@ -424,12 +460,29 @@
 
 /* ---- peers ---- */
 
+/* Joins what is told of one upstream; whether that was news. */
+static bool
+join_crash(suspect_t *suspect, uint32_t upstream, uint32_t count, dff_time_t at,
+    dff_time_t now)
+{
+	crash_t *crash;
+
+	if (at <= suspect->answered_at)
+		return false;
+	crash = take_crash(suspect, upstream);
+	if (count <= crash->count)
+		return false;
+	crash->count = count;
+	crash->at = at;
+	crash->learned_at = now;
+	return true;
+}
+
 void
 suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row)
 {
 	dff_time_t at = step->now - (dff_time_t)row->age_ms * DFF_MSEC;
 	suspect_t *suspect = take_suspect(step->relay->suspects, row->content);
-	crash_t *crash;
 
 	if (suspect == NULL)
 		return;
@@ -437,19 +490,42 @@
 		drop_crashes(suspect, at, step->now);
 		return;
 	}
-	if (at <= suspect->answered_at)
-		return;
-	crash = take_crash(suspect, row->upstream);
-	if (row->count <= crash->count)
+	if (!join_crash(suspect, row->upstream, row->count, at, step->now))
 		return;
-	crash->count = row->count;
-	crash->at = at;
-	crash->learned_at = step->now;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
 	    "peer tells of a crash during request content=%016" G_GINT64_MODIFIER
 	    "x crashes=%u age_ms=%u told_by=%s",
 	    row->content, count_crashes(suspect), row->age_ms,
 	    peer->node != NULL ? peer->node : peer->addr);
+	/* Those that saw one of them keep the whole: few nodes did. */
+	if (saw_crash(suspect))
+		keep_evidence(step, row->content, suspect);
+}
+
+void
+suspect_load_evidence(step_t *step, const dff_evidence_t *evidence)
+{
+	dff_time_t at = step->now - evidence->age;
+	uint32_t crashes = 0;
+	suspect_t *suspect;
+	bool news = false;
+
+	for (size_t i = 0; i < evidence->count; i++)
+		crashes += evidence->crashes[i].count;
+	if (evidence->age >= REMEMBER_FACTOR * refuse_time(crashes))
+		return;
+	suspect = take_suspect(step->relay->suspects, evidence->content);
+	if (suspect == NULL)
+		return;
+	for (size_t i = 0; i < evidence->count; i++)
+		news |= join_crash(suspect, evidence->crashes[i].upstream,
+		    evidence->crashes[i].count, at, step->now);
+	if (news)
+		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+		    "crashes during request were kept content=%016" G_GINT64_MODIFIER
+		    "x crashes=%u age_ms=%" G_GINT64_FORMAT,
+		    evidence->content, count_crashes(suspect),
+		    evidence->age / DFF_MSEC);
 }
 
 static void
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -54,6 +54,9 @@
 /** suspect_load() - a peer's evidence */
 void suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row);
 
+/** suspect_load_evidence() - what was kept of an earlier life of the fleet */
+void suspect_load_evidence(step_t *step, const dff_evidence_t *evidence);
+
 /** enum evidence - which evidence a frame tells */
 typedef enum evidence {
 	EVIDENCE_SEEN, /* what this node saw itself, lately */
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -58,6 +58,8 @@
 static dff_time_t retries[NODES_MAX];
 static crash_tally_t tally;
 static dff_time_t third_at;
+static dff_evidence_t kept; /* the newest that was to be kept */
+static dff_time_t kept_at;
 static uint32_t runs;
 
 static void take_effects(int node);
@@ -397,6 +399,10 @@
 	case DFF_RELAY_FX_FRAME:
 		deliver(node, &fx->frame);
 		break;
+	case DFF_RELAY_FX_KEEP:
+		kept = fx->evidence;
+		kept_at = now();
+		break;
 	case DFF_RELAY_FX_PROBE:
 		start_probe(node, &fx->probe);
 		break;
@@ -426,10 +432,17 @@
 static void
 load_all(int node)
 {
+	dff_relay_event_t event = {.type = DFF_RELAY_EVIDENCE};
+
 	relay_bench_load_route(net.nodes[node], 1);
 	take_effects(node);
 	for (int i = 0; i < plan.upstreams; i++)
 		tell_record(node, &ups[i], false);
+	if (kept.count > 0) {
+		event.evidence = kept;
+		event.evidence.age += now() - kept_at;
+		feed(node, &event);
+	}
 }
 
 void
@@ -442,6 +455,7 @@
 	memset(statuses, 0, sizeof(statuses));
 	memset(ups, 0, sizeof(ups));
 	third_at = 0;
+	memset(&kept, 0, sizeof(kept));
 	runs = 0;
 	jobs = g_array_new(FALSE, FALSE, sizeof(job_t));
 	probes = g_array_new(FALSE, FALSE, sizeof(probe_t));
--- a/test/fake/relay_play.c
+++ b/test/fake/relay_play.c
@@ -386,6 +386,7 @@
 	case DFF_RELAY_FX_PROBE:
 	case DFF_RELAY_FX_FORGET:
 	case DFF_RELAY_FX_FETCH:
+	case DFF_RELAY_FX_KEEP:
 		break;
 	}
 }
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -166,6 +166,47 @@
 }
 END_TEST
 
+/* All nodes start again at once, and the request comes to each. */
+static void
+start_fleet_anew(void)
+{
+	for (int i = 0; i < usual.nodes; i++)
+		crash_play_restart(i);
+	for (int i = 0; i < usual.nodes; i++)
+		crash_play_ask(i, "/order/x", CRASH_CONTENT);
+	crash_play_pass(DFF_SEC);
+}
+
+START_TEST(fleet_that_starts_anew_remembers_what_is_refused)
+{
+	int ended;
+
+	crash_play_start(&usual);
+	let_it_be_refused();
+	ended = crash_play_tally()->ended;
+	start_fleet_anew();
+	ck_assert_int_eq(crash_play_tally()->ended, ended);
+	ck_assert_int_eq(crash_play_status(0), 503);
+}
+END_TEST
+
+START_TEST(fleet_that_starts_anew_remembers_copies_at_once)
+{
+	int ended;
+
+	crash_play_start(&usual);
+	for (int i = 0; i < usual.nodes; i++) {
+		keep_busy(i, i);
+		crash_play_ask(i, "/order/x", CRASH_CONTENT);
+	}
+	crash_play_pass(5 * DFF_SEC);
+	ended = crash_play_tally()->ended;
+	ck_assert_int_gt(ended, 2);
+	start_fleet_anew();
+	ck_assert_int_eq(crash_play_tally()->ended, ended);
+}
+END_TEST
+
 START_TEST(node_that_was_cut_off_learns_what_is_refused)
 {
 	crash_play_start(&usual);
@@ -293,6 +334,8 @@
 	tcase_add_test(tcase, crashes_that_look_like_silence_count);
 	tcase_add_test(tcase, prompt_ends_few_of_the_engines_that_read_it);
 	tcase_add_test(tcase, node_that_starts_learns_what_is_refused);
+	tcase_add_test(tcase, fleet_that_starts_anew_remembers_what_is_refused);
+	tcase_add_test(tcase, fleet_that_starts_anew_remembers_copies_at_once);
 	tcase_add_test(tcase, node_that_was_cut_off_learns_what_is_refused);
 	tcase_add_test(tcase, refusal_says_when_it_ends);
 	tcase_add_test(tcase, refusal_ends_when_the_request_stays_away);
