Relay: a connection that does not stand is no crash

Callers would have seen: a node that cannot reach upstreams made suspects of the requests that broke off there, and told all nodes, which refused them for a minute.

Cause: a send that never left counted as the proof that its upstream had crashed, though a link that is cut looks the same. Change: it makes the node look once more; only a refused connection, or a record, is proof.

node_that_is_cut_off_from_upstreams_makes_no_suspect failed before (no answer at the node that is well). request_that_crashes_upstreams_stops_at_the_third told of the crash by sends that never left; it now answers the look with a refused connection, with the same bound.

--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -283,7 +283,8 @@
 	    send->id, send->addr);
 	if (up != NULL)
 		upstream_note_unreachable(up, step->now);
-	suspect_confirm(step, send->upstream, true);
+	if (suspect_waits(step, send->upstream))
+		suspect_probe(step, send->upstream);
 	send_avoid(call, send->upstream);
 	if (send->step != DFF_STEP_PREFILL) {
 		call->arrivals--;
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -292,6 +292,18 @@
 
 /* ---- probes ---- */
 
+bool
+suspect_waits(const step_t *step, dff_handle_t upstream)
+{
+	const GArray *runs = step->relay->suspects->broken_runs;
+
+	for (guint i = 0; i < runs->len; i++) {
+		if (g_array_index(runs, broken_run_t, i).upstream == upstream)
+			return true;
+	}
+	return false;
+}
+
 void
 suspect_probe(step_t *step, dff_handle_t upstream)
 {
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -22,6 +22,9 @@
 /** suspect_probe() - a run broke off: does its upstream still listen? */
 void suspect_probe(step_t *step, dff_handle_t upstream);
 
+/** suspect_waits() - runs ended there, and it is not known by what */
+bool suspect_waits(const step_t *step, dff_handle_t upstream);
+
 /** suspect_take_probe() - it does, or not */
 void suspect_take_probe(step_t *step, const dff_relay_probed_t *probed);
 
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -19,6 +19,7 @@
 	char id[8];
 	uint64_t born;
 	bool alive;
+	bool unreached; /* from the node that is far, next time */
 	dff_time_t back_at;
 	dff_time_t lapse_at;
 	dff_time_t record_at;
@@ -144,10 +145,17 @@
 static void
 arrive(job_t *job)
 {
-	if (!ups[job->upstream].alive) {
+	upstream_play_t *up = &ups[job->upstream];
+
+	if (!up->alive) {
 		job->state = JOB_UNREACHED;
 		return;
 	}
+	if (plan.far != 0 && job->node == plan.far) {
+		up->unreached = !up->unreached;
+		job->state = up->unreached ? JOB_BREAKS : JOB_UNREACHED;
+		return;
+	}
 	job->state = JOB_RUNS;
 	if (!crashes(job)) {
 		job->ends_at = now() + ANSWER_AFTER;
@@ -295,7 +303,9 @@
 		dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
 
 		event.probed.upstream = up->id;
-		if (up->alive)
+		if (plan.far != 0 && probe->node == plan.far)
+			event.probed.reach = DFF_REACH_SILENT;
+		else if (up->alive)
 			event.probed.reach = DFF_REACH_TAKEN;
 		else
 			event.probed.reach =
--- a/test/fake/crash_play.h
+++ b/test/fake/crash_play.h
@@ -22,6 +22,8 @@
  * @lost: each so many-th harmless run breaks off; 0 for none
  * @engines: they read prompts and decode, half of them each
  * @spares_readers: engines that read a prompt do not crash under it
+ * @far: a node whose sends break off every other time, and else find no
+ *	connection, as its probes; 0 for none
  * @dark: who crashes falls silent: nothing breaks off
  */
 typedef struct crash_plan {
@@ -33,6 +35,7 @@
 	bool engines;
 	bool spares_readers;
 	bool dark;
+	int far;
 } crash_plan_t;
 
 /**
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -570,6 +570,23 @@
 }
 END_TEST
 
+/* Nobody listens where the last step looks. */
+static void
+refuse_probe(void)
+{
+	const dff_relay_effect_t *fx =
+	    relay_bench_find(bench, DFF_RELAY_FX_PROBE);
+	dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
+	char id[DFF_NAME_MAX];
+
+	if (fx == NULL)
+		return;
+	g_strlcpy(id, fx->probe.upstream, sizeof(id));
+	event.probed.upstream = id;
+	event.probed.reach = DFF_REACH_REFUSED;
+	relay_bench_step(bench, &event);
+}
+
 START_TEST(request_that_crashes_upstreams_stops_at_the_third)
 {
 	int sent = 0;
@@ -585,13 +602,7 @@
 			break;
 		sent++;
 		relay_bench_end(bench, send, DFF_SEND_BROKEN, NULL);
-		/* Another request finds that upstream dead. */
-		for (int k = 0; k < 8; k++) {
-			(void)relay_bench_open(
-			    bench, "/order/y", (uint64_t)(1000 + 10 * i + k));
-			relay_bench_end(bench, relay_bench_send(bench),
-			    DFF_SEND_UNSENT, NULL);
-		}
+		refuse_probe();
 		relay_bench_wait(bench, 4 * DFF_SEC);
 	}
 	ck_assert_int_le(sent, 3);
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -281,6 +281,24 @@
 }
 END_TEST
 
+/* Its connections break off and no new one stands, to any upstream. */
+START_TEST(node_that_is_cut_off_from_upstreams_makes_no_suspect)
+{
+	crash_plan_t plan = usual;
+
+	plan.far = 4;
+	plan.upstreams = 3;
+	crash_play_start(&plan);
+	for (int i = 0; i < 10; i++) {
+		crash_play_ask(4, "/read/y", CRASH_CONTENT + 1);
+		crash_play_pass(DFF_SEC);
+	}
+	crash_play_ask(5, "/read/y", CRASH_CONTENT + 1);
+	crash_play_pass(DFF_SEC);
+	ck_assert_int_eq(crash_play_tally()->answered, 1);
+}
+END_TEST
+
 START_TEST(answers_that_are_lost_make_no_suspect)
 {
 	crash_plan_t plan = usual;
@@ -341,6 +359,8 @@
 	tcase_add_test(tcase, refusal_ends_when_the_request_stays_away);
 	tcase_add_test(tcase, prompt_that_was_read_meanwhile_is_not_sent_on);
 	tcase_add_test(tcase, neighbour_of_a_crash_is_served);
+	tcase_add_test(
+	    tcase, node_that_is_cut_off_from_upstreams_makes_no_suspect);
 	tcase_add_test(tcase, answers_that_are_lost_make_no_suspect);
 	tcase_add_test(tcase, request_that_is_answered_is_no_suspect_any_more);
 	suite_add_tcase(suite, tcase);
