Node: crashes under one request add up, whoever saw them; a report clears them

A report that an engine's process still runs cleared only the node that had the break; what it had told stayed.

Change: evidence is the process of the engine that broke off, told as such, and joined as a set; a newer report of the same process takes it back at each node that hears it.

--- a/source/node/attempt.c
+++ b/source/node/attempt.c
@@ -349,16 +349,17 @@
 note_break(dff_ctx_t *ctx, dff_node_t *node, const call_t *call, dff_time_t now,
     dff_effects_t *fx)
 {
-	uint32_t crashes;
+	uint64_t process = poison_process(call->vm, call->vm_incarnation);
 
 	if (call->kind != DFF_CALL_MODEL)
 		return;
-	crashes = poison_note_broken(node->poison, call->work.body_hash,
-	    call->vm, call->vm_incarnation, now);
+	(void)poison_note_broken(
+	    node->poison, call->work.body_hash, process, now);
 	dff_log(ctx, DFF_LOG_NOTICE, PART,
 	    "request suspected. call=%s-%" PRIu64 " vm=%s crashes=%u",
-	    node->config.id, call->shell, call->vm, crashes);
-	peer_tell_suspect(ctx, node, call->work.body_hash, crashes, fx);
+	    node->config.id, call->shell, call->vm,
+	    poison_crashes(node->poison, call->work.body_hash, now));
+	peer_tell_suspect(ctx, node, call->work.body_hash, process, fx);
 }
 
 void
--- a/source/node/parts.h
+++ b/source/node/parts.h
@@ -261,7 +261,7 @@
 
 /** peer_tell_suspect() - tell the peers of a request that met a crash */
 void peer_tell_suspect(dff_ctx_t *ctx, dff_node_t *node, uint64_t body_hash,
-    uint32_t crashes, dff_effects_t *fx);
+    uint64_t process, dff_effects_t *fx);
 
 /* ---- call.c: from a caller's request to its end ---- */
 
@@ -340,25 +340,24 @@
 /** poison_crashes() - engines known to have crashed under a request */
 uint32_t poison_crashes(poison_t *poison, uint64_t body_hash, dff_time_t now);
 
+/** poison_process() - hash of one process of an engine; @incarnation is 0 if
+ *	it is not known */
+uint64_t poison_process(const char *vm, uint64_t incarnation);
+
 /**
- * poison_note_broken() - a try broke off; it may be a crash
- * @vm: engine
- * @incarnation: its process when the try was sent; 0 unknown
+ * poison_note_broken() - a process broke off under a request, as this node saw
+ *	or a peer told; it may be a crash
  *
- * Return: crashes that now count for the request.
+ * Return: true if that was news.
  */
-uint32_t poison_note_broken(poison_t *poison, uint64_t body_hash,
-    const char *vm, uint64_t incarnation, dff_time_t now);
+bool poison_note_broken(
+    poison_t *poison, uint64_t body_hash, uint64_t process, dff_time_t now);
 
-/** poison_note_report() - an engine reported; the same process as before
- *	a break clears it of that break */
+/** poison_note_report() - an engine reported; breaks before do not count
+ *	where it is the same process still */
 void poison_note_report(
     poison_t *poison, const char *vm, uint64_t incarnation, dff_time_t taken);
 
-/** poison_note_told() - a peer counts that many crashes */
-void poison_note_told(
-    poison_t *poison, uint64_t body_hash, uint32_t crashes, dff_time_t now);
-
 /** poison_clear() - a request's answer came whole: it is innocent */
 void poison_clear(poison_t *poison, uint64_t body_hash);
 
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -156,10 +156,10 @@
 
 void
 peer_tell_suspect(dff_ctx_t *ctx, dff_node_t *node, uint64_t body_hash,
-    uint32_t crashes, dff_effects_t *fx)
+    uint64_t process, dff_effects_t *fx)
 {
 	(void)ctx;
-	send_suspect(node, body_hash, crashes, true, fx);
+	send_suspect(node, body_hash, process, true, fx);
 }
 
 static void
@@ -219,14 +219,12 @@
 	(void)ctx;
 	for (size_t i = 0; i < suspects->n_suspects; i++) {
 		const Dff__Suspect *suspect = suspects->suspects[i];
-		uint32_t known;
+		bool news = poison_note_broken(
+		    node->poison, suspect->body_hash, suspect->process, now);
 
-		known = poison_crashes(node->poison, suspect->body_hash, now);
-		poison_note_told(
-		    node->poison, suspect->body_hash, suspect->crashes, now);
 		/* What came from another domain is passed on in this one. */
-		if (!peer->near && suspect->crashes > known)
-			send_suspect(node, suspect->body_hash, suspect->crashes,
+		if (!peer->near && news)
+			send_suspect(node, suspect->body_hash, suspect->process,
 			    false, fx);
 	}
 }
--- a/source/node/poison.c
+++ b/source/node/poison.c
@@ -11,35 +11,42 @@
 /* The most requests remembered. */
 #define POISON_MAX 4096
 
-/* A break that is still to be judged by the engine's next report. */
-typedef struct doubt {
-	char vm[DFF_NAME_MAX];
-	uint64_t incarnation;
+/* Processes remembered for one request. */
+#define CRASHES_MAX 16
+
+/* A process of an engine that broke off under a request. */
+typedef struct crash {
+	uint64_t process;
 	dff_time_t at;
-	uint64_t body_hash;
-} doubt_t;
+} crash_t;
 
 typedef struct suspect {
 	uint64_t body_hash;
-	uint32_t own; /* crashes seen here */
-	uint32_t told; /* the most that a peer told */
+	GArray *crashes; /* crash_t, one a process, whoever saw it */
 	dff_time_t until;
 } suspect_t;
 
 struct poison {
 	GHashTable *suspects; /* body hash -> suspect_t */
-	GArray *doubts; /* doubt_t */
 };
 
+static void
+free_suspect(void *data)
+{
+	suspect_t *suspect = data;
+
+	g_array_unref(suspect->crashes);
+	g_free(suspect);
+}
+
 poison_t *
 poison_new(void)
 {
 	poison_t *poison;
 
 	poison = g_new0(poison_t, 1);
-	poison->suspects =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	poison->doubts = g_array_new(FALSE, FALSE, sizeof(doubt_t));
+	poison->suspects = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_suspect);
 	return poison;
 }
 
@@ -49,7 +56,6 @@
 	if (poison == NULL)
 		return;
 	g_hash_table_unref(poison->suspects);
-	g_array_unref(poison->doubts);
 	g_free(poison);
 }
 
@@ -75,6 +81,7 @@
 			    poison->suspects, is_over, &now);
 		suspect = g_new0(suspect_t, 1);
 		suspect->body_hash = body_hash;
+		suspect->crashes = g_array_new(FALSE, FALSE, sizeof(crash_t));
 		g_hash_table_insert(
 		    poison->suspects, &suspect->body_hash, suspect);
 	}
@@ -94,57 +101,57 @@
 		g_hash_table_remove(poison->suspects, &body_hash);
 		return 0;
 	}
-	return MAX(suspect->own, suspect->told);
+	return suspect->crashes->len;
 }
 
-uint32_t
-poison_note_broken(poison_t *poison, uint64_t body_hash, const char *vm,
-    uint64_t incarnation, dff_time_t now)
+uint64_t
+poison_process(const char *vm, uint64_t incarnation)
 {
-	doubt_t doubt = {
-	    .incarnation = incarnation, .at = now, .body_hash = body_hash};
-	suspect_t *suspect;
+	return dff_hash(vm, strlen(vm), incarnation);
+}
 
-	suspect = take(poison, body_hash, now);
-	suspect->own = MAX(suspect->own, suspect->told) + 1;
-	(void)dff_name_copy(doubt.vm, vm);
-	if (poison->doubts->len >= POISON_MAX)
-		g_array_remove_index_fast(poison->doubts, 0);
-	g_array_append_val(poison->doubts, doubt);
-	return MAX(suspect->own, suspect->told);
+bool
+poison_note_broken(
+    poison_t *poison, uint64_t body_hash, uint64_t process, dff_time_t now)
+{
+	suspect_t *suspect = take(poison, body_hash, now);
+	crash_t crash = {.process = process, .at = now};
+
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		if (g_array_index(suspect->crashes, crash_t, i).process ==
+		    process)
+			return false;
+	}
+	if (suspect->crashes->len >= CRASHES_MAX)
+		return false;
+	g_array_append_val(suspect->crashes, crash);
+	return true;
 }
 
-void
-poison_note_report(
-    poison_t *poison, const char *vm, uint64_t incarnation, dff_time_t taken)
+/* The same process still runs: only the link broke. */
+static void
+drop_crash(suspect_t *suspect, uint64_t process, dff_time_t taken)
 {
-	for (guint i = 0; i < poison->doubts->len;) {
-		const doubt_t *doubt =
-		    &g_array_index(poison->doubts, doubt_t, i);
-		suspect_t *suspect;
-
-		if (doubt->at >= taken || strcmp(doubt->vm, vm) != 0) {
-			i++;
-			continue;
-		}
-		/* The same process still runs: only the link broke. */
-		suspect =
-		    g_hash_table_lookup(poison->suspects, &doubt->body_hash);
-		if (suspect != NULL && suspect->own > 0 &&
-		    doubt->incarnation == incarnation)
-			suspect->own--;
-		g_array_remove_index_fast(poison->doubts, i);
+	for (guint i = suspect->crashes->len; i-- > 0;) {
+		const crash_t *crash =
+		    &g_array_index(suspect->crashes, crash_t, i);
+
+		if (crash->process == process && crash->at < taken)
+			g_array_remove_index_fast(suspect->crashes, i);
 	}
 }
 
 void
-poison_note_told(
-    poison_t *poison, uint64_t body_hash, uint32_t crashes, dff_time_t now)
+poison_note_report(
+    poison_t *poison, const char *vm, uint64_t incarnation, dff_time_t taken)
 {
-	suspect_t *suspect;
+	uint64_t process = poison_process(vm, incarnation);
+	GHashTableIter iter;
+	gpointer value;
 
-	suspect = take(poison, body_hash, now);
-	suspect->told = MAX(suspect->told, crashes);
+	g_hash_table_iter_init(&iter, poison->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		drop_crash(value, process, taken);
 }
 
 void
--- a/source/node/send.c
+++ b/source/node/send.c
@@ -57,7 +57,7 @@
 }
 
 void
-send_suspect(dff_node_t *node, uint64_t body_hash, uint32_t crashes,
+send_suspect(dff_node_t *node, uint64_t body_hash, uint64_t process,
     bool relays, dff_effects_t *fx)
 {
 	Dff__Suspect suspect = DFF__SUSPECT__INIT;
@@ -66,7 +66,7 @@
 	Dff__Frame frame = DFF__FRAME__INIT;
 
 	suspect.body_hash = body_hash;
-	suspect.crashes = crashes;
+	suspect.process = process;
 	suspects.n_suspects = 1;
 	suspects.suspects = list;
 	frame.body_case = DFF__FRAME__BODY_SUSPECTS;
--- a/source/node/told.h
+++ b/source/node/told.h
@@ -109,7 +109,7 @@
     dff_node_t *node, Dff__Frame *frame, bool newest, dff_effects_t *fx);
 
 /** send_suspect() - tell of a request that met a crash */
-void send_suspect(dff_node_t *node, uint64_t body_hash, uint32_t crashes,
+void send_suspect(dff_node_t *node, uint64_t body_hash, uint64_t process,
     bool relays, dff_effects_t *fx);
 
 /* ---- help.c: records for peers that lost the log ---- */
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -3929,12 +3929,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
-    2,
+    "process",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Dff__Suspect, crashes),
+    offsetof(Dff__Suspect, process),
     NULL,
     NULL,
     0,             /* flags */
@@ -3943,11 +3943,12 @@
 };
 static const unsigned dff__suspect__field_indices_by_name[] = {
   0,   /* field[0] = body_hash */
-  1,   /* field[1] = crashes */
+  1,   /* field[1] = process */
 };
-static const ProtobufCIntRange dff__suspect__number_ranges[1 + 1] =
+static const ProtobufCIntRange dff__suspect__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 2 }
 };
 const ProtobufCMessageDescriptor dff__suspect__descriptor =
@@ -3961,7 +3962,7 @@
   2,
   dff__suspect__field_descriptors,
   dff__suspect__field_indices_by_name,
-  1,  dff__suspect__number_ranges,
+  2,  dff__suspect__number_ranges,
   (ProtobufCMessageInit) dff__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -547,7 +547,10 @@
 {
   ProtobufCMessage base;
   uint64_t body_hash;
-  uint32_t crashes;
+  /*
+   * hash of the engine's process that broke off
+   */
+  uint64_t process;
 };
 #define DFF__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__suspect__descriptor) \
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -228,6 +228,29 @@
 }
 END_TEST
 
+/* Each copy may run again before its node hears of the others. */
+START_TEST(copies_of_poison_at_once_take_two_engines_each_at_most)
+{
+	static const char *const nodes[] = {"a1", "b1", "c1"};
+	dff_world_t *world = settled_world(9);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		dff_world_call_t call = {.entry = "chat",
+		    .prompt = "poison",
+		    .max_tokens = 20,
+		    .poison = true,
+		    .node = nodes[i],
+		    .resend = 6};
+
+		dff_world_call(world, &call);
+	}
+	run_for(world, 60 * DFF_SEC);
+	expect_sound(world);
+	ck_assert_uint_le(dff_world_crashes(world), 2 * G_N_ELEMENTS(nodes));
+	dff_world_drop(world);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -246,6 +269,8 @@
 	tcase_add_test(tcase, paused_node_hears_late);
 	tcase_add_test(tcase, cut_link_delivers_nothing);
 	tcase_add_test(tcase, poison_takes_two_engines_at_most);
+	tcase_add_test(
+	    tcase, copies_of_poison_at_once_take_two_engines_each_at_most);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
