--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -24,10 +24,10 @@
 	step->relay->counts[COUNT_REFUSED]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "request refused on arrival id=%s status=%d why=%s version=%" G_GUINT64_FORMAT
-	    " host=%s target=%.48s",
+	    " host=%s target=%.48s content=%016" G_GINT64_MODIFIER "x",
 	    open->id, status, why,
 	    step->relay->routing != NULL ? step->relay->routing->version : 0,
-	    open->host, open->target);
+	    open->host, open->target, open->content);
 }
 
 static call_t *
@@ -160,10 +160,12 @@
 	step->relay->counts[status == 503 ? COUNT_REFUSED : COUNT_FAILED]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "request given up id=%s route=%s status=%d why=%s sends=%u "
-	    "runs=%u after_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT,
+	    "runs=%u after_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
+	    " content=%016" G_GINT64_MODIFIER "x",
 	    call->id, call->route->name, status, why, call->sends, call->runs,
 	    (step->now - call->arrived) / DFF_MSEC,
-	    status == 503 ? fx->answer.retry_after / DFF_MSEC : 0);
+	    status == 503 ? fx->answer.retry_after / DFF_MSEC : 0,
+	    call->content);
 	relay_call_close(step, call);
 }
 
