Net: a probe whose connection is closed at once finds nobody

Cause: a connection that is taken and reset, as by what stands before a server that has ended, counted as a server that lives, and acquitted the runs that had broken off there from its record. Change: it has to stand for 20 ms, else the record decides. connection_that_is_closed_at_once_was_not_taken failed before (reached). A name in a test harness is long enough for the compiler of the sanitizers' build.

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -206,7 +206,7 @@
 typedef enum dff_h1c_reach {
 	DFF_H1C_REACHED, /* it stands and is kept for a request */
 	DFF_H1C_REFUSED, /* nobody listens there */
-	DFF_H1C_SILENT, /* neither, within the time */
+	DFF_H1C_SILENT, /* neither, or it was closed again at once */
 } dff_h1c_reach_t;
 
 /** dff_h1c_probed_t() - the end of a probe of a peer */
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -277,7 +277,7 @@
 typedef enum dff_reach {
 	DFF_REACH_TAKEN, /* the upstream takes connections */
 	DFF_REACH_REFUSED, /* nobody listens at its address */
-	DFF_REACH_SILENT, /* neither, within the time */
+	DFF_REACH_SILENT, /* neither, or it was closed again at once */
 } dff_reach_t;
 
 /** struct dff_relay_probed - the end of a DFF_RELAY_FX_PROBE */
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -311,7 +311,9 @@
 {
 	conn_t *conn = (conn_t *)stream;
 
-	if (!conn->closing) {
+	if (!conn->closing && conn->probe != NULL && got != 0)
+		h1_probe_read(conn);
+	else if (!conn->closing) {
 		if (got > 0)
 			parse(conn, buf->base, (size_t)got);
 		else if (got == UV_EOF)
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -15,7 +15,7 @@
 	char *key; /* address and peer */
 	h1_reader_t reader;
 	dff_h1c_req_t *req;
-	probe_t *probe; /* which it was made for, until it stands */
+	probe_t *probe; /* which it was made for, until it is kept */
 	uv_connect_t connect;
 	uint64_t idle_since;
 	uint64_t keep_ms;
@@ -96,6 +96,9 @@
 /** h1_probe_connected() - the connection of a probe was made, or not */
 void h1_probe_connected(conn_t *conn, int status);
 
+/** h1_probe_read() - its connection was closed, or spoke unasked */
+void h1_probe_read(conn_t *conn);
+
 /** h1_probe_drop() - end a probe without a call back */
 void h1_probe_drop(probe_t *probe);
 
--- a/source/net/h1_probe.c
+++ b/source/net/h1_probe.c
@@ -5,6 +5,10 @@
 #include "net/address.h"
 #include "net/h1_conn.h"
 
+/* A connection that is closed sooner was taken by nobody: what stands before
+ * a server that has ended may do that. */
+#define STAND_MSEC 20
+
 static void
 on_probe_closed(uv_handle_t *handle)
 {
@@ -45,20 +49,36 @@
 	end_probe(timer->data, DFF_H1C_SILENT);
 }
 
+static void
+on_probe_stands(uv_timer_t *timer)
+{
+	probe_t *probe = timer->data;
+	conn_t *conn = probe->conn;
+
+	probe->conn = NULL;
+	conn->probe = NULL;
+	h1_conn_keep(conn);
+	end_probe(probe, DFF_H1C_REACHED);
+}
+
+void
+h1_probe_read(conn_t *conn)
+{
+	end_probe(conn->probe, DFF_H1C_SILENT);
+}
+
 void
 h1_probe_connected(conn_t *conn, int status)
 {
 	probe_t *probe = conn->probe;
 
-	if (status == 0 && h1_conn_listen(conn) == 0) {
-		probe->conn = NULL;
-		conn->probe = NULL;
-		h1_conn_keep(conn);
-		end_probe(probe, DFF_H1C_REACHED);
-		return;
-	}
-	end_probe(probe,
-	    status == UV_ECONNREFUSED ? DFF_H1C_REFUSED : DFF_H1C_SILENT);
+	if (status == 0 && h1_conn_listen(conn) == 0)
+		(void)uv_timer_start(
+		    &probe->timer, on_probe_stands, STAND_MSEC, 0);
+	else
+		end_probe(probe,
+		    status == UV_ECONNREFUSED ? DFF_H1C_REFUSED :
+						DFF_H1C_SILENT);
 }
 
 int
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -16,7 +16,7 @@
 #define LATE_AFTER (3 * DFF_SEC)
 
 typedef struct upstream_play {
-	char id[8];
+	char id[16];
 	uint64_t born;
 	bool alive;
 	bool unreached; /* from the node that is far, next time */
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -495,6 +495,40 @@
 }
 END_TEST
 
+static void
+on_close_time(uv_timer_t *timer)
+{
+	(void)timer;
+	(void)uv_tcp_close_reset(&stub.conns[stub.count - 1], NULL);
+}
+
+/* After the other side has seen it stand. */
+static void
+close_connection(uv_stream_t *listener, int status)
+{
+	static uv_timer_t timer;
+
+	stub_connection(listener, status);
+	(void)uv_timer_init(&loop, &timer);
+	(void)uv_timer_start(&timer, on_close_time, 5, 0);
+}
+
+START_TEST(connection_that_is_closed_at_once_was_not_taken)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	probed_t probed = {.done = false};
+
+	stub_start(STUB_STAYS, NULL, NULL);
+	stub.listener.connection_cb = close_connection;
+	ck_assert_int_eq(
+	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	run_until(&probed.done, DFF_SEC);
+	ck_assert(probed.done);
+	ck_assert_int_eq(probed.reach, DFF_H1C_SILENT);
+	dff_h1c_drop(client);
+}
+END_TEST
+
 START_TEST(probe_of_a_dropped_client_calls_nobody)
 {
 	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
@@ -852,6 +886,7 @@
 	tcase_add_test(tcase, answer_that_takes_too_long_is_broken_off);
 	tcase_add_test(tcase, probe_finds_that_nobody_listens);
 	tcase_add_test(tcase, connection_of_a_probe_serves_the_next_request);
+	tcase_add_test(tcase, connection_that_is_closed_at_once_was_not_taken);
 	tcase_add_test(tcase, probe_of_a_dropped_client_calls_nobody);
 	tcase_add_test(tcase, answer_to_an_earlier_request_is_passed_over);
 	tcase_add_test(tcase, kept_connection_is_used_again);
