Soak: one request in fifty crashes the upstream that begins it

The soak plays a request that returns with the same content at any edge, while processes are killed, paused and stopped, links and the store fail and upstreams leave, and counts its runs from calm edges more than 3 s after the third crash: more than three break the promise.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -13,7 +13,9 @@
 #define PATIENCE (4 * DFF_SEC)
 
 static const char *const paths[KIND_COUNT] = {
-    "read", "order", "talk", "resume", "move"};
+    "read", "order", "talk", "resume", "move", "bad"};
+/* Share of requests that crash upstreams. */
+#define BAD_SHARE 0.02
 
 attempt_t *
 callers_find(soak_t *soak, const char *id)
@@ -132,20 +134,25 @@
 	static const dff_h1c_handlers_t handlers = {on_head, on_data, on_end};
 	attempt_t *attempt = g_new0(attempt_t, 1);
 	dff_h1c_call_t call = {.connect_time = DFF_SEC};
+	const char *body;
 	bool model;
 	char *text;
 
 	(void)g_snprintf(attempt->id, sizeof(attempt->id),
 	    "a%08x-%06" G_GUINT64_FORMAT, soak->seed, soak->next_attempt++);
 	attempt->soak = soak;
-	attempt->kind = g_rand_int_range(soak->dice, 0, KIND_COUNT);
+	attempt->kind = g_rand_double(soak->dice) < BAD_SHARE ?
+	    KIND_BAD :
+	    g_rand_int_range(soak->dice, 0, KIND_BAD);
+	body = attempt->kind == KIND_BAD ? "bad" : attempt->id;
 	attempt->edge = g_rand_int_range(soak->dice, 0, EDGES);
 	attempt->body = g_string_new(NULL);
 	attempt->sent = dff_program_now();
 	model = attempt->kind == KIND_TALK || attempt->kind == KIND_RESUME;
 	g_hash_table_insert(soak->attempts, attempt->id, attempt);
 	soak->asked++;
-	attempt->calm = attempt->sent > soak->calm_from + 4 * DFF_SEC &&
+	attempt->calm = attempt->kind != KIND_BAD &&
+	    attempt->sent > soak->calm_from + 4 * DFF_SEC &&
 	    upstreams_serve(soak, attempt->kind);
 	if (attempt->calm)
 		soak->calm_asked++;
@@ -159,7 +166,7 @@
 	    model ?
 		"X-Token-Count: 900,8\r\nX-Prompt-Prefix: aa:800,bb:100\r\n" :
 		"",
-	    strlen(attempt->id), attempt->id);
+	    strlen(body), body);
 	call.bytes = g_byte_array_new();
 	g_byte_array_append(
 	    call.bytes, (const guint8 *)text, (guint)strlen(text));
--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -346,9 +346,10 @@
 	soak.attempts = g_hash_table_new(g_str_hash, g_str_equal);
 	soak.trace = g_ptr_array_new();
 	run(&soak, seconds * DFF_SEC);
-	(void)printf("seed=%u asked=%d served=%d calm=%d/%d broken=%d\n",
+	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
+		     "broken=%d\n",
 	    soak.seed, soak.asked, soak.served, soak.calm_served,
-	    soak.calm_asked, soak.broken);
+	    soak.calm_asked, soak.bad_ended, soak.bad_late, soak.broken);
 	if (soak.broken > 0)
 		write_trace(&soak);
 	else
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -83,6 +83,7 @@
 	KIND_TALK,
 	KIND_RESUME,
 	KIND_MOVE,
+	KIND_BAD, /* crashes the upstream that begins it; always the same */
 	KIND_COUNT,
 } soak_kind_t;
 
@@ -116,6 +117,9 @@
 	int served;
 	int calm_asked;
 	int calm_served;
+	int bad_ended; /* upstreams that KIND_BAD has crashed */
+	int bad_late; /* its runs from calm edges, long after the third crash */
+	dff_time_t bad_third; /* moment of that crash */
 	int broken; /* promises */
 } soak_t;
 
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -19,6 +19,10 @@
 /* All nodes know a new upstream after this time. */
 #define KNOWN_TIME (2 * DFF_SEC)
 
+/* Runs of a request that crashes upstreams, from calm edges and later than
+ * TOUCH after the third crash. */
+#define BAD_LATE_MAX 3
+
 static double spoiled; /* share of answers that are lost or torn */
 
 /* A request that an upstream runs. */
@@ -187,6 +191,24 @@
 	g_free(fields);
 }
 
+/* A request crashes the upstream that began it. */
+static void
+crash_under(soak_t *soak, soak_upstream_t *up, const edge_proc_t *edge)
+{
+	dff_time_t now = dff_program_now();
+
+	if (up->dead || up->leaving != 0)
+		return;
+	if (soak->bad_third != 0 && now - soak->bad_third > TOUCH &&
+	    now - edge->disturbed > TOUCH && now - edge->started > TOUCH &&
+	    ++soak->bad_late > BAD_LATE_MAX)
+		soak_fail(soak, "request goes on crashing upstreams ended=%d",
+		    soak->bad_ended);
+	if (++soak->bad_ended == 3)
+		soak->bad_third = now;
+	upstream_crash(soak, up);
+}
+
 static void
 on_request(void *arg, dff_h1d_req_t *req)
 {
@@ -215,10 +237,14 @@
 	}
 	if (strcmp(head->method, "DELETE") == 0)
 		dff_h1d_answer(req, 200, "", "", 0);
-	else if (count_run(soak, up, id, head->target))
-		start_job(soak, up, req, id);
-	else
+	else if (!count_run(soak, up, id, head->target))
+		dff_h1d_abort(req);
+	else if (callers_find(soak, id)->kind == KIND_BAD) {
 		dff_h1d_abort(req);
+		crash_under(
+		    soak, up, &soak->edges[callers_find(soak, id)->edge]);
+	} else
+		start_job(soak, up, req, id);
 }
 
 static void
@@ -256,9 +282,10 @@
 config_write(soak_t *soak)
 {
 	static const char *const kinds[KIND_COUNT] = {"idempotent",
-	    "non_idempotent", "streaming", "streaming", "idempotent"};
+	    "non_idempotent", "streaming", "streaming", "idempotent",
+	    "non_idempotent"};
 	static const char *const paths[KIND_COUNT] = {
-	    "read", "order", "talk", "resume", "move"};
+	    "read", "order", "talk", "resume", "move", "bad"};
 	GString *text = g_string_new(NULL);
 
 	g_string_append_printf(text,
