Relay: an answer is news where crashes counted, and is told no further

Cause: ages are told in whole ms, so that an answer that came back from a peer seemed a little newer than what was known, was learned anew and told anew, between the domains of a large fleet for ever: the same class as the suspects that never lapsed. Change: it is news only where it takes crashes away.

news_of_answers_does_not_go_round_for_ever failed before: 2,304,960 bytes of frames in 30 s at 27 nodes, 2,181,168 allowed; the play's ticks are now no whole number of ms. crashes_after_an_answer_count_again is new and held.

--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -374,20 +374,24 @@
 
 /* ---- answers ---- */
 
-/* Crashes before an answer were no fault of the request. */
+/* Crashes before an answer were no fault of the request. It is news where
+ * there were any: ages are not exact, and would seem newer each time. */
 static void
-drop_crashes(suspect_t *suspect, dff_time_t answered_at, dff_time_t now)
+drop_crashes(
+    suspect_t *suspect, dff_time_t answered_at, bool seen, dff_time_t now)
 {
-	if (answered_at <= suspect->answered_at)
-		return;
-	suspect->answered_at = answered_at;
-	suspect->answer_learned_at = now;
-	suspect->answer_seen = false;
-	for (guint i = suspect->crashes->len; i-- > 0;) {
+	guint before = suspect->crashes->len;
+
+	suspect->answered_at = MAX(suspect->answered_at, answered_at);
+	for (guint i = before; i-- > 0;) {
 		if (g_array_index(suspect->crashes, crash_t, i).at <=
 		    answered_at)
 			g_array_remove_index_fast(suspect->crashes, i);
 	}
+	if (suspect->crashes->len == before)
+		return;
+	suspect->answer_learned_at = now;
+	suspect->answer_seen = seen;
 }
 
 void
@@ -403,8 +407,7 @@
 	    "request is answered, its crashes do not count any more "
 	    "content=%016" G_GINT64_MODIFIER "x crashes=%u",
 	    content, count_crashes(suspect));
-	drop_crashes(suspect, step->now, step->now);
-	suspect->answer_seen = true;
+	drop_crashes(suspect, step->now, true, step->now);
 	tell_note_send(step);
 }
 
@@ -499,7 +502,7 @@
 	if (suspect == NULL)
 		return;
 	if (row->answered) {
-		drop_crashes(suspect, at, step->now);
+		drop_crashes(suspect, at, false, step->now);
 		return;
 	}
 	if (!join_crash(suspect, row->upstream, row->count, at, step->now))
--- a/test/fake/crash_play.c
+++ b/test/fake/crash_play.c
@@ -6,7 +6,8 @@
 
 #define UPSTREAMS_MAX 32
 #define CALLS_MAX     4096
-#define TICK	      (2 * DFF_MSEC)
+/* Ages are told in whole ms, and no tick takes so many. */
+#define TICK (1999 * DFF_USEC)
 /* From the first byte of a send to the crash, and to a harmless answer. */
 #define CRASH_AFTER  (50 * DFF_MSEC)
 #define ANSWER_AFTER (100 * DFF_MSEC)
@@ -379,6 +380,7 @@
 	dff_relay_event_t event = {.type = DFF_RELAY_BEAT};
 	int to = relay_net_find(&net, fx->addr);
 
+	net.bytes[from] += fx->len;
 	if (to < 0 || net.cut[to] || net.cut[from])
 		return;
 	event.beat.addr = net.nodes[from]->frame_addr;
@@ -502,7 +504,8 @@
 		for (int i = 0; i < net.count; i++)
 			net.nodes[i]->now += TICK;
 		for (int i = 0; i < net.count; i++) {
-			if (dff_relay_wake(net.nodes[i]->relay) <= now())
+			if (dff_relay_wake(net.nodes[i]->relay) <=
+			    net.nodes[i]->now)
 				feed(i, &wake);
 		}
 		run_upstreams();
@@ -581,3 +584,13 @@
 {
 	return retries[node];
 }
+
+uint64_t
+crash_play_bytes(void)
+{
+	uint64_t bytes = 0;
+
+	for (int i = 0; i < net.count; i++)
+		bytes += net.bytes[i];
+	return bytes;
+}
--- a/test/fake/crash_play.h
+++ b/test/fake/crash_play.h
@@ -82,6 +82,9 @@
 /** crash_play_tally() - so far */
 const crash_tally_t *crash_play_tally(void);
 
+/** crash_play_bytes() - of all frames so far */
+uint64_t crash_play_bytes(void);
+
 /** crash_play_status() - status of a node's last own answer; 0 if the last
  *	request was sent on */
 int crash_play_status(int node);
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -333,6 +333,58 @@
 }
 END_TEST
 
+/* Bytes of frames in a time in which nothing happens; one beat more or less
+ * is under 1 %. */
+static uint64_t
+bytes_of_quiet_time(void)
+{
+	uint64_t before = crash_play_bytes();
+
+	crash_play_pass(30 * DFF_SEC);
+	return crash_play_bytes() - before;
+}
+
+START_TEST(news_of_answers_does_not_go_round_for_ever)
+{
+	crash_plan_t plan = usual;
+	uint64_t quiet;
+
+	plan.nodes = 27;
+	crash_play_start(&plan);
+	/* Numbers of frames take more bytes after a while. */
+	crash_play_pass(60 * DFF_SEC);
+	quiet = bytes_of_quiet_time();
+	crash_play_ask(0, "/order/y", CRASH_CONTENT + 1);
+	crash_play_pass(50 * DFF_MSEC);
+	crash_play_crash_all();
+	crash_play_pass(6 * DFF_SEC);
+	crash_play_ask(1, "/order/y", CRASH_CONTENT + 1);
+	crash_play_pass(20 * DFF_SEC);
+	ck_assert_int_eq(crash_play_tally()->answered, 1);
+	ck_assert_uint_le(bytes_of_quiet_time(), quiet + quiet / 50);
+}
+END_TEST
+
+START_TEST(crashes_after_an_answer_count_again)
+{
+	crash_plan_t plan = usual;
+
+	plan.nodes = 27;
+	crash_play_start(&plan);
+	for (int i = 0; i < 4; i++) {
+		crash_play_ask(i, "/order/y", CRASH_CONTENT + 1);
+		crash_play_pass(50 * DFF_MSEC);
+		/* The second of them is answered. */
+		if (i != 1)
+			crash_play_crash_all();
+		crash_play_pass(30 * DFF_SEC);
+	}
+	ck_assert_int_eq(crash_play_tally()->answered, 1);
+	crash_play_ask(4, "/order/y", CRASH_CONTENT + 1);
+	ck_assert_int_eq(crash_play_status(4), 503);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -363,6 +415,8 @@
 	    tcase, node_that_is_cut_off_from_upstreams_makes_no_suspect);
 	tcase_add_test(tcase, answers_that_are_lost_make_no_suspect);
 	tcase_add_test(tcase, request_that_is_answered_is_no_suspect_any_more);
+	tcase_add_test(tcase, news_of_answers_does_not_go_round_for_ever);
+	tcase_add_test(tcase, crashes_after_an_answer_count_again);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
