Relay: a bad answer to a resumption is bounded too

What came after the head of a resumption that failed was thrown away without bound until the request's time was over. It counts as bytes without end like the rest of the stream; found by reading the change of streams again.

--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -246,14 +246,14 @@
 	if (call->send.step == DFF_STEP_PREFILL)
 		return;
 	note_pause(step, call);
-	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
-		return;
 	if (call->fate == DFF_FATE_BEGUN &&
 	    is_flood(call, data->bytes, data->len)) {
 		relay_send_cancel(step, call);
 		take_break(step, call, up, false);
 		return;
 	}
+	if (call->fate == DFF_FATE_BEGUN && !is_good(&call->send))
+		return;
 	if (call->fate == DFF_FATE_BEGUN && !call->route->resumable) {
 		pass(
 		    step, call, DFF_RELAY_FX_PASS_DATA, data->bytes, data->len);
