Relay: what frames tell of suspects moves to a file of its own

Functions move unchanged, those that both files use get the prefix of the part; what they share is in suspect_parts.h.

--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -9,14 +9,10 @@
  * that merely shared an upstream with such a request are cleared by their next
  * answer.
  */
-#include "relay/suspect.h"
-
-#include <string.h>
+#include "relay/suspect_parts.h"
 
 #include "base/fault.h"
 
-/* Upstreams that one request may break before it is refused. */
-#define BREAKS_MAX 2
 /* A request is refused for so long after its last crash; twice as long with
  * each further one, up to the most. */
 #define REFUSE_TIME	 (60 * DFF_SEC)
@@ -37,41 +33,6 @@
 /* An upstream does not start again sooner: runs that break off there within
  * this time met the same crash. */
 #define RESTART_MIN (500 * DFF_MSEC)
-/* News is told for so long after this node learned it: some frames, as they
- * get lost. */
-#define NEWS_TELL (2 * DFF_SEC)
-
-/* Crashes of one upstream during one request. */
-typedef struct crash {
-	uint32_t upstream; /* hash of its id */
-	uint32_t count;
-	dff_time_t at; /* the last one */
-	dff_time_t learned_at;
-	bool seen; /* by this node */
-} crash_t;
-
-typedef struct suspect {
-	GArray *crashes; /* crash_t, one row an upstream */
-	dff_time_t answered_at; /* crashes up to then do not count */
-	dff_time_t answer_learned_at;
-	bool answer_seen; /* by this node */
-} suspect_t;
-
-/* A run that broke off, not yet put down to a crash. */
-typedef struct broken_run {
-	uint64_t content;
-	dff_handle_t upstream;
-	dff_time_t sent_at;
-	dff_time_t at;
-	bool silent; /* its upstream did not take a connection since */
-	bool taken; /* it did */
-} broken_run_t;
-
-struct suspects {
-	GHashTable *by_content; /* content hash, boxed, to suspect_t */
-	GArray *broken_runs; /* broken_run_t */
-	uint32_t first_row; /* of those that fit no frame together */
-};
 
 static void
 free_suspect(void *data)
@@ -103,9 +64,8 @@
 
 /* ---- evidence ---- */
 
-/* The row of a content, made if there is none; NULL if there are too many. */
-static suspect_t *
-take_suspect(suspects_t *suspects, uint64_t content)
+suspect_t *
+suspects_take(suspects_t *suspects, uint64_t content)
 {
 	suspect_t *suspect =
 	    g_hash_table_lookup(suspects->by_content, &content);
@@ -121,8 +81,8 @@
 	return suspect;
 }
 
-static crash_t *
-take_crash(suspect_t *suspect, uint32_t upstream)
+crash_t *
+suspect_take_crash(suspect_t *suspect, uint32_t upstream)
 {
 	crash_t none = {.upstream = upstream};
 
@@ -137,8 +97,8 @@
 	    suspect->crashes, crash_t, suspect->crashes->len - 1);
 }
 
-static uint32_t
-count_crashes(const suspect_t *suspect)
+uint32_t
+suspect_count(const suspect_t *suspect)
 {
 	uint32_t count = 0;
 
@@ -147,8 +107,8 @@
 	return count;
 }
 
-static dff_time_t
-last_crash(const suspect_t *suspect)
+dff_time_t
+suspect_last(const suspect_t *suspect)
 {
 	dff_time_t last = 0;
 
@@ -193,58 +153,23 @@
 	    (step->now - run->at) / DFF_MSEC);
 }
 
-/* What gets a request refused outlives a fleet that starts anew as a whole. */
-static void
-keep_evidence(step_t *step, uint64_t content, const suspect_t *suspect)
-{
-	dff_relay_effect_t *fx;
-	dff_evidence_t *evidence;
-
-	if (count_crashes(suspect) < BREAKS_MAX ||
-	    DFF_FAULT(RELAY_EVIDENCE_UNKEPT))
-		return;
-	fx = relay_add_fx(step, DFF_RELAY_FX_KEEP);
-	evidence = &fx->evidence;
-	evidence->content = content;
-	evidence->age = step->now - last_crash(suspect);
-	for (guint i = 0; i < suspect->crashes->len && i < DFF_EVIDENCE_MAX;
-	     i++) {
-		const crash_t *crash =
-		    &g_array_index(suspect->crashes, crash_t, i);
-
-		evidence->crashes[i].upstream = crash->upstream;
-		evidence->crashes[i].count = crash->count;
-		evidence->count++;
-	}
-}
-
-static bool
-saw_crash(const suspect_t *suspect)
-{
-	for (guint i = 0; i < suspect->crashes->len; i++) {
-		if (g_array_index(suspect->crashes, crash_t, i).seen)
-			return true;
-	}
-	return false;
-}
-
 static void
 note_crash(step_t *step, const broken_run_t *run, const upstream_t *up)
 {
-	suspect_t *suspect = take_suspect(step->relay->suspects, run->content);
+	suspect_t *suspect = suspects_take(step->relay->suspects, run->content);
 	crash_t *crash;
 
 	if (suspect == NULL)
 		return;
-	crash = take_crash(suspect, up->hash);
+	crash = suspect_take_crash(suspect, up->hash);
 	crash->seen = true;
 	if (crash->count > 0 && run->sent_at <= crash->at + RESTART_MIN)
 		return;
 	crash->count++;
 	crash->at = run->at;
 	crash->learned_at = step->now;
-	log_crash(step, run, up, count_crashes(suspect));
-	keep_evidence(step, run->content, suspect);
+	log_crash(step, run, up, suspect_count(suspect));
+	suspect_keep(step, run->content, suspect);
 	tell_note_send(step);
 }
 
@@ -374,10 +299,8 @@
 
 /* ---- answers ---- */
 
-/* Crashes before an answer were no fault of the request. It is news where
- * there were any: ages are not exact, and would seem newer each time. */
-static void
-drop_crashes(
+void
+suspect_drop_crashes(
     suspect_t *suspect, dff_time_t answered_at, bool seen, dff_time_t now)
 {
 	guint before = suspect->crashes->len;
@@ -406,8 +329,8 @@
 	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
 	    "request is answered, its crashes do not count any more "
 	    "content=%016" G_GINT64_MODIFIER "x crashes=%u",
-	    content, count_crashes(suspect));
-	drop_crashes(suspect, step->now, true, step->now);
+	    content, suspect_count(suspect));
+	suspect_drop_crashes(suspect, step->now, true, step->now);
 	tell_note_send(step);
 }
 
@@ -423,8 +346,8 @@
 
 	if (suspect == NULL)
 		return 0;
-	crashes = count_crashes(suspect);
-	until = last_crash(suspect) + refuse_time(crashes);
+	crashes = suspect_count(suspect);
+	until = suspect_last(suspect) + refuse_time(crashes);
 	if (crashes < BREAKS_MAX || DFF_FAULT(RELAY_POISON_SERVED))
 		return 0;
 	return MAX(until - now, 0);
@@ -439,15 +362,21 @@
 	    g_hash_table_lookup(step->relay->suspects->by_content, &content);
 
 	return up != NULL && up->probing && suspect != NULL &&
-	    count_crashes(suspect) + 1 >= BREAKS_MAX;
+	    suspect_count(suspect) + 1 >= BREAKS_MAX;
+}
+
+dff_time_t
+suspect_remember_time(uint32_t crashes)
+{
+	return REMEMBER_FACTOR * refuse_time(crashes);
 }
 
 static bool
 is_over(const suspect_t *suspect, dff_time_t now)
 {
-	dff_time_t life = REMEMBER_FACTOR * refuse_time(count_crashes(suspect));
+	dff_time_t life = suspect_remember_time(suspect_count(suspect));
 
-	return now - MAX(last_crash(suspect), suspect->answered_at) >= life;
+	return now - MAX(suspect_last(suspect), suspect->answered_at) >= life;
 }
 
 void
@@ -472,140 +401,3 @@
 			g_hash_table_iter_remove(&iter);
 	}
 }
-
-/* ---- peers ---- */
-
-/* Joins what is told of one upstream; whether that was news. */
-static bool
-join_crash(suspect_t *suspect, uint32_t upstream, uint32_t count, dff_time_t at,
-    dff_time_t now)
-{
-	crash_t *crash;
-
-	if (at <= suspect->answered_at)
-		return false;
-	crash = take_crash(suspect, upstream);
-	if (count <= crash->count)
-		return false;
-	crash->count = count;
-	crash->at = at;
-	crash->learned_at = now;
-	return true;
-}
-
-void
-suspect_load(step_t *step, const peer_t *peer, const Dff__RelayCrash *row)
-{
-	dff_time_t at = step->now - (dff_time_t)row->age_ms * DFF_MSEC;
-	suspect_t *suspect = take_suspect(step->relay->suspects, row->content);
-
-	if (suspect == NULL)
-		return;
-	if (row->answered) {
-		drop_crashes(suspect, at, false, step->now);
-		return;
-	}
-	if (!join_crash(suspect, row->upstream, row->count, at, step->now))
-		return;
-	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-	    "peer tells of a crash during request content=%016" G_GINT64_MODIFIER
-	    "x crashes=%u age_ms=%u told_by=%s",
-	    row->content, count_crashes(suspect), row->age_ms,
-	    peer->node != NULL ? peer->node : peer->addr);
-	/* Those that saw one of them keep the whole: few nodes did. */
-	if (saw_crash(suspect))
-		keep_evidence(step, row->content, suspect);
-}
-
-void
-suspect_load_evidence(step_t *step, const dff_evidence_t *evidence)
-{
-	dff_time_t at = step->now - evidence->age;
-	uint32_t crashes = 0;
-	suspect_t *suspect;
-	bool news = false;
-
-	for (size_t i = 0; i < evidence->count; i++)
-		crashes += evidence->crashes[i].count;
-	if (evidence->age >= REMEMBER_FACTOR * refuse_time(crashes))
-		return;
-	suspect = take_suspect(step->relay->suspects, evidence->content);
-	if (suspect == NULL)
-		return;
-	for (size_t i = 0; i < evidence->count; i++)
-		news |= join_crash(suspect, evidence->crashes[i].upstream,
-		    evidence->crashes[i].count, at, step->now);
-	if (news)
-		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-		    "crashes during request were kept content=%016" G_GINT64_MODIFIER
-		    "x crashes=%u age_ms=%" G_GINT64_FORMAT,
-		    evidence->content, count_crashes(suspect),
-		    evidence->age / DFF_MSEC);
-}
-
-static void
-add_row(Dff__RelayCrash *row, uint64_t content, dff_time_t age)
-{
-	dff__relay_crash__init(row);
-	row->content = content;
-	row->age_ms = (uint32_t)(age / DFF_MSEC);
-}
-
-/* Rows of one content; those that do not fit are counted all the same. */
-static uint32_t
-list_suspect(uint64_t content, const suspect_t *suspect, bool refused,
-    bool heard, Dff__RelayCrash *rows, uint32_t room, dff_time_t now)
-{
-	uint32_t count = 0;
-
-	if (suspect->answered_at != 0 && (suspect->answer_seen || heard) &&
-	    now - suspect->answer_learned_at < NEWS_TELL && count++ < room) {
-		add_row(rows, content, now - suspect->answered_at);
-		rows->answered = true;
-	}
-	for (guint i = 0; i < suspect->crashes->len; i++) {
-		const crash_t *crash =
-		    &g_array_index(suspect->crashes, crash_t, i);
-
-		if (!refused &&
-		    (now - crash->learned_at >= NEWS_TELL ||
-			!(crash->seen || heard)))
-			continue;
-		if (count++ >= room)
-			continue;
-		add_row(&rows[count - 1], content, now - crash->at);
-		rows[count - 1].upstream = crash->upstream;
-		rows[count - 1].count = crash->count;
-	}
-	return count;
-}
-
-size_t
-suspect_list(
-    dff_relay_t *relay, Dff__RelayCrash *rows, evidence_t which, dff_time_t now)
-{
-	suspects_t *suspects = relay->suspects;
-	uint32_t skip = suspects->first_row;
-	uint32_t passed = 0;
-	uint32_t count = 0;
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, suspects->by_content);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		uint64_t content = *(uint64_t *)key;
-		bool refused = which != EVIDENCE_SEEN &&
-		    suspect_refused_for(relay, content, now) > 0;
-		uint32_t listed = list_suspect(content, value, refused,
-		    which == EVIDENCE_HEARD, &rows[count], CRASHES_MAX - count,
-		    now);
-
-		passed += listed;
-		if (passed <= skip)
-			continue;
-		count = MIN(count + listed, CRASHES_MAX);
-	}
-	suspects->first_row = skip + count < passed ? skip + count : 0;
-	return count;
-}
