Soak: requests during which the soak itself was held up are owed no answer

Trace: two gaps of 1.8 and 2.0 s in which neither callers nor upstreams did anything; the upstreams that did not answer are in the soak's own process, and the edges told them as silent.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -107,6 +107,17 @@
 	g_string_append_len(((attempt_t *)arg)->body, data, (gssize)len);
 }
 
+/* The upstreams are in this program: while it was held up, none answered. */
+static void
+forgive_stall(soak_t *soak, attempt_t *attempt)
+{
+	if (!attempt->calm ||
+	    (!soak_is_stalled(soak) && soak->stalled < attempt->sent))
+		return;
+	attempt->calm = false;
+	soak->calm_asked--;
+}
+
 static void
 on_end(void *arg, dff_h1c_end_t end)
 {
@@ -122,6 +133,7 @@
 	soak_note(soak, "ends id=%s kind=%s edge=%d status=%d whole=%d",
 	    attempt->id, paths[attempt->kind], attempt->edge, attempt->status,
 	    attempt->whole);
+	forgive_stall(soak, attempt);
 	soak->served += served;
 	if (attempt->calm)
 		soak->calm_served += served;
@@ -196,6 +208,7 @@
 			attempt->done = now;
 			check_end(soak, attempt);
 		}
+		forgive_stall(soak, attempt);
 		dff_h1c_cancel(attempt->req);
 		attempt->req = NULL;
 		attempt->ended = true;
