--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -393,6 +393,7 @@
 	SRunner *runner;
 	int failed;
 
+	tcase_set_timeout(tcase, 60);
 	tcase_add_checked_fixture(tcase, NULL, teardown);
 	tcase_add_test(tcase, copy_after_copy_ends_few_upstreams);
 	tcase_add_test(tcase, repeatable_copy_after_copy_ends_few_upstreams);
