Relay: a rate limit that an upstream names is read and logged

The relay logs each change with id, value before and after and who told it, and each send with the limit known at that moment, so that the logs tell whether a node that exceeds a limit knows it, and by which kind of send.

An answer without the field to a request that was sent before the limit was named does not revoke it.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -219,14 +219,26 @@
 	dff_prompt_t prompt;
 } dff_relay_open_t;
 
+/** enum dff_rate_notice - what an answer says of its upstream's rate limit */
+typedef enum dff_rate_notice {
+	DFF_RATE_UNSTATED, /* nothing */
+	DFF_RATE_UNLIMITED, /* there is no limit, or no longer one */
+	DFF_RATE_LIMITED, /* the limit is in rate_max */
+} dff_rate_notice_t;
+
 /**
  * struct dff_upstream_notice - an upstream's state, as its answers report it
  * @leaving: it is shutting down and wants no new requests
  * @pause: time for which this node is to send it nothing; 0 for none
+ * @rate: whether it limits the rate of requests
+ * @rate_max: with DFF_RATE_LIMITED, requests a second that it accepts from all
+ *	nodes together; not negative
  */
 typedef struct dff_upstream_notice {
 	bool leaving;
 	dff_time_t pause;
+	dff_rate_notice_t rate;
+	double rate_max;
 } dff_upstream_notice_t;
 
 /**
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -208,7 +208,8 @@
 	decode_head(background->host, head, background->upstream, &decoded);
 	event.notice.upstream = background->upstream;
 	event.notice.notice = decoded.notice;
-	if (decoded.notice.leaving || decoded.notice.pause > 0)
+	if (decoded.notice.leaving || decoded.notice.pause > 0 ||
+	    decoded.notice.rate == DFF_RATE_LIMITED)
 		dff_relay_host_feed(background->host, &event);
 }
 
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -30,6 +30,7 @@
 	COUNT_BREAKS_FORGOTTEN,
 	COUNT_LEAVING_NOTICES,
 	COUNT_PAUSE_NOTICES,
+	COUNT_LIMIT_NOTICES,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -292,9 +293,9 @@
 /* ---- notices of upstreams ---- */
 
 /** notice_receive() - process the notice in an answer of an upstream that
- *	started at @started_ms */
+ *	started at @started_ms to a request sent at @sent_at */
 void notice_receive(step_t *step, dff_handle_t upstream, uint64_t started_ms,
-    const dff_upstream_notice_t *notice);
+    dff_time_t sent_at, const dff_upstream_notice_t *notice);
 /** notice_receive_aside() - the same for a notice outside a request's answer */
 void notice_receive_aside(step_t *step, const dff_relay_notice_t *notice);
 
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -20,6 +20,7 @@
     [COUNT_BREAKS_FORGOTTEN] = "breaks_forgotten",
     [COUNT_LEAVING_NOTICES] = "upstreams_leaving_said",
     [COUNT_PAUSE_NOTICES] = "upstreams_away_said",
+    [COUNT_LIMIT_NOTICES] = "upstream_limit_changes",
     [COUNT_HEARTBEATS_IN] = "beats_in",
     [COUNT_HEARTBEATS_OUT] = "beats_out",
     [COUNT_HEARTBEATS_BAD] = "beats_bad",
--- a/source/relay/notice.c
+++ b/source/relay/notice.c
@@ -6,6 +6,7 @@
  * the others.
  */
 #include "base/fault.h"
+#include "relay/limit.h"
 #include "relay/notice.h"
 
 /* Longest pause that an upstream may ask for. */
@@ -53,7 +54,7 @@
 
 void
 notice_receive(step_t *step, dff_handle_t upstream, uint64_t born,
-    const dff_upstream_notice_t *notice)
+    dff_time_t sent_at, const dff_upstream_notice_t *notice)
 {
 	upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
 
@@ -65,6 +66,7 @@
 		    step, up, NOTICE_ORIGIN_SELF, step->now, "itself");
 	if (notice->pause > 0)
 		apply_pause(step, up, notice->pause);
+	limit_note_answer(step, up, notice, sent_at);
 }
 
 void
@@ -80,6 +82,8 @@
 		    step, up, NOTICE_ORIGIN_SELF, step->now, "itself");
 	if (aside->notice.pause > 0)
 		apply_pause(step, up, aside->notice.pause);
+	if (aside->notice.rate == DFF_RATE_LIMITED)
+		limit_note_answer(step, up, &aside->notice, step->now);
 }
 
 /* ---- peers ---- */
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -90,7 +90,7 @@
 		upstream_note_reached(up);
 		upstream_note_byte(up, step->now);
 		notice_receive(step, send->upstream, send->upstream_started_ms,
-		    &head->notice);
+		    send->sent_at, &head->notice);
 	}
 	if (up != NULL && !head->not_run && head->status == 200) {
 		add_prefill_time(step, call, up);
--- a/test/test_relay_log_lines.c
+++ b/test/test_relay_log_lines.c
@@ -55,6 +55,20 @@
 	relay_bench_drop(peer);
 }
 
+/* An upstream names a rate limit in its answer. */
+static void
+name_rate_limit(relay_bench_t *bench)
+{
+	const dff_upstream_notice_t notice = {
+	    .rate = DFF_RATE_LIMITED, .rate_max = 1.4};
+	uint64_t send;
+
+	(void)relay_bench_open(bench, "/read/x", 3);
+	send = relay_bench_send(bench);
+	relay_bench_head_notice(bench, send, 200, false, notice);
+	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
+}
+
 /* Run the kinds of failed requests that the page describes. */
 static void
 run_failed_requests(void)
@@ -77,6 +91,7 @@
 		(void)relay_bench_open_prompt(
 		    bench, "/talk/x", 1, 5000, 100 + i, 2000);
 	(void)relay_bench_open(bench, "/order/x", 2);
+	name_rate_limit(bench);
 	relay_bench_drop(bench);
 }
 
