--- a/test/fake/relay_bench.c
+++ b/test/fake/relay_bench.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 relay_bench_t *
-relay_bench_new_as(
-    const char *id, const char *domain, const char *addr, uint32_t link_mbps)
+relay_bench_new_restarted(const char *id, const char *domain, const char *addr,
+    uint32_t link_mbps, uint64_t incarnation)
 {
 	relay_bench_t *bench = g_new0(relay_bench_t, 1);
 	dff_relay_config_t config;
@@ -14,7 +14,7 @@
 	g_strlcpy(config.domain, domain, sizeof(config.domain));
 	g_strlcpy(config.addr, addr, sizeof(config.addr));
 	g_strlcpy(config.records, addr, sizeof(config.records));
-	config.incarnation = 1;
+	config.incarnation = incarnation;
 	config.link_mbps = link_mbps;
 	bench->ctx = dff_ctx_new(1, DFF_LOG_DEBUG, NULL, NULL);
 	bench->relay = dff_relay_new(bench->ctx, &config);
@@ -23,6 +23,13 @@
 	return bench;
 }
 
+relay_bench_t *
+relay_bench_new_as(
+    const char *id, const char *domain, const char *addr, uint32_t link_mbps)
+{
+	return relay_bench_new_restarted(id, domain, addr, link_mbps, 1);
+}
+
 relay_bench_t *
 relay_bench_new(void)
 {
--- a/test/fake/relay_bench.h
+++ b/test/fake/relay_bench.h
@@ -29,6 +29,11 @@
 relay_bench_t *relay_bench_new_as(
     const char *id, const char *domain, const char *addr, uint32_t link_mbps);
 
+/** relay_bench_new_restarted() - the same with an incarnation, which grows with
+ *	each start of a node */
+relay_bench_t *relay_bench_new_restarted(const char *id, const char *domain,
+    const char *addr, uint32_t link_mbps, uint64_t incarnation);
+
 /** relay_bench_drop() - free it */
 void relay_bench_drop(relay_bench_t *bench);
 
