Relay: requests to a rate-limited upstream need a permit of its coordinator

What callers and upstreams saw: an upstream that named a limit of 1.3 requests a second in its answers got 28 in 4 s, 13 allowed.

Cause: the limit belongs to the upstream, and each node decided alone what to send. Ruled out: one kind of send that escapes (all kinds pass one place, relay_send_place(), but for freed memory and lists of cached parts, which are counted too).

Change: each limited upstream has one coordinator, chosen by rendezvous hashing among the nodes that are alive (in a large fleet among the failure domains' leaders). It issues permits from a token bucket at the rate of the limit; other nodes ask it for each request with a datagram and a call waits for the reply at most 100 ms. A permit lasts 1 s and is counted when it is issued, so that lost datagrams, frozen and failed nodes can only send less. A new coordinator begins with an empty bucket; a node that hears only a minority of the fleet, or misses nodes that others hear, issues at a part of the rate. Limits travel in frames with their age; the newest statement counts; an answer without the field revokes a limit if its request was sent after the limit was named. Where no permit is to be had a request goes elsewhere, and is refused at once with the time of the next permit if all upstreams of its pool are limited (why=limited).

Weighed against it: an equal split (wastes most of a limit of 1 a second where one of nine nodes has the load, and rounds to nothing at 195), shares by reported load (add up only while all nodes have the same view), nodes that report what they sent and send while the sum is low (in one delay of the frames each node may send one), and counting in the record source (down when it is needed).

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1447,6 +1447,96 @@
   assert(message->base.descriptor == &dff__relay_word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_limit__init
+                     (Dff__RelayLimit         *message)
+{
+  static const Dff__RelayLimit init_value = DFF__RELAY_LIMIT__INIT;
+  *message = init_value;
+}
+size_t dff__relay_limit__get_packed_size
+                     (const Dff__RelayLimit *message)
+{
+  assert(message->base.descriptor == &dff__relay_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_limit__pack
+                     (const Dff__RelayLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_limit__pack_to_buffer
+                     (const Dff__RelayLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayLimit *
+       dff__relay_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayLimit *)
+     protobuf_c_message_unpack (&dff__relay_limit__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_limit__free_unpacked
+                     (Dff__RelayLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dff__relay_permit__init
+                     (Dff__RelayPermit         *message)
+{
+  static const Dff__RelayPermit init_value = DFF__RELAY_PERMIT__INIT;
+  *message = init_value;
+}
+size_t dff__relay_permit__get_packed_size
+                     (const Dff__RelayPermit *message)
+{
+  assert(message->base.descriptor == &dff__relay_permit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_permit__pack
+                     (const Dff__RelayPermit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_permit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_permit__pack_to_buffer
+                     (const Dff__RelayPermit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_permit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayPermit *
+       dff__relay_permit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayPermit *)
+     protobuf_c_message_unpack (&dff__relay_permit__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_permit__free_unpacked
+                     (Dff__RelayPermit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_permit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4469,7 +4559,213 @@
   (ProtobufCMessageInit) dff__relay_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[17] =
+static const ProtobufCFieldDescriptor dff__relay_limit__field_descriptors[4] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLimit, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLimit, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_limit__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = born */
+  2,   /* field[2] = rate */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange dff__relay_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor dff__relay_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayLimit",
+  "RelayLimit",
+  "Dff__RelayLimit",
+  "dff",
+  sizeof(Dff__RelayLimit),
+  4,
+  dff__relay_limit__field_descriptors,
+  dff__relay_limit__field_indices_by_name,
+  1,  dff__relay_limit__number_ranges,
+  (ProtobufCMessageInit) dff__relay_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_permit__field_descriptors[8] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_at",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, asked_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPermit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_permit__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
+  2,   /* field[2] = asked_at */
+  1,   /* field[1] = born */
+  4,   /* field[4] = granted */
+  6,   /* field[6] = rate */
+  3,   /* field[3] = reply */
+  0,   /* field[0] = upstream */
+  5,   /* field[5] = wait_ms */
+};
+static const ProtobufCIntRange dff__relay_permit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor dff__relay_permit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayPermit",
+  "RelayPermit",
+  "Dff__RelayPermit",
+  "dff",
+  sizeof(Dff__RelayPermit),
+  8,
+  dff__relay_permit__field_descriptors,
+  dff__relay_permit__field_indices_by_name,
+  1,  dff__relay_permit__number_ranges,
+  (ProtobufCMessageInit) dff__relay_permit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[21] =
 {
   {
     "node",
@@ -4675,6 +4971,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_limits),
+    offsetof(Dff__RelayBeat, limits),
+    &dff__relay_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_permits),
+    offsetof(Dff__RelayBeat, permits),
+    &dff__relay_permit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -4683,10 +5027,14 @@
   7,   /* field[7] = domain */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kept */
+  19,   /* field[19] = leader */
+  17,   /* field[17] = limits */
   12,   /* field[12] = link_mbps */
   4,   /* field[4] = loads */
   9,   /* field[9] = marks */
   0,   /* field[0] = node */
+  20,   /* field[20] = nodes */
+  18,   /* field[18] = permits */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
   8,   /* field[8] = source_age_ms */
@@ -4699,7 +5047,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 17 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -4709,7 +5057,7 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  17,
+  21,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
   2,  dff__relay_beat__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -47,6 +47,8 @@
 typedef struct Dff__RelayKept Dff__RelayKept;
 typedef struct Dff__RelayCrash Dff__RelayCrash;
 typedef struct Dff__RelayWord Dff__RelayWord;
+typedef struct Dff__RelayLimit Dff__RelayLimit;
+typedef struct Dff__RelayPermit Dff__RelayPermit;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -698,6 +700,64 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * An upstream's statement of its rate limit.
+ */
+struct  Dff__RelayLimit
+{
+  ProtobufCMessage base;
+  uint32_t upstream;
+  /*
+   * the start that said so
+   */
+  uint64_t born;
+  /*
+   * requests a second from all nodes; 0: no limit
+   */
+  double rate;
+  /*
+   * since it said so
+   */
+  uint32_t age_ms;
+};
+#define DFF__RELAY_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_limit__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * A request for a permit to send one request to a limited upstream, or the
+ * coordinator's reply.
+ */
+struct  Dff__RelayPermit
+{
+  ProtobufCMessage base;
+  uint32_t upstream;
+  uint64_t born;
+  /*
+   * by the asker's clock; the reply repeats it
+   */
+  uint64_t asked_at;
+  protobuf_c_boolean reply;
+  protobuf_c_boolean granted;
+  /*
+   * not granted: none is available for so long
+   */
+  uint32_t wait_ms;
+  /*
+   * of a request: the limit as the asker knows it
+   */
+  double rate;
+  /*
+   * since the upstream stated it
+   */
+  uint32_t age_ms;
+};
+#define DFF__RELAY_PERMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_permit__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -751,10 +811,25 @@
    * loads, parts and crashes only
    */
   protobuf_c_boolean brief;
+  size_t n_limits;
+  Dff__RelayLimit **limits;
+  /*
+   * a frame with these has nothing else
+   */
+  size_t n_permits;
+  Dff__RelayPermit **permits;
+  /*
+   * of a summary: address of the node that made it
+   */
+  char *leader;
+  /*
+   * that the node hears and itself
+   */
+  uint32_t nodes;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1365,6 +1440,44 @@
 void   dff__relay_word__free_unpacked
                      (Dff__RelayWord *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayLimit methods */
+void   dff__relay_limit__init
+                     (Dff__RelayLimit         *message);
+size_t dff__relay_limit__get_packed_size
+                     (const Dff__RelayLimit   *message);
+size_t dff__relay_limit__pack
+                     (const Dff__RelayLimit   *message,
+                      uint8_t             *out);
+size_t dff__relay_limit__pack_to_buffer
+                     (const Dff__RelayLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayLimit *
+       dff__relay_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_limit__free_unpacked
+                     (Dff__RelayLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Dff__RelayPermit methods */
+void   dff__relay_permit__init
+                     (Dff__RelayPermit         *message);
+size_t dff__relay_permit__get_packed_size
+                     (const Dff__RelayPermit   *message);
+size_t dff__relay_permit__pack
+                     (const Dff__RelayPermit   *message,
+                      uint8_t             *out);
+size_t dff__relay_permit__pack_to_buffer
+                     (const Dff__RelayPermit   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayPermit *
+       dff__relay_permit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_permit__free_unpacked
+                     (Dff__RelayPermit *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1482,6 +1595,12 @@
 typedef void (*Dff__RelayWord_Closure)
                  (const Dff__RelayWord *message,
                   void *closure_data);
+typedef void (*Dff__RelayLimit_Closure)
+                 (const Dff__RelayLimit *message,
+                  void *closure_data);
+typedef void (*Dff__RelayPermit_Closure)
+                 (const Dff__RelayPermit *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1523,6 +1642,8 @@
 extern const ProtobufCMessageDescriptor dff__relay_kept__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_crash__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/cache_query.c
+++ b/source/relay/cache_query.c
@@ -6,11 +6,13 @@
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/internal.h"
+#include "relay/permit.h"
 
 /* Engines listed within this time, as by the pages of one read of the records,
  * are queried together. */
 #define QUERY_DELAY (20 * DFF_MSEC)
+/* Time after which an engine is tried again that limits its requests. */
+#define LIMITED_RETRY_TIME DFF_SEC
 /* Engines that one node queries until it ends, chosen by hash if there are
  * more: enough for a failure domain of the present size, and a bound on
  * connections. */
@@ -62,6 +64,7 @@
 	uint64_t count = 0;
 	dff_time_t pause_end = DFF_TIME_NEVER;
 	upstream_t *up;
+	bool chosen;
 
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;)
@@ -74,10 +77,16 @@
 			pause_end = MIN(pause_end, up->pause_until);
 			continue;
 		}
-		up->cache_list_requested = true;
-		if (relay->cache_queries < QUERIES_MAX &&
+		chosen = relay->cache_queries < QUERIES_MAX &&
 		    dff_hash(&up->hash, sizeof(up->hash), own_hash) % count <
-			left)
+			left;
+		if (chosen && !permit_take_at_hand(step, up)) {
+			pause_end =
+			    MIN(pause_end, step->now + LIMITED_RETRY_TIME);
+			continue;
+		}
+		up->cache_list_requested = true;
+		if (chosen)
 			send_query(step, up);
 	}
 	if (pause_end != DFF_TIME_NEVER)
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/permit.h"
 #include "relay/suspect.h"
 
 /* Retry time while there is no routing: it is read within seconds of a start.
@@ -105,13 +106,15 @@
 static void
 release_handle(step_t *step, const call_t *call)
 {
-	const upstream_t *up;
+	upstream_t *up;
 	dff_relay_effect_t *fx;
 
 	if (call->kv_handle[0] == '\0')
 		return;
 	up = upstreams_get(step->relay->upstreams, call->prefill_engine);
-	if (up == NULL || !upstream_is_available(up, step->now))
+	/* Memory that is not freed expires. */
+	if (up == NULL || !upstream_is_available(up, step->now) ||
+	    !permit_take_at_hand(step, up))
 		return;
 	fx = relay_add_fx(step, DFF_RELAY_FX_RELEASE);
 	g_strlcpy(
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -9,8 +9,10 @@
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/suspect.h"
+#include "relay/limit.h"
 #include "relay/notice.h"
+#include "relay/permit.h"
+#include "relay/suspect.h"
 
 /* Shortest time between fetches of one feed: an answer takes several round
  * trips. */
@@ -163,6 +165,7 @@
 	if (frame->summary) {
 		peer = peers_find_or_add_summary(relay, frame->node);
 		g_strlcpy(peer->domain, frame->domain, sizeof(peer->domain));
+		g_strlcpy(peer->leader, frame->leader, sizeof(peer->leader));
 		return peer;
 	}
 	if (frame->brief) {
@@ -202,11 +205,14 @@
 		unreachable_apply_peer(
 		    step, peer, frame->unreachable, frame->n_unreachable);
 	notice_apply_frame(step, peer, frame);
+	limit_apply_frame(step, peer, frame);
 	apply_parts(step, frame);
 	for (size_t i = 0; i < frame->n_crashes; i++)
 		suspect_apply_peer_crash(step, peer, frame->crashes[i]);
-	if (!frame->brief)
+	if (!frame->brief) {
+		peer->nodes = frame->nodes;
 		apply_marks(step, peer, frame);
+	}
 	if (!frame->summary) {
 		queue_summary_parts(step, frame);
 		note_remote_loads(step, peer);
@@ -228,7 +234,10 @@
 		    datagram->len);
 		return;
 	}
-	if (!frame->summary || strcmp(frame->domain, relay->config.domain) != 0)
+	if (frame->n_permits > 0)
+		permit_receive(step, datagram, frame);
+	else if (!frame->summary ||
+	    strcmp(frame->domain, relay->config.domain) != 0)
 		apply_frame(step, datagram, frame);
 	dff__relay_beat__free_unpacked(frame, NULL);
 }
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -7,8 +7,9 @@
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/suspect.h"
+#include "relay/limit.h"
 #include "relay/notice.h"
+#include "relay/suspect.h"
 
 /* Sends that start within this time are reported in one frame. */
 #define UPDATE_DELAY (3 * DFF_MSEC)
@@ -57,6 +58,8 @@
 	uint32_t unreachable[UNREACHABLE_MAX];
 	Dff__RelayWord notices[NOTICE_ROWS_MAX];
 	Dff__RelayWord *notice_rows[NOTICE_ROWS_MAX];
+	Dff__RelayLimit limits[LIMIT_ROWS_MAX];
+	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
 	char node[2 * DFF_NAME_MAX];
 } draft_t;
 
@@ -103,7 +106,7 @@
 }
 
 static void
-init_draft(const dff_relay_t *relay, draft_t *draft)
+init_draft(draft_t *draft)
 {
 	dff__relay_beat__init(&draft->frame);
 	for (size_t i = 0; i < LOADS_MAX; i++)
@@ -114,11 +117,13 @@
 		draft->crash_rows[i] = &draft->crashes[i];
 	for (size_t i = 0; i < NOTICE_ROWS_MAX; i++)
 		draft->notice_rows[i] = &draft->notices[i];
+	for (size_t i = 0; i < LIMIT_ROWS_MAX; i++)
+		draft->limit_rows[i] = &draft->limits[i];
 	draft->frame.words = draft->notice_rows;
+	draft->frame.limits = draft->limit_rows;
 	draft->frame.loads = draft->load_rows;
 	draft->frame.kept = draft->part_rows;
 	draft->frame.crashes = draft->crash_rows;
-	draft->frame.incarnation = relay->config.incarnation;
 	draft->frame.source_age_ms = AGE_NEVER;
 }
 
@@ -178,18 +183,18 @@
 	}
 }
 
-/* Encodes the frame, which stays valid until the next step. */
-static GByteArray *
-pack(dff_relay_t *relay, draft_t *draft)
+const GByteArray *
+frame_pack(dff_relay_t *relay, Dff__RelayBeat *frame)
 {
-	GByteArray *frame = g_byte_array_new();
+	GByteArray *bytes = g_byte_array_new();
 
-	g_ptr_array_add(relay->frames, frame);
-	draft->frame.sequence = ++relay->sequence;
+	g_ptr_array_add(relay->frames, bytes);
+	frame->incarnation = relay->config.incarnation;
+	frame->sequence = ++relay->sequence;
 	g_byte_array_set_size(
-	    frame, (guint)dff__relay_beat__get_packed_size(&draft->frame));
-	(void)dff__relay_beat__pack(&draft->frame, frame->data);
-	return frame;
+	    bytes, (guint)dff__relay_beat__get_packed_size(frame));
+	(void)dff__relay_beat__pack(frame, bytes->data);
+	return bytes;
 }
 
 /* Adds how far and when the record source was read, and the address that serves
@@ -209,36 +214,39 @@
 
 /* Adds this node's identity and its state beside its own sends. */
 static void
-add_state(step_t *step, draft_t *draft)
+add_state(step_t *step, draft_t *draft, bool full)
 {
 	dff_relay_t *relay = step->relay;
 
 	draft->frame.node = relay->config.id;
 	draft->frame.domain = relay->config.domain;
 	draft->frame.link_mbps = relay->config.link_mbps;
+	draft->frame.nodes = 1 + peers_count_direct(relay, step->now);
 	draft->frame.version =
 	    relay->routing != NULL ? relay->routing->version : 0;
 	add_feeds(step, draft, relay->source_read_at);
 	draft->frame.n_words =
 	    notice_list(relay, NOTICE_ORIGIN_SELF, draft->notices, step->now);
+	draft->frame.n_limits =
+	    limit_list(relay, false, full, draft->limits, step->now);
 	draft->frame.unreachable = draft->unreachable;
 	draft->frame.n_unreachable =
 	    unreachable_list(relay, draft->unreachable, step->now);
 }
 
 /* Builds a frame of this node's own sends and state. */
-static GByteArray *
+static const GByteArray *
 make_own_frame(step_t *step, extent_t extent)
 {
 	dff_relay_t *relay = step->relay;
 	draft_t draft;
 	upstream_t *up;
 
-	init_draft(relay, &draft);
+	init_draft(&draft);
 	draft.frame.changes = extent != EXTENT_FULL;
 	draft.frame.brief = extent == EXTENT_CHANGES;
 	if (!draft.frame.brief)
-		add_state(step, &draft);
+		add_state(step, &draft, extent == EXTENT_FULL);
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
 		in_flight_t sends =
@@ -254,7 +262,7 @@
 	    extent == EXTENT_FULL ? EVIDENCE_OWN_AND_REFUSED : EVIDENCE_OWN,
 	    step->now);
 	relay->broadcast_at = step->now;
-	return pack(relay, &draft);
+	return frame_pack(relay, &draft.frame);
 }
 
 /* Sums up the sends of this domain's nodes at an upstream. */
@@ -267,19 +275,42 @@
 	    up->memory + up->peer_sends.memory - up->domain_sends.memory);
 }
 
+/* Adds what this domain knows beside its nodes' sends. */
+static void
+add_domain_state(step_t *step, draft_t *draft)
+{
+	dff_relay_t *relay = step->relay;
+	bool all_limits =
+	    step->now - relay->limits_summarized_at >= FULL_FRAME_INTERVAL;
+
+	expire_parts(relay->summary_parts, step->now);
+	add_parts(relay->summary_parts, draft,
+	    step->now - peers_scale_summary_time(relay, SUMMARY_PART_TIME));
+	draft->frame.n_crashes =
+	    suspect_list(relay, draft->crashes, EVIDENCE_ALL, step->now);
+	add_feeds(step, draft, peers_last_source_read(relay));
+	draft->frame.n_words =
+	    notice_list(relay, NOTICE_ORIGIN_PEER, draft->notices, step->now);
+	draft->frame.leader = relay->config.addr;
+	draft->frame.n_limits =
+	    limit_list(relay, true, all_limits, draft->limits, step->now);
+	if (all_limits)
+		relay->limits_summarized_at = step->now;
+}
+
 /*
  * Builds a summary over the nodes of this domain, one for upstreams here and
  * one for upstreams in other domains. The nodes there cannot know the latter
  * loads, so that these are also reported at once.
  */
-static GByteArray *
+static const GByteArray *
 make_summary(step_t *step, bool remote, bool changes)
 {
 	dff_relay_t *relay = step->relay;
 	draft_t draft;
 	upstream_t *up;
 
-	init_draft(relay, &draft);
+	init_draft(&draft);
 	(void)g_snprintf(draft.node, sizeof(draft.node), "domain %s %s",
 	    relay->config.domain, remote ? "far" : "near");
 	draft.frame.node = draft.node;
@@ -295,18 +326,9 @@
 		sum = sum_domain_sends(up);
 		add_load(&draft, up, &sum, &up->domain_reported);
 	}
-	if (!remote) {
-		expire_parts(relay->summary_parts, step->now);
-		add_parts(relay->summary_parts, &draft,
-		    step->now -
-			peers_scale_summary_time(relay, SUMMARY_PART_TIME));
-		draft.frame.n_crashes =
-		    suspect_list(relay, draft.crashes, EVIDENCE_ALL, step->now);
-		add_feeds(step, &draft, peers_last_source_read(relay));
-		draft.frame.n_words = notice_list(
-		    relay, NOTICE_ORIGIN_PEER, draft.notices, step->now);
-	}
-	return pack(relay, &draft);
+	if (!remote)
+		add_domain_state(step, &draft);
+	return frame_pack(relay, &draft.frame);
 }
 
 static void
@@ -344,7 +366,7 @@
 send_summaries(step_t *step, bool remote, bool changes)
 {
 	dff_relay_t *relay = step->relay;
-	GByteArray *frame = make_summary(step, remote, changes);
+	const GByteArray *frame = make_summary(step, remote, changes);
 
 	for (guint i = 0; i < relay->peers->len; i++) {
 		peer_t *peer = relay->peers->pdata[i];
@@ -362,7 +384,7 @@
 send_own_frames(step_t *step, extent_t extent)
 {
 	dff_relay_t *relay = step->relay;
-	GByteArray *frame = make_own_frame(step, extent);
+	const GByteArray *frame = make_own_frame(step, extent);
 	uint64_t bytes = 0;
 
 	for (guint i = 0; i < relay->peers->len; i++) {
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -30,7 +30,13 @@
 	COUNT_BREAKS_FORGOTTEN,
 	COUNT_LEAVING_NOTICES,
 	COUNT_PAUSE_NOTICES,
-	COUNT_LIMIT_NOTICES,
+	COUNT_LIMIT_CHANGES,
+	COUNT_PERMITS_REQUESTED,
+	COUNT_PERMITS_ISSUED,
+	COUNT_PERMITS_USED,
+	COUNT_PERMITS_DENIED,
+	COUNT_PERMITS_UNANSWERED,
+	COUNT_REFUSED_LIMITED,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -48,7 +54,9 @@
 	char *addr; /* "" for a domain's summary */
 	char *node; /* NULL before its first frame */
 	char domain[DFF_NAME_MAX]; /* "" if not known */
+	char leader[DFF_ADDR_MAX]; /* of a summary, the node that made it */
 	uint32_t link_mbps; /* 0 if not known */
+	uint32_t nodes; /* alive nodes by its own count */
 	uint64_t incarnation;
 	uint64_t sequence;
 	dff_time_t source_read_at; /* when it read the record source; 0 never */
@@ -132,6 +140,9 @@
 	uint32_t avoid_count;
 	send_t send;
 	dff_handle_t awaited_probe; /* upstream being probed before a retry */
+	dff_handle_t awaited_permit; /* upstream for which a permit was asked */
+	uint32_t permit_requests; /* so far */
+	bool budget_taken; /* its next send was taken from the retry budget */
 	partial_event_t partial_event; /* of the send's stream */
 	GByteArray *buffered; /* bytes that may not be forwarded yet */
 	dff_time_t first_byte_at; /* first byte forwarded */
@@ -176,6 +187,9 @@
 	dff_time_t records_settled_at;
 	dff_time_t stop_at; /* when it was asked to stop; 0 before */
 	uint32_t cache_queries; /* engines queried so far */
+	/* Where own frames and summaries go on listing rate limits. */
+	dff_handle_t next_limit_row[2];
+	dff_time_t limits_summarized_at; /* last summary with all limits */
 	uint64_t counts[COUNT_COUNT];
 	dff_hist_t *first_byte_time;
 	dff_hist_t *answer_time;
@@ -267,6 +281,8 @@
 void peers_add(dff_relay_t *relay, const char *addr, const char *domain,
     uint32_t link_mbps, dff_time_t now);
 uint32_t peers_count_alive(const dff_relay_t *relay, dff_time_t now);
+/** peers_count_direct() - the same, of those that receive own frames */
+uint32_t peers_count_direct(const dff_relay_t *relay, dff_time_t now);
 bool peers_fleet_is_large(const dff_relay_t *relay);
 dff_time_t peers_frame_interval(const dff_relay_t *relay);
 void peers_free_all(dff_relay_t *relay);
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -151,6 +151,17 @@
 	return alive;
 }
 
+uint32_t
+peers_count_direct(const dff_relay_t *relay, dff_time_t now)
+{
+	uint32_t alive = 0;
+
+	for (guint i = 0; i < relay->peers->len; i++)
+		alive += peer_is_direct(relay, relay->peers->pdata[i]) &&
+		    peer_is_alive(relay, relay->peers->pdata[i], now);
+	return alive;
+}
+
 bool
 peers_upstream_is_remote(const dff_relay_t *relay, const upstream_t *up)
 {
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -63,6 +63,9 @@
  *	a domain's summaries */
 dff_time_t peer_frame_interval(const dff_relay_t *relay, const peer_t *peer);
 
+/** frame_pack() - encode a frame of this node, valid until the next step */
+const GByteArray *frame_pack(dff_relay_t *relay, Dff__RelayBeat *frame);
+
 /** peers_sweep() - clear the loads of silent peers, and remove peers that are
  *	silent for long */
 void peers_sweep(step_t *step);
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -245,10 +245,20 @@
 		*best = *candidate;
 }
 
+/* Whether the upstream's rate limit may leave room for a request. */
+static bool
+has_room(const search_t *search, const upstream_t *up)
+{
+	if (search->request->permit_at_hand)
+		return rate_limit_has_permit(&up->limit, search->now);
+	return !rate_limit_is_denied(&up->limit, search->now);
+}
+
 static bool
 is_candidate(const search_t *search, const upstream_t *up, dff_handle_t handle)
 {
 	return upstream_is_available(up, search->now) &&
+	    (has_room(search, up) || DFF_FAULT(RELAY_LIMIT_IGNORED)) &&
 	    !is_avoided(search->request, handle) &&
 	    strcmp(up->record.pool, search->request->pool) == 0;
 }
@@ -493,21 +503,28 @@
 	set_place(place, &read, DFF_STAGE_PREFILL);
 }
 
-/* Time until the first pause of an upstream ends; 0 if none has one. */
-static dff_time_t
-min_pause(const search_t *search)
+/* Finds the first upstream that may accept requests again. */
+static void
+set_retry(const search_t *search, placement_t *place)
 {
 	dff_time_t first = DFF_TIME_NEVER;
 	upstream_t *up;
 
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(search->upstreams, h, &up)) != 0;) {
-		if (upstream_is_listed(up, search->now) &&
-		    up->pause_until > search->now &&
-		    strcmp(up->record.pool, search->request->pool) == 0)
-			first = MIN(first, up->pause_until);
+		bool limited = !has_room(search, up);
+		dff_time_t until = MAX(up->pause_until,
+		    limited ? MAX(up->limit.denied_until, search->now) : 0);
+
+		if (!upstream_is_listed(up, search->now) ||
+		    strcmp(up->record.pool, search->request->pool) != 0 ||
+		    (!limited && until <= search->now) || until >= first)
+			continue;
+		first = until;
+		place->limited = limited;
 	}
-	return first == DFF_TIME_NEVER ? 0 : first - search->now;
+	if (first != DFF_TIME_NEVER)
+		place->retry = MAX(first - search->now, 1);
 }
 
 void
@@ -533,5 +550,5 @@
 		set_place(place, &best, DFF_STAGE_WHOLE);
 	}
 	if (place->upstream == 0)
-		place->pause = min_pause(&search);
+		set_retry(&search, place);
 }
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -23,6 +23,8 @@
  *	no bound
  * @avoid: handles of excluded upstreams
  * @avoid_count: number of these
+ * @permit_at_hand: of upstreams with a rate limit, only those for which this
+ *	node holds a permit
  * @whole_only: no separate prefill
  * @prefill_engine: engine that holds its KV memory, or 0: only the decode
  *	stage is placed
@@ -38,6 +40,7 @@
 	uint32_t sends_max;
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
+	bool permit_at_hand;
 	bool whole_only;
 	dff_handle_t prefill_engine;
 } placement_request_t;
@@ -51,8 +54,9 @@
  * @uncached: prompt tokens that it has to read
  * @donor: engine that has cached parts which the upstream lacks, or 0
  * @recently_failed: the upstream failed recently; there was no other
- * @pause: without an upstream, time until the first pause of one ends; 0
- *	if none has one
+ * @retry: without an upstream, time until the first of them may accept
+ *	requests again after a pause or under its rate limit; 0 if none will
+ * @limited: that one has a rate limit
  */
 typedef struct placement {
 	dff_stage_t stage;
@@ -62,7 +66,8 @@
 	uint32_t uncached;
 	dff_handle_t donor;
 	bool recently_failed;
-	dff_time_t pause;
+	dff_time_t retry;
+	bool limited;
 } placement_t;
 
 /** struct pool_stats - measured performance of the engines */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/coordinator.h"
 #include "relay/suspect.h"
 
 /* Defaults for a small fleet. */
@@ -222,6 +223,7 @@
 {
 	dff_relay_t *relay = step->relay;
 
+	coordinator_update_all(step);
 	frame_send_periodic(step);
 	share_budget(relay);
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_HEARTBEAT, 0,
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/permit.h"
 #include "relay/send.h"
 #include "relay/suspect.h"
 
@@ -427,6 +428,10 @@
 	call_t *call = dff_table_get(step->relay->calls, handle);
 	upstream_t *up;
 
+	if (call != NULL && call->awaited_permit != 0) {
+		permit_time_out(step, call);
+		return;
+	}
 	if (call == NULL || call->send.number == 0)
 		return;
 	if (budget_left(step->relay->budget, call->pool, step->now) < 1)
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/permit.h"
 #include "relay/send.h"
 #include "relay/suspect.h"
 
@@ -225,7 +226,7 @@
 	    place->uncached, call->prompt.tokens,
 	    donor != NULL ? donor->record.id : "-", send->backlog_ahead,
 	    up->running, up->peer_sends.running, up->error_rate,
-	    up->own_limit.rate);
+	    rate_limit_newest(&up->limit)->rate);
 }
 
 /* Time after arrival until which a first byte is useful. */
@@ -276,6 +277,7 @@
 	    peers_fleet_is_large(step->relay) ? CROSS_DOMAIN_PENALTY : 0;
 	memcpy(request->avoid, call->avoid, sizeof(request->avoid));
 	request->avoid_count = call->avoid_count;
+	request->permit_at_hand = call->permit_requests >= PERMIT_REQUESTS_MAX;
 	request->whole_only = call->after_event >= 0;
 	request->prefill_engine =
 	    call->kv_handle[0] != '\0' ? call->prefill_engine : 0;
@@ -290,6 +292,7 @@
 	fill_placement_request(step, call, &request);
 	if (request.avoid_count < AVOID_MAX)
 		request.avoid[request.avoid_count++] = call->send.upstream;
+	request.permit_at_hand = true;
 	place_request(step->relay->upstreams, &step->relay->pool_stats,
 	    &request, step->now, &place);
 	return place.upstream != 0 && !place.recently_failed &&
@@ -337,70 +340,135 @@
 	return true;
 }
 
-void
-relay_send_place(step_t *step, call_t *call)
+/* Gives up a call that no upstream can serve, whatever its state. */
+static bool
+give_up_if_spent(step_t *step, call_t *call)
 {
-	dff_relay_t *relay = step->relay;
-	dff_time_t waited = step->now - call->arrived_at;
-	dff_time_t limit = first_byte_limit(call);
-	placement_request_t request;
-	placement_t place;
-
-	if (give_up_if_refused(step, call))
-		return;
-	drop_expired_handle(step, call);
 	if (call->deadline - step->now < TIME_LEFT_MIN) {
 		relay_call_give_up(
 		    step, call, DFF_FAILURE_TIMEOUT, 0, "no_time_left");
-		return;
+		return true;
 	}
 	if (call->sends - call->unreachable_sends >= SENDS_MAX ||
 	    call->unreachable_sends >= UNREACHABLE_SENDS_MAX) {
 		relay_call_give_up(
 		    step, call, DFF_FAILURE_BUSY, DFF_SEC, "sends");
-		return;
+		return true;
 	}
-	fill_placement_request(step, call, &request);
-	place_request(
-	    relay->upstreams, &relay->pool_stats, &request, step->now, &place);
-	if (place.upstream == 0) {
-		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
-		    place.pause > 0 ? retry_time(step, place.pause) : DFF_SEC,
-		    place.pause > 0 ? "upstreams_away" : "no_upstream");
-		return;
+	return false;
+}
+
+static void
+give_up_unplaced(step_t *step, call_t *call, const placement_t *place)
+{
+	const char *why = "no_upstream";
+
+	if (place->limited) {
+		step->relay->counts[COUNT_REFUSED_LIMITED]++;
+		why = "limited";
+	} else if (place->retry > 0)
+		why = "upstreams_away";
+	relay_call_give_up(step, call, DFF_FAILURE_BUSY,
+	    place->retry > 0 ? retry_time(step, place->retry) : DFF_SEC, why);
+}
+
+/* Gives up a call that its best upstream cannot serve in time, or that may not
+ * be sent once more. */
+static bool
+give_up_if_unservable(step_t *step, call_t *call, const placement_t *place)
+{
+	dff_time_t waited = step->now - call->arrived_at;
+	dff_time_t limit = first_byte_limit(call);
+
+	if (place->upstream == 0) {
+		give_up_unplaced(step, call, place);
+		return true;
 	}
 	/* All candidates failed recently, and this call could not connect. */
-	if (place.recently_failed && call->unreachable_sends > 0 &&
+	if (place->recently_failed && call->unreachable_sends > 0 &&
 	    call->progress != DFF_PROGRESS_ANSWERING) {
 		relay_call_give_up(
 		    step, call, DFF_FAILURE_BUSY, DFF_SEC, "unreachable");
-		return;
+		return true;
 	}
 	if (call->progress != DFF_PROGRESS_ANSWERING &&
 	    call->progress != DFF_PROGRESS_PREFILLED &&
-	    waited + place.wait > limit) {
+	    waited + place->wait > limit) {
 		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
-		    retry_time(step, waited + place.wait - limit), "late");
-		return;
+		    retry_time(step, waited + place->wait - limit), "late");
+		return true;
 	}
 	if (call->sends == 0 && call->prompt.count > 0 &&
-	    place.queue_time > queue_limit(call) &&
+	    place->queue_time > queue_limit(call) &&
 	    !DFF_FAULT(RELAY_ADMIT_ALL)) {
 		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
-		    retry_time(step, place.queue_time - queue_limit(call)),
+		    retry_time(step, place->queue_time - queue_limit(call)),
 		    "queue");
-		return;
+		return true;
 	}
-	if (call->counted_sends > 0) {
-		if (!budget_take(relay->budget, call->pool, step->now)) {
-			relay->counts[COUNT_BUDGET_EMPTY]++;
-			relay_call_give_up(
-			    step, call, DFF_FAILURE_BUSY, DFF_SEC, "budget");
+	return false;
+}
+
+/* An extra send is taken from the budget before the call waits for a permit:
+ * other calls could use up the budget meanwhile. */
+static bool
+give_up_if_over_budget(step_t *step, call_t *call)
+{
+	dff_relay_t *relay = step->relay;
+
+	if (call->counted_sends == 0 ||
+	    (call->budget_taken && !DFF_FAULT(RELAY_BUDGET_TAKEN_TWICE)))
+		return false;
+	call->budget_taken = budget_take(relay->budget, call->pool, step->now);
+	if (call->budget_taken)
+		return false;
+	relay->counts[COUNT_BUDGET_EMPTY]++;
+	relay_call_give_up(step, call, DFF_FAILURE_BUSY, DFF_SEC, "budget");
+	return true;
+}
+
+/* Sends the call to its upstream, which has room for it. */
+static void
+send_placed(step_t *step, call_t *call, const placement_t *place)
+{
+	if (call->budget_taken)
+		step->relay->counts[COUNT_EXTRA_SENDS]++;
+	call->budget_taken = false;
+	start_send(step, call, place);
+}
+
+void
+relay_send_place(step_t *step, call_t *call)
+{
+	dff_relay_t *relay = step->relay;
+	placement_request_t request;
+	placement_t place;
+
+	permit_stop_waiting(step, call);
+	if (give_up_if_refused(step, call))
+		return;
+	drop_expired_handle(step, call);
+	if (give_up_if_spent(step, call))
+		return;
+	fill_placement_request(step, call, &request);
+	for (;;) {
+		place_request(relay->upstreams, &relay->pool_stats, &request,
+		    step->now, &place);
+		if (give_up_if_unservable(step, call, &place) ||
+		    give_up_if_over_budget(step, call))
+			return;
+		switch (permit_take(
+		    step, upstreams_get(relay->upstreams, place.upstream))) {
+		case PERMIT_TAKEN:
+			send_placed(step, call, &place);
+			return;
+		case PERMIT_REQUESTED:
+			permit_wait(step, call, place.upstream);
 			return;
+		case PERMIT_DENIED:
+			break;
 		}
-		relay->counts[COUNT_EXTRA_SENDS]++;
 	}
-	start_send(step, call, &place);
 }
 
 void
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -7,6 +7,7 @@
 #define DFF_RELAY_UPSTREAM_H
 
 #include "dragonflyfall/relay.h"
+#include "relay/rate_limit.h"
 
 /** struct in_flight - sends in flight at an upstream, as frames report them */
 typedef struct in_flight {
@@ -23,16 +24,6 @@
 	NOTICE_ORIGIN_DOMAIN, /* another domain, by its summary */
 } notice_origin_t;
 
-/**
- * struct rate_statement - an upstream's statement of its rate limit
- * @at: when its answer arrived; 0 for none
- * @rate: requests a second from all nodes together; 0 for no limit
- */
-typedef struct rate_statement {
-	dff_time_t at;
-	double rate;
-} rate_statement_t;
-
 /**
  * struct upstream - one upstream
  * @record: its newest record
@@ -54,7 +45,7 @@
  * @leaving_origin: who received that notice
  * @pause_until: it accepts no requests of this node before this moment
  * @peers_pause_until: the same as it told peers, which is only a hint
- * @own_limit: its last statement to this node
+ * @limit: its rate limit and the permits under it
  * @failing_peers: peers that report that they cannot reach it
  * @max_expected: longest time within which one of the sends in flight was
  *	expected to be answered
@@ -86,7 +77,7 @@
 	notice_origin_t leaving_origin;
 	dff_time_t pause_until;
 	dff_time_t peers_pause_until;
-	rate_statement_t own_limit;
+	rate_limit_t limit;
 	uint32_t failing_peers;
 	dff_time_t max_expected;
 	dff_time_t answer_due;
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -129,7 +129,7 @@
 	up->leaving_origin = NOTICE_ORIGIN_NONE;
 	up->pause_until = 0;
 	up->peers_pause_until = 0;
-	memset(&up->own_limit, 0, sizeof(up->own_limit));
+	memset(&up->limit, 0, sizeof(up->limit));
 	g_hash_table_remove_all(up->cached_parts);
 	up->cached_tokens = 0;
 }
--- a/test/fake/limit_sim.c
+++ b/test/fake/limit_sim.c
@@ -176,6 +176,7 @@
 	char id[32];
 	char addr[32];
 	char domain[2] = {domain_of(node), '\0'};
+	int known = config.seeds > 0 ? config.seeds : config.nodes;
 
 	(void)g_snprintf(id, sizeof(id), "%s%d", domain, node);
 	get_node_addr(node, addr, sizeof(addr));
@@ -184,7 +185,7 @@
 	n->bench->now += limit_sim_now();
 	n->frozen = false;
 	memset(n->told_at, 0, sizeof(n->told_at));
-	for (int i = 0; i < config.nodes; i++) {
+	for (int i = 0; i < known; i++) {
 		char peer_domain[2] = {domain_of(i), '\0'};
 
 		get_node_addr(i, addr, sizeof(addr));
@@ -624,9 +625,10 @@
 }
 
 void
-limit_sim_set_load(double per_s)
+limit_sim_set_load(double per_s, int busy_nodes)
 {
 	config.per_s = per_s;
+	config.busy_nodes = busy_nodes;
 }
 
 void
--- a/test/fake/limit_sim.h
+++ b/test/fake/limit_sim.h
@@ -22,6 +22,7 @@
  * @per_s: requests a second
  * @busy_nodes: only so many nodes get requests; 0 for all
  * @answer_time: time from the arrival of a request to its answer
+ * @seeds: nodes that a node knows at its start; 0 for all
  * @retries: refused callers come back once, at another node, when told
  */
 typedef struct limit_sim_config {
@@ -33,6 +34,7 @@
 	double per_s;
 	int busy_nodes;
 	dff_time_t answer_time;
+	int seeds;
 	bool retries;
 } limit_sim_config_t;
 
@@ -62,8 +64,9 @@
 /** limit_sim_stop() - end the simulation and free it */
 void limit_sim_stop(void);
 
-/** limit_sim_set_load() - change the rate of requests */
-void limit_sim_set_load(double per_s);
+/** limit_sim_set_load() - change the rate of requests and the number of nodes
+ *	that get them, 0 for all */
+void limit_sim_set_load(double per_s, int busy_nodes);
 
 /** limit_sim_set_limit() - from now on the upstream names @rate in all answers;
  *	a negative one is not named */
--- a/test/test_relay_log_lines.c
+++ b/test/test_relay_log_lines.c
@@ -55,7 +55,8 @@
 	relay_bench_drop(peer);
 }
 
-/* An upstream names a rate limit in its answer. */
+/* An upstream names a rate limit in its answer; the next request finds no
+ * permit. */
 static void
 name_rate_limit(relay_bench_t *bench)
 {
@@ -67,6 +68,8 @@
 	send = relay_bench_send(bench);
 	relay_bench_head_notice(bench, send, 200, false, notice);
 	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
+	(void)relay_bench_open(bench, "/read/x", 4);
+	relay_bench_wait(bench, 200 * DFF_MSEC);
 }
 
 /* Run the kinds of failed requests that the page describes. */
@@ -146,7 +149,7 @@
 START_TEST(causes_in_operations_page_are_logged)
 {
 	static const char *const causes[] = {"why=queue ", "why=broken ",
-	    "why=no_routing ", "why=breaks_upstreams "};
+	    "why=no_routing ", "why=breaks_upstreams ", "why=limited "};
 
 	lines = g_ptr_array_new_with_free_func(g_free);
 	run_failed_requests();
