Soak: upstreams limit their rate of requests at times

An upstream names 0.7, 1.3 or 4 requests a second for 6 to 14 s in all answers; each arrival from an edge that received the limit half a second before is counted, and more than 1.5 times the limit and five in 4 s is a failed check. Excused are 3 s after a fault or a start of the edge, a fault of the upstream's link and a stall of the soak itself.

--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -65,6 +65,7 @@
 	soak_t *soak;
 	proxy_t *proxy;
 	edge_proc_t *edge;
+	soak_upstream_t *up;
 	bool store;
 	bool corruption;
 } undo_t;
@@ -84,6 +85,8 @@
 
 	if (undo->proxy != NULL)
 		proxy_set(undo->proxy, LINK_OK);
+	if (undo->up != NULL)
+		undo->up->last_fault = now;
 	if (undo->edge != NULL) {
 		undo->edge->last_fault = now;
 		if (undo->edge->paused && undo->edge->running) {
@@ -115,7 +118,8 @@
 }
 
 static void
-fault_link(soak_t *soak, proxy_t *proxy, edge_proc_t *edge, const char *name)
+fault_link(soak_t *soak, proxy_t *proxy, edge_proc_t *edge, soak_upstream_t *up,
+    const char *name)
 {
 	link_fault_t fault = (link_fault_t)g_rand_int_range(
 	    soak->rng, LINK_STALLED, LINK_REFUSED + 1);
@@ -123,8 +127,11 @@
 
 	undo->proxy = proxy;
 	undo->edge = edge;
+	undo->up = up;
 	if (edge != NULL)
 		edge->last_fault = dff_program_now();
+	if (up != NULL)
+		up->last_fault = dff_program_now();
 	soak_trace(soak, "link fault=%d to=%s", (int)fault, name);
 	proxy_set(proxy, fault);
 }
@@ -173,11 +180,11 @@
 		edge_signal(soak, edge, SIGHUP);
 		break;
 	case 4:
-		fault_link(soak, edge->store_proxy, edge, "store");
+		fault_link(soak, edge->store_proxy, edge, NULL, "store");
 		break;
 	case 5:
 		if (!up->crashed)
-			fault_link(soak, up->proxy, NULL, up->id);
+			fault_link(soak, up->proxy, NULL, up, up->id);
 		break;
 	case 6:
 		fault_store(soak);
@@ -228,8 +235,10 @@
 		last_refresh = now;
 		upstreams_refresh_records(soak);
 	}
-	if (now - soak->start > WARMUP_TIME)
+	if (now - soak->start > WARMUP_TIME) {
+		limits_tick(soak);
 		callers_tick(soak);
+	}
 	if (now > next_fault && now < soak->faults_end) {
 		inject_fault(soak);
 		next_fault = now +
@@ -286,6 +295,7 @@
 	soak->store = standin_new(soak->ctx, &soak->loop, store);
 	soak->client = dff_h1c_new(soak->ctx, &soak->loop);
 	config_write(soak);
+	limits_start(soak);
 	upstreams_start(soak);
 	edges_start(soak);
 	soak->last_tick = soak->start;
@@ -351,10 +361,10 @@
 	soak.trace = g_ptr_array_new();
 	run_soak(&soak, seconds * DFF_SEC);
 	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
-		     "broken=%d\n",
+		     "limited=%d broken=%d\n",
 	    soak.seed, soak.requests, soak.served, soak.recovery_served,
 	    soak.recovery_requests, soak.bad_crashes, soak.bad_late_runs,
-	    soak.violations);
+	    soak.limited_requests, soak.violations);
 	if (soak.violations > 0)
 		write_trace(&soak);
 	else
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -42,6 +42,15 @@
 	dff_time_t started;
 } edge_proc_t;
 
+/** struct rate_limit_sim - the rate limit that an upstream names */
+typedef struct rate_limit_sim {
+	double rate; /* requests a second; 0 for none */
+	dff_time_t end;
+	dff_time_t named_at; /* first answer with it; 0 before */
+	dff_time_t told_at[EDGES]; /* the same to each edge */
+	GArray *arrivals; /* dff_time_t, those of the last window that count */
+} rate_limit_sim_t;
+
 /** struct soak_upstream - one upstream simulated by this program */
 typedef struct soak_upstream {
 	struct soak *soak;
@@ -56,6 +65,8 @@
 	dff_time_t drain_start; /* 0 if it is not draining */
 	dff_time_t restart_at; /* 0 if no restart is due */
 	dff_time_t started;
+	dff_time_t last_fault; /* of its link */
+	rate_limit_sim_t limit;
 } soak_upstream_t;
 
 /** struct attempt - one request of a caller and its result */
@@ -93,6 +104,7 @@
 	uv_loop_t loop;
 	dff_ctx_t *ctx;
 	GRand *rng;
+	GRand *limits_rng;
 	uint32_t seed;
 	int net; /* second byte of the loopback addresses */
 	char *folder;
@@ -121,6 +133,8 @@
 	/* crashes long after the third, from edges without a recent fault */
 	int bad_late_runs;
 	dff_time_t bad_third_crash; /* time of the third such crash */
+	dff_time_t next_limit; /* when an upstream begins to limit its rate */
+	int limited_requests; /* that counted against a limit in force */
 	int violations; /* failed checks */
 } soak_t;
 
@@ -152,6 +166,17 @@
 void upstreams_set_corrupt_share(soak_t *soak, double share);
 void config_write(soak_t *soak);
 
+/* ---- limits.c ---- */
+
+void limits_start(soak_t *soak);
+void limits_tick(soak_t *soak);
+/** limit_field() - header line of an answer to a request, or "" */
+const char *limit_field(
+    soak_upstream_t *up, const char *id, char *text, size_t size);
+/** limit_count() - check that a request may arrive under the limit */
+void limit_count(soak_t *soak, soak_upstream_t *up, const char *id);
+void limit_end(soak_upstream_t *up);
+
 /* ---- edges.c ---- */
 
 void edges_start(soak_t *soak);
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -26,6 +26,9 @@
  * third one, from edges without a recent fault or start. */
 #define BAD_LATE_MAX 3
 
+/* Size of the header line that names a rate limit. */
+#define LIMIT_FIELD_MAX 40
+
 static double corrupt_share; /* share of answers that are lost or truncated */
 
 /* A request that an upstream executes. */
@@ -63,9 +66,12 @@
 static char *
 head_fields(const job_t *job)
 {
+	char limit[LIMIT_FIELD_MAX];
+
 	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Stamp: s-%s\r\n"
-			       "Keep-Alive: timeout=5\r\n",
-	    job->id, job->id);
+			       "Keep-Alive: timeout=5\r\n%s",
+	    job->id, job->id,
+	    limit_field(job->up, job->id, limit, sizeof(limit)));
 }
 
 static void
@@ -217,6 +223,29 @@
 	upstream_crash(soak, up);
 }
 
+static void
+reject(soak_upstream_t *up, dff_h1d_req_t *req, const char *id)
+{
+	char limit[LIMIT_FIELD_MAX];
+	char *fields = g_strdup_printf("X-Not-Executed: 1\r\n%s",
+	    limit_field(up, id, limit, sizeof(limit)));
+
+	dff_h1d_answer(req, 503, fields, "", 0);
+	g_free(fields);
+}
+
+static void
+answer_prefill(soak_upstream_t *up, dff_h1d_req_t *req, const char *id)
+{
+	char limit[LIMIT_FIELD_MAX];
+	char *text = g_strdup_printf(
+	    "{\"kvHandle\":\"h-%s\",\"tokens\":10,\"version\":1}", id);
+
+	dff_h1d_answer(req, 200, limit_field(up, id, limit, sizeof(limit)),
+	    text, strlen(text));
+	g_free(text);
+}
+
 static void
 on_request(void *arg, dff_h1d_req_t *req)
 {
@@ -231,16 +260,13 @@
 		dff_h1d_answer(req, 421, "X-Not-Executed: 1\r\n", "", 0);
 		return;
 	}
+	limit_count(soak, up, id);
 	if (g_rand_double(soak->rng) < corrupt_share / 2) {
-		dff_h1d_answer(req, 503, "X-Not-Executed: 1\r\n", "", 0);
+		reject(up, req, id);
 		return;
 	}
 	if (stage != NULL) {
-		char *text = g_strdup_printf(
-		    "{\"kvHandle\":\"h-%s\",\"tokens\":10,\"version\":1}", id);
-
-		dff_h1d_answer(req, 200, "", text, strlen(text));
-		g_free(text);
+		answer_prefill(up, req, id);
 		return;
 	}
 	if (strcmp(head->method, "DELETE") == 0)
@@ -355,6 +381,7 @@
 static void
 restart_upstream(soak_t *soak, soak_upstream_t *up)
 {
+	limit_end(up);
 	up->crashed = false;
 	up->drain_start = 0;
 	up->restart_at = 0;
