--- a/test/test_relay_limit.c
+++ b/test/test_relay_limit.c
@@ -225,6 +225,23 @@
 }
 END_TEST
 
+START_TEST(generations_move_to_other_engines)
+{
+	limit_sim_config_t config = fast_config;
+	limit_sim_counts_t counts;
+
+	config.engines = true;
+	config.target = "/talk/x";
+	config.per_s = 15;
+	limit_sim_start(&config);
+	set_limits(2, 0.5);
+	limit_sim_run(20 * DFF_SEC);
+	counts = limit_sim_counts(0);
+	ck_assert_int_ge(counts.requests, 250);
+	ck_assert_int_eq(counts.refused + counts.failed, 0);
+}
+END_TEST
+
 /* ---- nodes that fail ---- */
 
 typedef void disturb_t(int node, bool begin);
@@ -652,6 +669,111 @@
 	return NULL;
 }
 
+/* A node alone, which issues all permits itself, and its only upstream. */
+static relay_bench_t *
+new_bench_alone(void)
+{
+	relay_bench_t *bench = relay_bench_new();
+
+	relay_bench_load_routing(bench, 1);
+	relay_bench_load_upstream(bench, "p1", "plain", DFF_ROLE_MIXED, "a", 1);
+	return bench;
+}
+
+static void
+answer(relay_bench_t *bench, uint64_t send, dff_rate_notice_t rate,
+    double rate_max)
+{
+	const dff_upstream_notice_t notice = {
+	    .rate = rate, .rate_max = rate_max};
+
+	relay_bench_head_notice(bench, send, 200, false, notice);
+	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
+}
+
+static uint64_t
+send_request(relay_bench_t *bench)
+{
+	(void)relay_bench_open(bench, "/order/x", bench->next_call);
+	return relay_bench_send(bench);
+}
+
+/* An answer that overtook the one that names the limit, or was overtaken. */
+START_TEST(answer_to_earlier_request_does_not_revoke_limit)
+{
+	relay_bench_t *bench = new_bench_alone();
+	uint64_t earlier = send_request(bench);
+	uint64_t naming = send_request(bench);
+
+	relay_bench_wait(bench, 100 * DFF_MSEC);
+	answer(bench, naming, DFF_RATE_LIMITED, 1);
+	answer(bench, earlier, DFF_RATE_UNLIMITED, 0);
+	ck_assert_uint_eq(send_request(bench), 0);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	earlier = send_request(bench);
+	ck_assert_uint_ne(earlier, 0);
+	answer(bench, earlier, DFF_RATE_UNLIMITED, 0);
+	for (int i = 0; i < 5; i++)
+		ck_assert_uint_ne(send_request(bench), 0);
+	relay_bench_drop(bench);
+}
+END_TEST
+
+START_TEST(answer_that_states_nothing_keeps_limit)
+{
+	relay_bench_t *bench = new_bench_alone();
+	uint64_t send;
+
+	answer(bench, send_request(bench), DFF_RATE_LIMITED, 1);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	send = send_request(bench);
+	ck_assert_uint_ne(send, 0);
+	answer(bench, send, DFF_RATE_UNSTATED, 0);
+	ck_assert_uint_eq(send_request(bench), 0);
+	relay_bench_drop(bench);
+}
+END_TEST
+
+/* Memory of prompts is not freed and lists of cached parts are not asked for
+ * beyond the limit. */
+START_TEST(requests_without_a_caller_count)
+{
+	relay_bench_t *bench = new_bench_alone();
+	dff_relay_event_t event = {.type = DFF_RELAY_NOTICE};
+	uint64_t read;
+	uint64_t call;
+
+	relay_bench_load_upstream(bench, "f1", "llm", DFF_ROLE_PREFILL, "a", 1);
+	relay_bench_load_upstream(bench, "d1", "llm", DFF_ROLE_DECODE, "a", 1);
+	event.notice.upstream = "f1";
+	event.notice.notice.rate = DFF_RATE_LIMITED;
+	event.notice.notice.rate_max = 0.5;
+	relay_bench_step(bench, &event);
+	relay_bench_wait(bench, 500 * DFF_MSEC);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_CACHE_QUERY), 1);
+	ck_assert_str_eq(relay_bench_find(bench, DFF_RELAY_FX_CACHE_QUERY)
+			     ->cache_query.upstream,
+	    "d1");
+	/* The one permit of the next two seconds goes to the list. */
+	relay_bench_wait(bench, 2500 * DFF_MSEC);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_CACHE_QUERY), 1);
+	relay_bench_wait(bench, 2 * DFF_SEC);
+	call = relay_bench_open_prompt(bench, "/talk/x", 7, 9000, 8, 900);
+	read = relay_bench_send(bench);
+	ck_assert_uint_ne(read, 0);
+	relay_bench_head(bench, read, 200, false);
+	relay_bench_end(bench, read, DFF_SEND_DONE, "h1");
+	event.type = DFF_RELAY_CALLER_GONE;
+	event.caller_gone = call;
+	relay_bench_step(bench, &event);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_RELEASE), 0);
+	relay_bench_drop(bench);
+}
+END_TEST
+
 START_TEST(granted_permit_sends_the_waiting_request)
 {
 	relay_bench_t *bench = new_limited_bench();
@@ -783,6 +905,7 @@
 	tcase_add_test(tcase, limit_that_rises_is_used);
 	tcase_add_test(tcase, other_upstreams_take_the_requests);
 	tcase_add_test(tcase, request_that_waits_for_a_permit_keeps_its_budget);
+	tcase_add_test(tcase, generations_move_to_other_engines);
 	tcase_add_test(tcase, limit_holds_while_nodes_restart);
 	tcase_add_test(tcase, limit_holds_while_nodes_freeze);
 	tcase_add_test(tcase, limit_holds_while_nodes_are_cut_off);
@@ -803,6 +926,9 @@
 	tcase_add_test(tcase, requests_within_the_limits_are_served);
 	tcase_add_test(tcase, requests_beyond_all_limits_are_refused_at_once);
 	tcase_add_test(tcase, refused_callers_are_served_when_they_come_back);
+	tcase_add_test(tcase, answer_to_earlier_request_does_not_revoke_limit);
+	tcase_add_test(tcase, answer_that_states_nothing_keeps_limit);
+	tcase_add_test(tcase, requests_without_a_caller_count);
 	tcase_add_test(tcase, granted_permit_sends_the_waiting_request);
 	tcase_add_test(
 	    tcase, denied_permit_refuses_the_waiting_request_at_once);
