Relay: log lines of requests that meet a rate limit; bounds on reported limits

A request that waits for or finds no permit is logged with its id, the limit, the node's share and the permits it used. Limits in frames are bounded like those in answers, and a reply's permit lasts no longer than a second from now, whatever time it repeats.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -219,6 +219,9 @@
 	dff_prompt_t prompt;
 } dff_relay_open_t;
 
+/* Highest rate limit, in requests a second; a higher one counts as this. */
+#define DFF_RATE_MAX 1e6
+
 /** enum dff_rate_notice - what an answer says of its upstream's rate limit */
 typedef enum dff_rate_notice {
 	DFF_RATE_UNSTATED, /* nothing */
@@ -232,7 +235,7 @@
  * @pause: time for which this node is to send it nothing; 0 for none
  * @rate: whether it limits the rate of requests
  * @rate_max: with DFF_RATE_LIMITED, requests a second that it accepts from all
- *	nodes together; not negative
+ *	nodes together; from 0 to DFF_RATE_MAX
  */
 typedef struct dff_upstream_notice {
 	bool leaving;
--- a/source/relay/limit.c
+++ b/source/relay/limit.c
@@ -75,7 +75,7 @@
 {
 	rate_statement_t reported = {
 	    .at = MAX(step->now - age_ms * DFF_MSEC, 1),
-	    .rate = rate > 0 ? MAX(rate, RATE_MIN) : 0};
+	    .rate = rate > 0 ? CLAMP(rate, RATE_MIN, DFF_RATE_MAX) : 0};
 
 	if (reported.at > statement->at)
 		replace(step, up, statement, &reported, told_by);
--- a/source/relay/permit.c
+++ b/source/relay/permit.c
@@ -95,14 +95,29 @@
 	if (!rate_limit_take_permit(&up->limit, step->now))
 		return false;
 	step->relay->counts[COUNT_PERMITS_USED]++;
+	up->limit.used++;
 	return true;
 }
 
+void
+permit_log(
+    step_t *step, const call_t *call, const upstream_t *up, const char *what)
+{
+	dff_log(step->ctx, DFF_LOG_INFO, "place",
+	    "request %s permit id=%s upstream=%s limit=%.2f share=%.2f "
+	    "used=%" G_GUINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT,
+	    what, call->id, up->record.id, rate_limit_newest(&up->limit)->rate,
+	    up->limit.share, up->limit.used,
+	    MAX(up->limit.denied_until - step->now, 0) / DFF_MSEC);
+}
+
 /* ---- calls that wait ---- */
 
 void
 permit_wait(step_t *step, call_t *call, dff_handle_t upstream)
 {
+	permit_log(step, call, upstreams_get(step->relay->upstreams, upstream),
+	    "waits for");
 	call->awaited_permit = upstream;
 	call->permit_requests++;
 	dff_timers_set(step->relay->timers, DFF_TIMER_ATTEMPT,
@@ -222,7 +237,8 @@
 		permit_wake_all(step, up);
 		return;
 	}
-	rate_limit_add_permit(&up->limit, asked_at + PERMIT_LIFETIME);
+	rate_limit_add_permit(
+	    &up->limit, MIN(asked_at, step->now) + PERMIT_LIFETIME);
 	wake_one(step, up);
 }
 
--- a/source/relay/permit.h
+++ b/source/relay/permit.h
@@ -24,6 +24,10 @@
 /** permit_take_at_hand() - the same without asking; false if there is none */
 bool permit_take_at_hand(step_t *step, upstream_t *up);
 
+/** permit_log() - log that a call "waits for" a permit or "finds no" permit */
+void permit_log(
+    step_t *step, const call_t *call, const upstream_t *up, const char *what);
+
 /** permit_wait() - let a call wait for the coordinator's reply */
 void permit_wait(step_t *step, call_t *call, dff_handle_t upstream);
 
--- a/source/relay/rate_limit.h
+++ b/source/relay/rate_limit.h
@@ -36,6 +36,7 @@
  * @permits: times until which the granted permits are valid
  * @permit_count: number of these
  * @denied_until: no permit is available before this moment
+ * @used: permits that this node used
  */
 typedef struct rate_limit {
 	rate_statement_t own;
@@ -48,6 +49,7 @@
 	dff_time_t permits[PERMITS_MAX];
 	uint32_t permit_count;
 	dff_time_t denied_until;
+	uint64_t used;
 } rate_limit_t;
 
 /** rate_limit_newest() - the newest statement, whoever received it */
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -443,6 +443,7 @@
 	dff_relay_t *relay = step->relay;
 	placement_request_t request;
 	placement_t place;
+	upstream_t *up;
 
 	permit_stop_waiting(step, call);
 	if (give_up_if_refused(step, call))
@@ -457,8 +458,8 @@
 		if (give_up_if_unservable(step, call, &place) ||
 		    give_up_if_over_budget(step, call))
 			return;
-		switch (permit_take(
-		    step, upstreams_get(relay->upstreams, place.upstream))) {
+		up = upstreams_get(relay->upstreams, place.upstream);
+		switch (permit_take(step, up)) {
 		case PERMIT_TAKEN:
 			send_placed(step, call, &place);
 			return;
@@ -466,6 +467,7 @@
 			permit_wait(step, call, place.upstream);
 			return;
 		case PERMIT_DENIED:
+			permit_log(step, call, up, "finds no");
 			break;
 		}
 	}
--- a/test/test_relay_log_lines.c
+++ b/test/test_relay_log_lines.c
@@ -58,18 +58,23 @@
 /* An upstream names a rate limit in its answer; the next request finds no
  * permit. */
 static void
-name_rate_limit(relay_bench_t *bench)
+exceed_rate_limit(void)
 {
 	const dff_upstream_notice_t notice = {
 	    .rate = DFF_RATE_LIMITED, .rate_max = 1.4};
+	relay_bench_t *bench = relay_bench_new();
 	uint64_t send;
 
+	dff_ctx_drop(bench->ctx);
+	bench->ctx = dff_ctx_new(1, DFF_LOG_DEBUG, store_line, NULL);
+	relay_bench_load_routing(bench, 1);
+	relay_bench_load_upstream(bench, "p1", "plain", DFF_ROLE_MIXED, "a", 1);
 	(void)relay_bench_open(bench, "/read/x", 3);
 	send = relay_bench_send(bench);
 	relay_bench_head_notice(bench, send, 200, false, notice);
 	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
 	(void)relay_bench_open(bench, "/read/x", 4);
-	relay_bench_wait(bench, 200 * DFF_MSEC);
+	relay_bench_drop(bench);
 }
 
 /* Run the kinds of failed requests that the page describes. */
@@ -94,8 +99,8 @@
 		(void)relay_bench_open_prompt(
 		    bench, "/talk/x", 1, 5000, 100 + i, 2000);
 	(void)relay_bench_open(bench, "/order/x", 2);
-	name_rate_limit(bench);
 	relay_bench_drop(bench);
+	exceed_rate_limit();
 }
 
 /* Whether a line has the part, the words and the fields of the one shown. */
