--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -594,9 +594,13 @@
  *	domain */
 bool dff_relay_sends_summaries(const dff_relay_t *relay, dff_time_t now);
 
-/** dff_relay_set_feed_offset() - a feed was read up to @offset; the offset is
- *	sent to peers if one of its records changed something since the last
- *	call */
+/** dff_relay_report_feed() - the next offset of a feed is sent to peers, whether
+ *	or not one of its records changed something */
+void dff_relay_report_feed(dff_relay_t *relay, dff_feed_t feed);
+
+/** dff_relay_set_feed_offset() - a feed was read up to @offset, which never goes
+ *	back; the offset is sent to peers if one of its records changed something
+ *	since the last call */
 void dff_relay_set_feed_offset(
     dff_relay_t *relay, dff_feed_t feed, uint64_t offset);
 
--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -237,6 +237,7 @@
 	}
 	if (now - soak->start > WARMUP_TIME) {
 		limits_tick(soak);
+		returns_tick(soak);
 		callers_tick(soak);
 	}
 	if (now > next_fault && now < soak->faults_end) {
@@ -296,6 +297,7 @@
 	soak->client = dff_h1c_new(soak->ctx, &soak->loop);
 	config_write(soak);
 	limits_start(soak);
+	returns_start(soak);
 	upstreams_start(soak);
 	edges_start(soak);
 	soak->last_tick = soak->start;
@@ -361,10 +363,10 @@
 	soak.trace = g_ptr_array_new();
 	run_soak(&soak, seconds * DFF_SEC);
 	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
-		     "limited=%d broken=%d\n",
+		     "limited=%d returns=%d broken=%d\n",
 	    soak.seed, soak.requests, soak.served, soak.recovery_served,
 	    soak.recovery_requests, soak.bad_crashes, soak.bad_late_runs,
-	    soak.limited_requests, soak.violations);
+	    soak.limited_requests, soak.returns, soak.violations);
 	if (soak.violations > 0)
 		write_trace(&soak);
 	else
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -105,6 +105,7 @@
 	dff_ctx_t *ctx;
 	GRand *rng;
 	GRand *limits_rng;
+	GRand *returns_rng;
 	uint32_t seed;
 	int net; /* second byte of the loopback addresses */
 	char *folder;
@@ -123,6 +124,12 @@
 	dff_time_t store_last_fault;
 	uint64_t version; /* of the configuration */
 	dff_time_t config_written_at;
+	char *config_text;
+	dff_time_t next_copy; /* when the store is copied next */
+	dff_time_t return_at; /* when it goes back to the copy; 0 without one */
+	dff_time_t rewrite_at; /* when the configuration is written again; 0 */
+	dff_time_t remove_at; /* when entries of the gone are removed; 0 */
+	int returns; /* times that it went back */
 	bool move_uses_other; /* KIND_MOVE goes to service "other" */
 	uint64_t next_attempt;
 	int requests;
@@ -177,6 +184,11 @@
 void limit_count(soak_t *soak, soak_upstream_t *up, const char *id);
 void limit_end(soak_upstream_t *up);
 
+/* ---- store_return.c ---- */
+
+void returns_start(soak_t *soak);
+void returns_tick(soak_t *soak);
+
 /* ---- edges.c ---- */
 
 void edges_start(soak_t *soak);
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -347,7 +347,8 @@
 	soak->config_written_at = dff_program_now();
 	soak_trace(soak, "configuration version=%" G_GUINT64_FORMAT " other=%d",
 	    soak->version, soak->move_uses_other);
-	(void)g_string_free(text, TRUE);
+	g_free(soak->config_text);
+	soak->config_text = g_string_free(text, FALSE);
 }
 
 void
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -116,6 +116,12 @@
 	peers_add(relay, addr, domain, link_mbps, now);
 }
 
+void
+dff_relay_report_feed(dff_relay_t *relay, dff_feed_t feed)
+{
+	relay->feed_changed[feed] = true;
+}
+
 void
 dff_relay_set_feed_offset(dff_relay_t *relay, dff_feed_t feed, uint64_t offset)
 {
