Client, relay: how an answer ended is told apart and logged

The end of a connection that ends an answer with neither a length nor chunks (DFF_H1C_CLOSED, DFF_SEND_CLOSED) is no longer reported as the same event as an answer that is complete by its framing. The relay handles both as before; 'request answered' logs which it was (end=framed, end=closed) and how many bytes follow the last complete event of a stream (partial=). No decision changes.

Answers that show by themselves whether they are complete (JSON, pages of the store) ask dff_h1c_may_be_whole().

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -145,11 +145,18 @@
 
 /** enum dff_h1c_end - how a request ended */
 typedef enum dff_h1c_end {
-	DFF_H1C_DONE, /* the complete answer arrived */
+	DFF_H1C_DONE, /* the answer arrived with all that its framing states */
+	DFF_H1C_CLOSED, /* the server closed the connection in order during an
+			 * answer with neither a length nor chunks, which may
+			 * be complete */
 	DFF_H1C_UNSENT, /* no connection; no byte was sent */
 	DFF_H1C_BROKEN, /* failed after bytes may have been sent */
 } dff_h1c_end_t;
 
+/** dff_h1c_may_be_whole() - whether the answer may be complete; for bodies that
+ *	show by themselves whether they are */
+bool dff_h1c_may_be_whole(dff_h1c_end_t end);
+
 /**
  * struct dff_h1c_handlers - callbacks of a client
  * @head: the answer's head arrived; borrowed until @end; may be NULL
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -274,7 +274,9 @@
 
 /** enum dff_send_result - how a send ended */
 typedef enum dff_send_result {
-	DFF_SEND_DONE, /* the whole answer arrived */
+	DFF_SEND_DONE, /* the answer arrived with all that its framing states */
+	DFF_SEND_CLOSED, /* the upstream closed the connection in order during
+			  * an answer with neither a length nor chunks */
 	DFF_SEND_UNSENT, /* no connection; no byte was sent */
 	DFF_SEND_BROKEN, /* failed after bytes may have been sent */
 } dff_send_result_t;
@@ -283,7 +285,8 @@
  * struct dff_relay_end - a send has ended
  * @send: number of the send
  * @result: how it ended
- * @handle: with DFF_SEND_DONE of a prefill, handle of its KV memory, else ""
+ * @handle: with the complete answer of a prefill, handle of its KV memory,
+ *	else ""
  * @tokens: with a handle, prompt tokens in that memory
  */
 typedef struct dff_relay_end {
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -143,6 +143,20 @@
 	}
 }
 
+bool
+dff_h1c_may_be_whole(dff_h1c_end_t end)
+{
+	switch (end) {
+	case DFF_H1C_DONE:
+	case DFF_H1C_CLOSED:
+		return true;
+	case DFF_H1C_UNSENT:
+	case DFF_H1C_BROKEN:
+		return false;
+	}
+	g_assert_not_reached();
+}
+
 bool
 dff_h1c_ends_delivered(const dff_h1c_t *h1c)
 {
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -222,7 +222,7 @@
 /* Handle a complete answer: it ends the request unless it is stale or
  * interim. */
 static void
-take_answer(conn_t *conn)
+take_answer(conn_t *conn, dff_h1c_end_t end)
 {
 	dff_h1c_req_t *req = conn->req;
 	bool skip = conn->stale || conn->reader.head.status < 200;
@@ -240,7 +240,7 @@
 		h1_conn_close(conn);
 	else
 		h1_conn_set_idle(conn);
-	h1_req_end(req, DFF_H1C_DONE);
+	h1_req_end(req, end);
 }
 
 static void
@@ -266,7 +266,7 @@
 		http_parser_pause(parser, 0);
 		data += used;
 		len -= used;
-		take_answer(conn);
+		take_answer(conn, DFF_H1C_DONE);
 	}
 }
 
@@ -285,7 +285,7 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
 
-/* Handle end of file; it ends an answer without a length. */
+/* Handle end of file; it ends an answer with neither a length nor chunks. */
 static void
 take_eof(conn_t *conn)
 {
@@ -306,7 +306,7 @@
 		return;
 	}
 	conn->close_after = true;
-	take_answer(conn);
+	take_answer(conn, DFF_H1C_CLOSED);
 }
 
 static void
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -97,6 +97,9 @@
 	case DFF_H1C_DONE:
 		event.end.result = DFF_SEND_DONE;
 		break;
+	case DFF_H1C_CLOSED:
+		event.end.result = DFF_SEND_CLOSED;
+		break;
 	case DFF_H1C_UNSENT:
 		event.end.result = DFF_SEND_UNSENT;
 		break;
@@ -104,7 +107,7 @@
 		event.end.result = DFF_SEND_BROKEN;
 		break;
 	}
-	if (send->stage == DFF_STAGE_PREFILL && end == DFF_H1C_DONE &&
+	if (send->stage == DFF_STAGE_PREFILL && dff_h1c_may_be_whole(end) &&
 	    send->status == 200 &&
 	    host->wire.decode_prefill((const char *)send->body->data,
 		send->body->len, &event.end) < 0)
@@ -245,7 +248,7 @@
 {
 	background_t *background = arg;
 
-	if (end != DFF_H1C_DONE)
+	if (!dff_h1c_may_be_whole(end))
 		dff_log(background->host->ctx, DFF_LOG_INFO, "upstream",
 		    "memory of a prompt could not be freed; it expires id=%s "
 		    "end=%d",
@@ -289,7 +292,7 @@
 {
 	background_t *background = arg;
 
-	if (end == DFF_H1C_DONE && background->status == 200)
+	if (dff_h1c_may_be_whole(end) && background->status == 200)
 		feed_cache_list(background);
 	else
 		dff_log(background->host->ctx, DFF_LOG_INFO, "upstream",
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -332,8 +332,24 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+static const char *
+result_name(dff_send_result_t result)
+{
+	switch (result) {
+	case DFF_SEND_DONE:
+		return "framed";
+	case DFF_SEND_CLOSED:
+		return "closed";
+	case DFF_SEND_UNSENT:
+		return "unsent";
+	case DFF_SEND_BROKEN:
+		return "broken";
+	}
+	g_assert_not_reached();
+}
+
 static void
-forward_answer(step_t *step, call_t *call)
+forward_answer(step_t *step, call_t *call, dff_send_result_t result)
 {
 	dff_relay_t *relay = step->relay;
 
@@ -354,15 +370,18 @@
 	dff_hist_add(relay->answer_time, step->now - call->arrived_at);
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "request answered id=%s route=%s upstream=%s status=%d "
-	    "first_ms=%" G_GINT64_FORMAT " whole_ms=%" G_GINT64_FORMAT,
+	    "first_ms=%" G_GINT64_FORMAT " whole_ms=%" G_GINT64_FORMAT
+	    " end=%s partial=%zu",
 	    call->id, call->route->name, call->send.id, call->send.status,
 	    (call->first_byte_at - call->arrived_at) / DFF_MSEC,
-	    (step->now - call->arrived_at) / DFF_MSEC);
+	    (step->now - call->arrived_at) / DFF_MSEC, result_name(result),
+	    call->partial_event.bytes);
 }
 
 /* Handle a complete answer of an upstream that ran the request. */
 static void
-handle_answer(step_t *step, call_t *call, upstream_t *up)
+handle_answer(
+    step_t *step, call_t *call, upstream_t *up, dff_send_result_t result)
 {
 	const send_t *send = &call->send;
 	bool good = send->stamped && send->status < 500;
@@ -389,7 +408,7 @@
 	}
 	if (good)
 		suspect_clear_answered(step, call->content_hash);
-	forward_answer(step, call);
+	forward_answer(step, call, result);
 	send_release(step, call);
 	relay_call_close(step, call);
 }
@@ -405,9 +424,9 @@
 		return;
 	send = &call->send;
 	up = upstreams_get(step->relay->upstreams, send->upstream);
-	if (end->result == DFF_SEND_DONE && !send->not_run &&
-	    send->stage != DFF_STAGE_PREFILL) {
-		handle_answer(step, call, up);
+	if ((end->result == DFF_SEND_DONE || end->result == DFF_SEND_CLOSED) &&
+	    !send->not_run && send->stage != DFF_STAGE_PREFILL) {
+		handle_answer(step, call, up, end->result);
 		return;
 	}
 	send_release(step, call);
@@ -415,8 +434,7 @@
 		handle_unsent(step, call, up);
 	else if (send->not_run)
 		handle_rejection(step, call);
-	else if (end->result == DFF_SEND_DONE && send->status == 200 &&
-	    end->handle[0] != '\0')
+	else if (send->status == 200 && end->handle[0] != '\0')
 		handle_prefill(step, call, end);
 	else
 		handle_break(step, call, up, true);
