Relay: a stream that ends inside an event was broken off

Cause: the relay took the transport's word for the end of the answer. An answer with neither a length nor chunks ends with its connection, and the end of the connection in order was reported as the same event as a complete answer; relay/result.c asked nothing of the stream's last event, forwarded what was left of it and the end. On routes that may be resumed it did not resume either.

Change: relay/answer_end.c decides whether an answer that has ended is complete; a successful stream that ends inside an event is a broken run, as a reset is: resumed after its last complete event where it may be, else its caller's connection is closed without the end. relay/events.c is one scanner of events for forwarding, resuming and the end: LF, CRLF and CR, comments, a byte-order mark, any split. 'send broke off' says how (end=).

--- a/Makefile
+++ b/Makefile
@@ -160,7 +160,7 @@
 	    build/fault/test_relay build/fault/test_relay_upstreams \
 	    build/fault/test_relay_budget build/fault/test_relay_frame_receive \
 	    build/fault/test_relay_load build/fault/test_relay_place \
-	    build/fault/test_relay_events \
+	    build/fault/test_relay_events build/fault/test_relay_answer_end \
 	    build/fault/test_relay_unreachable build/fault/test_relay_frame_send build/fault/test_relay_send_timing \
 	    build/fault/test_relay_notice build/fault/test_relay_limit \
 	    build/fault/test_rate_limit build/fault/test_relay_suspect build/fault/test_relay_readers build/fault/test_relay_stream_gaps \
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -7,6 +7,7 @@
 #include "dragonflyfall/hist.h"
 #include "dragonflyfall/timer.h"
 #include "relay/budget.h"
+#include "relay/events.h"
 #include "relay/place.h"
 
 /** enum relay_count - counters of a relay */
@@ -104,13 +105,6 @@
 	int status;
 } send_t;
 
-/** struct partial_event - bytes of a stream after its last complete event */
-typedef struct partial_event {
-	size_t bytes;
-	uint32_t newlines; /* consecutive ones at its end */
-	bool content; /* it has other bytes than newlines */
-} partial_event_t;
-
 /** struct call - a caller's request until its final answer */
 typedef struct call {
 	dff_handle_t table_handle;
@@ -143,7 +137,7 @@
 	dff_handle_t awaited_permit; /* upstream for which a permit was asked */
 	uint32_t permit_requests; /* so far */
 	bool budget_taken; /* its next send was taken from the retry budget */
-	partial_event_t partial_event; /* of the send's stream */
+	event_scan_t events; /* of the send's stream */
 	GByteArray *buffered; /* bytes that may not be forwarded yet */
 	dff_time_t first_byte_at; /* first byte forwarded */
 	dff_time_t last_bytes_at; /* last bytes of a stream */
@@ -248,15 +242,6 @@
 void cache_query_send_due(step_t *step);
 void cache_query_load_list(step_t *step, const dff_relay_cache_list_t *list);
 
-/* ---- events.c: numbered events ---- */
-
-/** events_complete_len() - length of the complete events at the beginning of
- *	@bytes; @last is set to the last id among them, if there is one */
-size_t events_complete_len(const GByteArray *bytes, int64_t *last);
-
-/** events_track() - update @partial with more bytes of a stream */
-void events_track(partial_event_t *partial, const char *bytes, size_t len);
-
 /* ---- frames to peers ---- */
 
 /** frame_send_periodic() - send the frames of a heartbeat */
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/answer_end.h"
 #include "relay/permit.h"
+#include "relay/result.h"
 #include "relay/send.h"
 #include "relay/suspect.h"
 
@@ -22,8 +24,8 @@
 	return g_hash_table_lookup(relay->by_send, &number);
 }
 
-static void
-forward(step_t *step, const call_t *call, dff_relay_effect_type_t type,
+void
+result_forward(step_t *step, const call_t *call, dff_relay_effect_type_t type,
     const char *bytes, size_t len)
 {
 	dff_relay_effect_t *fx = relay_add_fx(step, type);
@@ -44,11 +46,11 @@
 	    step->relay->first_byte_time, step->now - call->arrived_at);
 }
 
-static void
-begin_answer(step_t *step, call_t *call)
+void
+result_begin_answer(step_t *step, call_t *call)
 {
 	if (call->progress != DFF_PROGRESS_ANSWERING)
-		forward(step, call, DFF_RELAY_FX_FORWARD_HEAD, NULL, 0);
+		result_forward(step, call, DFF_RELAY_FX_FORWARD_HEAD, NULL, 0);
 	call->progress = DFF_PROGRESS_ANSWERING;
 	note_first_byte(step, call);
 }
@@ -66,8 +68,8 @@
 		    send->backlog_ahead + send->uncached, took);
 }
 
-static bool
-is_good(const send_t *send)
+bool
+result_is_good(const send_t *send)
 {
 	return send->status >= 200 && send->status < 300 && send->stamped;
 }
@@ -102,29 +104,28 @@
 		return;
 	dff_timers_cancel(
 	    step->relay->timers, DFF_TIMER_ATTEMPT, call->table_handle);
-	if (is_good(send) && send->stage == DFF_STAGE_DECODE)
+	if (result_is_good(send) && send->stage == DFF_STAGE_DECODE)
 		call->kv_handle[0] = '\0';
-	if (is_good(send) &&
+	if (result_is_good(send) &&
 	    (call->route->kind == DFF_ROUTE_STREAM ||
 		DFF_FAULT(RELAY_HALF_ANSWERS)))
-		begin_answer(step, call);
+		result_begin_answer(step, call);
 }
 
-/* Forward the complete events of a resumable stream. */
+/* Forward the first @len buffered bytes, the complete events of a resumable
+ * stream. */
 static void
-forward_events(step_t *step, call_t *call)
+forward_events(step_t *step, call_t *call, size_t len)
 {
 	GByteArray *passing = step->relay->forward_buffer;
-	size_t complete =
-	    events_complete_len(call->buffered, &call->after_event);
 
-	if (complete == 0)
-		return;
 	g_byte_array_set_size(passing, 0);
-	g_byte_array_append(passing, call->buffered->data, (guint)complete);
-	g_byte_array_remove_range(call->buffered, 0, (guint)complete);
-	forward(step, call, DFF_RELAY_FX_FORWARD_DATA,
-	    (const char *)passing->data, complete);
+	g_byte_array_append(passing, call->buffered->data, (guint)len);
+	g_byte_array_remove_range(call->buffered, 0, (guint)len);
+	if (call->events.last_id >= 0)
+		call->after_event = call->events.last_id;
+	result_forward(step, call, DFF_RELAY_FX_FORWARD_DATA,
+	    (const char *)passing->data, len);
 }
 
 /* Note whether a stream pauses longer than its route's target_gap. */
@@ -137,9 +138,8 @@
 	call->last_bytes_at = step->now;
 }
 
-/* Send the call again, or give it up if it may not run again. */
-static void
-retry(step_t *step, call_t *call, dff_failure_t failure, const char *why)
+void
+result_retry(step_t *step, call_t *call, dff_failure_t failure, const char *why)
 {
 	g_byte_array_set_size(call->buffered, 0);
 	if (call->progress >= DFF_PROGRESS_MAY_HAVE_RUN &&
@@ -172,7 +172,7 @@
 	send_avoid(call, send->upstream);
 	if (call->progress < DFF_PROGRESS_REJECTED)
 		call->progress = DFF_PROGRESS_REJECTED;
-	retry(step, call, DFF_FAILURE_BUSY, "rejected");
+	result_retry(step, call, DFF_FAILURE_BUSY, "rejected");
 }
 
 /* Retry now, or wait for the upstream's probe if one more crash would get the
@@ -188,9 +188,9 @@
 	}
 	call->awaited_probe = 0;
 	if (call->progress < DFF_PROGRESS_MAY_HAVE_RUN)
-		retry(step, call, DFF_FAILURE_BUSY, "prefill_broken");
+		result_retry(step, call, DFF_FAILURE_BUSY, "prefill_broken");
 	else
-		retry(step, call, DFF_FAILURE_UPSTREAM, "broken");
+		result_retry(step, call, DFF_FAILURE_UPSTREAM, "broken");
 }
 
 void
@@ -205,18 +205,41 @@
 	}
 }
 
-/* @closed: the connection broke; else this node gave up waiting */
-static void
-handle_break(step_t *step, call_t *call, upstream_t *up, bool closed)
+static const char *
+break_name(send_break_t why)
+{
+	switch (why) {
+	case SEND_BREAK_CONNECTION:
+		return "connection";
+	case SEND_BREAK_INSIDE_EVENT:
+		return "inside_event";
+	case SEND_BREAK_NO_EVENT:
+		return "no_event";
+	case SEND_BREAK_UPSTREAM_DOWN:
+		return "upstream_down";
+	case SEND_BREAK_EVENT_SIZE:
+		return "event_size";
+	case SEND_BREAK_LATE:
+		return "late";
+	}
+	g_assert_not_reached();
+}
+
+void
+result_break(step_t *step, call_t *call, upstream_t *up, send_break_t why)
 {
+	/* Otherwise this node ended it. */
+	bool closed = why != SEND_BREAK_EVENT_SIZE && why != SEND_BREAK_LATE;
 	send_t *send = &call->send;
 
 	step->relay->counts[COUNT_BROKEN]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "send broke off id=%s upstream=%s step=%d head=%d "
-	    "after_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x",
+	    "after_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER
+	    "x end=%s",
 	    call->id, send->id, (int)send->stage, send->head_seen,
-	    (step->now - send->sent_at) / DFF_MSEC, call->content_hash);
+	    (step->now - send->sent_at) / DFF_MSEC, call->content_hash,
+	    break_name(why));
 	if (up != NULL)
 		upstream_note_result(up, false);
 	send_avoid(call, send->upstream);
@@ -234,15 +257,39 @@
 	retry_after_break(step, call, send->upstream);
 }
 
-/* Track more bytes of a stream; true if its current event is too large. */
 static bool
-event_is_too_large(call_t *call, const char *bytes, size_t len)
+event_is_too_large(const call_t *call)
 {
-	events_track(&call->partial_event, bytes, len);
-	return call->partial_event.bytes > EVENT_MAX &&
+	return call->events.partial > EVENT_MAX &&
 	    !DFF_FAULT(RELAY_FLOOD_PASSES);
 }
 
+/* Handle more bytes of a stream whose head was forwarded. */
+static void
+receive_stream(
+    step_t *step, call_t *call, upstream_t *up, const dff_relay_data_t *data)
+{
+	size_t before = call->buffered->len;
+	size_t complete = events_scan(&call->events, data->bytes, data->len);
+
+	if (event_is_too_large(call)) {
+		relay_send_cancel(step, call);
+		result_break(step, call, up, SEND_BREAK_EVENT_SIZE);
+		return;
+	}
+	if (!result_is_good(&call->send))
+		return;
+	if (!call->route->resumable) {
+		result_forward(step, call, DFF_RELAY_FX_FORWARD_DATA,
+		    data->bytes, data->len);
+		return;
+	}
+	g_byte_array_append(
+	    call->buffered, (const guint8 *)data->bytes, (guint)data->len);
+	if (complete > 0)
+		forward_events(step, call, before + complete);
+}
+
 void
 relay_send_data(step_t *step, const dff_relay_data_t *data)
 {
@@ -257,18 +304,8 @@
 	if (call->send.stage == DFF_STAGE_PREFILL)
 		return;
 	note_gap(step, call);
-	if (call->progress == DFF_PROGRESS_ANSWERING &&
-	    event_is_too_large(call, data->bytes, data->len)) {
-		relay_send_cancel(step, call);
-		handle_break(step, call, up, false);
-		return;
-	}
-	if (call->progress == DFF_PROGRESS_ANSWERING && !is_good(&call->send))
-		return;
-	if (call->progress == DFF_PROGRESS_ANSWERING &&
-	    !call->route->resumable) {
-		forward(step, call, DFF_RELAY_FX_FORWARD_DATA, data->bytes,
-		    data->len);
+	if (call->progress == DFF_PROGRESS_ANSWERING) {
+		receive_stream(step, call, up, data);
 		return;
 	}
 	if (call->buffered->len + data->len > BUFFERED_MAX) {
@@ -279,8 +316,6 @@
 	}
 	g_byte_array_append(
 	    call->buffered, (const guint8 *)data->bytes, (guint)data->len);
-	if (call->progress == DFF_PROGRESS_ANSWERING)
-		forward_events(step, call);
 }
 
 static void
@@ -302,7 +337,7 @@
 		call->counted_sends--;
 		call->runs--;
 	}
-	retry(step, call, DFF_FAILURE_BUSY, "unreachable");
+	result_retry(step, call, DFF_FAILURE_BUSY, "unreachable");
 }
 
 static void
@@ -325,94 +360,6 @@
 	relay_send_place(step, call);
 }
 
-/* Statuses that state "not run": forwarded only if the upstream said so. */
-static bool
-status_means_not_run(int status)
-{
-	return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-static const char *
-result_name(dff_send_result_t result)
-{
-	switch (result) {
-	case DFF_SEND_DONE:
-		return "framed";
-	case DFF_SEND_CLOSED:
-		return "closed";
-	case DFF_SEND_UNSENT:
-		return "unsent";
-	case DFF_SEND_BROKEN:
-		return "broken";
-	}
-	g_assert_not_reached();
-}
-
-static void
-forward_answer(step_t *step, call_t *call, dff_send_result_t result)
-{
-	dff_relay_t *relay = step->relay;
-
-	begin_answer(step, call);
-	if (call->buffered->len > 0) {
-		g_byte_array_set_size(relay->forward_buffer, 0);
-		g_byte_array_append(relay->forward_buffer, call->buffered->data,
-		    call->buffered->len);
-		forward(step, call, DFF_RELAY_FX_FORWARD_DATA,
-		    (const char *)relay->forward_buffer->data,
-		    relay->forward_buffer->len);
-	}
-	forward(step, call, DFF_RELAY_FX_FORWARD_END, NULL, 0);
-	if (call->route->kind == DFF_ROUTE_STREAM &&
-	    call->route->target_gap > 0)
-		pool_stats_add_stream(&relay->pool_stats, call->had_long_gap);
-	relay->counts[COUNT_DONE]++;
-	dff_hist_add(relay->answer_time, step->now - call->arrived_at);
-	dff_log(step->ctx, DFF_LOG_INFO, "call",
-	    "request answered id=%s route=%s upstream=%s status=%d "
-	    "first_ms=%" G_GINT64_FORMAT " whole_ms=%" G_GINT64_FORMAT
-	    " end=%s partial=%zu",
-	    call->id, call->route->name, call->send.id, call->send.status,
-	    (call->first_byte_at - call->arrived_at) / DFF_MSEC,
-	    (step->now - call->arrived_at) / DFF_MSEC, result_name(result),
-	    call->partial_event.bytes);
-}
-
-/* Handle a complete answer of an upstream that ran the request. */
-static void
-handle_answer(
-    step_t *step, call_t *call, upstream_t *up, dff_send_result_t result)
-{
-	const send_t *send = &call->send;
-	bool good = send->stamped && send->status < 500;
-	bool failed_resumption =
-	    call->progress == DFF_PROGRESS_ANSWERING && !is_good(send);
-
-	if (up != NULL)
-		upstream_note_result(up, good);
-	if (call->progress != DFF_PROGRESS_ANSWERING)
-		call->progress = DFF_PROGRESS_MAY_HAVE_RUN;
-	if (!good && send_may_repeat(call) &&
-	    budget_left(step->relay->budget, call->pool, step->now) >= 1) {
-		send_avoid(call, send->upstream);
-		send_release(step, call);
-		retry(step, call, DFF_FAILURE_UPSTREAM, "failed");
-		return;
-	}
-	if (!send->stamped || status_means_not_run(send->status) ||
-	    failed_resumption) {
-		send_release(step, call);
-		relay_call_give_up(
-		    step, call, DFF_FAILURE_UPSTREAM, 0, "no_signature");
-		return;
-	}
-	if (good)
-		suspect_clear_answered(step, call->content_hash);
-	forward_answer(step, call, result);
-	send_release(step, call);
-	relay_call_close(step, call);
-}
-
 void
 relay_send_end(step_t *step, const dff_relay_end_t *end)
 {
@@ -426,7 +373,7 @@
 	up = upstreams_get(step->relay->upstreams, send->upstream);
 	if ((end->result == DFF_SEND_DONE || end->result == DFF_SEND_CLOSED) &&
 	    !send->not_run && send->stage != DFF_STAGE_PREFILL) {
-		handle_answer(step, call, up, end->result);
+		answer_end_receive(step, call, end->result);
 		return;
 	}
 	send_release(step, call);
@@ -437,7 +384,7 @@
 	else if (send->status == 200 && end->handle[0] != '\0')
 		handle_prefill(step, call, end);
 	else
-		handle_break(step, call, up, true);
+		result_break(step, call, up, SEND_BREAK_CONNECTION);
 }
 
 void
@@ -459,5 +406,5 @@
 		return;
 	up = upstreams_get(step->relay->upstreams, call->send.upstream);
 	relay_send_cancel(step, call);
-	handle_break(step, call, up, false);
+	result_break(step, call, up, SEND_BREAK_LATE);
 }
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -173,7 +173,7 @@
 	send_t *send = &call->send;
 
 	memset(send, 0, sizeof(*send));
-	memset(&call->partial_event, 0, sizeof(call->partial_event));
+	events_begin(&call->events);
 	send->number = ++relay->next_send;
 	send->stage = place->stage;
 	send->upstream = place->upstream;
