Relay: an answer without framing is complete only if its upstream lives

What callers saw: nothing yet in the record; a caller of an upstream that crashes between two events, or inside a plain body, and whose connections are closed in order gets part of an answer, framed as complete.

The end of a connection in order was proof of a complete answer.

Change: an answer with neither a length nor chunks is held as not yet ended while its upstream's address is probed (DFF_RELAY_FX_PROBE with the number of the send, whose head and fields the host keeps meanwhile). Refused: broken off, as by a reset. Accepted, or nothing heard within 150 ms: complete.

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -224,16 +224,17 @@
 
 /** dff_h1c_probe_done_fn() - called when a probe of a peer ends */
 typedef void (*dff_h1c_probe_done_fn)(
-    void *arg, const char *peer, dff_h1c_probe_result_t reach);
+    void *arg, const char *peer, uint64_t token, dff_h1c_probe_result_t reach);
 
 /**
  * dff_h1c_probe() - test whether a server accepts connections
  * @call: only address, peer and connect time are used
+ * @token: passed to @done
  * @done: called once, never from inside this call or dff_h1c_drop()
  *
  * Return: 0, or a negative error number if the probe cannot be started.
  */
-int dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call,
+int dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, uint64_t token,
     dff_h1c_probe_done_fn done, void *arg);
 
 /** dff_h1c_close_idle() - close idle connections to one peer */
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -306,6 +306,7 @@
 /** struct dff_relay_probed - the result of a DFF_RELAY_FX_PROBE */
 typedef struct dff_relay_probed {
 	const char *upstream; /* id, borrowed */
+	uint64_t send; /* of the effect */
 	dff_probe_result_t result;
 } dff_relay_probed_t;
 
@@ -467,10 +468,18 @@
 	char addr[DFF_ADDR_MAX];
 } dff_relay_cache_query_t;
 
-/** struct dff_relay_probe - test whether an upstream accepts connections */
+/**
+ * struct dff_relay_probe - test whether an upstream accepts connections
+ * @upstream: its id
+ * @addr: its address
+ * @send: a send that ended with DFF_SEND_CLOSED, whose answer is kept until the
+ *	result was delivered; 0 if the probe is not for a send
+ * @connect_time: longest time for a connection to be made
+ */
 typedef struct dff_relay_probe {
 	char upstream[DFF_NAME_MAX];
 	char addr[DFF_ADDR_MAX];
+	uint64_t send;
 	dff_time_t connect_time;
 } dff_relay_probe_t;
 
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -69,6 +69,7 @@
 	GList link;
 	uv_timer_t timer;
 	char *peer;
+	uint64_t token;
 	dff_h1c_probe_done_fn done;
 	void *arg;
 };
--- a/source/net/h1_probe.c
+++ b/source/net/h1_probe.c
@@ -41,7 +41,7 @@
 	h1_probe_drop(probe);
 	/* The probe is freed only when its timer has closed, in a later loop
 	 * iteration. */
-	probe->done(probe->arg, probe->peer, reach);
+	probe->done(probe->arg, probe->peer, probe->token, reach);
 }
 
 static void
@@ -83,7 +83,7 @@
 }
 
 int
-dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call,
+dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, uint64_t token,
     dff_h1c_probe_done_fn done, void *arg)
 {
 	struct sockaddr_storage sa;
@@ -101,6 +101,7 @@
 	probe->peer = g_strdup(call->peer);
 	probe->link.data = probe;
 	probe->timer.data = probe;
+	probe->token = token;
 	probe->done = done;
 	probe->arg = arg;
 	conn->probe = probe;
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -55,6 +55,8 @@
 	GString *fields; /* forwarded header fields of the answer */
 	int64_t length; /* of the answer's body, -1 if unknown */
 	GByteArray *body; /* of a prefill's answer */
+	bool probed_after_end; /* it has ended and is kept until its upstream
+				* was probed */
 } host_send_t;
 
 /* A send that waits for the end of the loop's iteration. */
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -117,7 +117,9 @@
 		    number, send->body->len);
 	event.end.send = number;
 	dff_relay_host_feed(host, &event);
-	(void)g_hash_table_remove(host->sends, &number);
+	send = g_hash_table_lookup(host->sends, &number);
+	if (send != NULL && !send->probed_after_end)
+		(void)g_hash_table_remove(host->sends, &number);
 }
 
 static const dff_h1c_handlers_t send_handlers = {
@@ -177,9 +179,10 @@
 		return;
 	send = g_hash_table_lookup(host->sends, &number);
 	/* The send may just have ended. */
-	if (send == NULL || send->req == NULL)
+	if (send == NULL)
 		return;
-	dff_h1c_cancel(send->req);
+	if (send->req != NULL)
+		dff_h1c_cancel(send->req);
 	(void)g_hash_table_remove(host->sends, &number);
 }
 
@@ -315,30 +318,33 @@
 /* ---- probes ---- */
 
 static void
-feed_probed(
-    dff_relay_host_t *host, const char *upstream, dff_probe_result_t result)
+feed_probed(dff_relay_host_t *host, const char *upstream, uint64_t send,
+    dff_probe_result_t result)
 {
 	dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
 
 	event.probed.upstream = upstream;
+	event.probed.send = send;
 	event.probed.result = result;
 	dff_relay_host_feed(host, &event);
+	(void)g_hash_table_remove(host->sends, &send);
 }
 
 static void
-on_probed(void *arg, const char *upstream, dff_h1c_probe_result_t result)
+on_probed(void *arg, const char *upstream, uint64_t send,
+    dff_h1c_probe_result_t result)
 {
 	dff_relay_host_t *host = arg;
 
 	switch (result) {
 	case DFF_H1C_REACHED:
-		feed_probed(host, upstream, DFF_PROBE_ACCEPTED);
+		feed_probed(host, upstream, send, DFF_PROBE_ACCEPTED);
 		break;
 	case DFF_H1C_REFUSED:
-		feed_probed(host, upstream, DFF_PROBE_REFUSED);
+		feed_probed(host, upstream, send, DFF_PROBE_REFUSED);
 		break;
 	case DFF_H1C_UNREACHABLE:
-		feed_probed(host, upstream, DFF_PROBE_INCONCLUSIVE);
+		feed_probed(host, upstream, send, DFF_PROBE_INCONCLUSIVE);
 		break;
 	}
 }
@@ -349,11 +355,14 @@
 	dff_h1c_call_t call = {.addr = fx->addr,
 	    .peer = fx->upstream,
 	    .connect_time = fx->connect_time};
+	host_send_t *send = g_hash_table_lookup(host->sends, &fx->send);
 
-	if (dff_h1c_probe(host->client, &call, on_probed, host) == 0)
+	if (send != NULL)
+		send->probed_after_end = true;
+	if (dff_h1c_probe(host->client, &call, fx->send, on_probed, host) == 0)
 		return;
 	dff_log(host->ctx, DFF_LOG_WARNING, "upstream",
 	    "probe cannot be started upstream=%s addr=%s", fx->upstream,
 	    fx->addr);
-	feed_probed(host, fx->upstream, DFF_PROBE_INCONCLUSIVE);
+	feed_probed(host, fx->upstream, fx->send, DFF_PROBE_INCONCLUSIVE);
 }
--- a/source/relay/answer_end.h
+++ b/source/relay/answer_end.h
@@ -10,4 +10,8 @@
  *	its framing states or with its connection */
 void answer_end_receive(step_t *step, call_t *call, dff_send_result_t result);
 
+/** answer_end_apply_probe() - the upstream of an answer that ended with its
+ *	connection was probed */
+void answer_end_apply_probe(step_t *step, const dff_relay_probed_t *probed);
+
 #endif
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -16,6 +16,7 @@
     [COUNT_BUDGET_EMPTY] = "budget_empty",
     [COUNT_REFUSED_POISON] = "refused_poison",
     [COUNT_PROBES] = "probes",
+    [COUNT_END_PROBES] = "answer_end_probes",
     [COUNT_RUNS_CRASHED] = "runs_crashed",
     [COUNT_BREAKS_FORGOTTEN] = "breaks_forgotten",
     [COUNT_LEAVING_NOTICES] = "upstreams_leaving_said",
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/answer_end.h"
 #include "relay/coordinator.h"
 #include "relay/suspect.h"
 
@@ -337,7 +338,10 @@
 		suspect_restore_evidence(&step, &event->crash_report);
 		break;
 	case DFF_RELAY_PROBED:
-		suspect_apply_probe(&step, &event->probed);
+		if (event->probed.send != 0)
+			answer_end_apply_probe(&step, &event->probed);
+		else
+			suspect_apply_probe(&step, &event->probed);
 		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -16,6 +16,7 @@
 #define SERVER_ADDR "127.0.0.1:18731"
 #define STUB_PORT   18732
 #define STUB_ADDR   "127.0.0.1:18732"
+#define PROBE_TOKEN 7
 
 static dff_ctx_t *ctx;
 static uv_loop_t loop;
@@ -447,11 +448,13 @@
 } probed_t;
 
 static void
-on_probed(void *arg, const char *peer, dff_h1c_probe_result_t reach)
+on_probed(
+    void *arg, const char *peer, uint64_t token, dff_h1c_probe_result_t reach)
 {
 	probed_t *probed = arg;
 
 	ck_assert_str_eq(peer, "stub");
+	ck_assert_uint_eq(token, PROBE_TOKEN);
 	ck_assert(!probed->done);
 	probed->reach = reach;
 	probed->done = true;
@@ -466,7 +469,8 @@
 	probed_t probed = {.done = false};
 
 	ck_assert_int_eq(
-	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	    dff_h1c_probe(client, &probe_call, PROBE_TOKEN, on_probed, &probed),
+	    0);
 	run_until(&probed.done, DFF_SEC);
 	ck_assert(probed.done);
 	ck_assert_int_eq(probed.reach, DFF_H1C_REFUSED);
@@ -483,7 +487,8 @@
 	stub_start(
 	    STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", NULL);
 	ck_assert_int_eq(
-	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	    dff_h1c_probe(client, &probe_call, PROBE_TOKEN, on_probed, &probed),
+	    0);
 	run_until(&probed.done, DFF_SEC);
 	ck_assert(probed.done);
 	ck_assert_int_eq(probed.reach, DFF_H1C_REACHED);
@@ -521,7 +526,8 @@
 	stub_start(STUB_STAYS, NULL, NULL);
 	stub.listener.connection_cb = close_connection;
 	ck_assert_int_eq(
-	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	    dff_h1c_probe(client, &probe_call, PROBE_TOKEN, on_probed, &probed),
+	    0);
 	run_until(&probed.done, DFF_SEC);
 	ck_assert(probed.done);
 	ck_assert_int_eq(probed.reach, DFF_H1C_UNREACHABLE);
@@ -536,7 +542,8 @@
 
 	stub_start(STUB_STAYS, NULL, NULL);
 	ck_assert_int_eq(
-	    dff_h1c_probe(client, &probe_call, on_probed, &probed), 0);
+	    dff_h1c_probe(client, &probe_call, PROBE_TOKEN, on_probed, &probed),
+	    0);
 	dff_h1c_drop(client);
 	run_until(&probed.done, 50 * DFF_MSEC);
 	ck_assert(!probed.done);
