Server: callers of HTTP/1.0 get no chunks, and a reset when an answer breaks off

What callers saw: a caller of HTTP/1.0 got an answer of unknown length in chunks, which that version does not have; without them the end of the connection would have been the end of the answer, whole or not.

Cause: dff_h1d_begin() asked only whether the length is known. Found while looking for places that take the end of a connection for the end of an answer.

Change: such an answer ends with its connection (Connection: close), and one that is broken off, by the relay, a slow reader or the end of the server, is reset. Two of the three new checks of test_process_h1 failed before; the third holds that chunked answers go on to be broken off without their last chunk.

--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -29,6 +29,7 @@
 	bool complete; /* the parser has read a complete request */
 	bool parsing;
 	bool close_after; /* close after this answer */
+	bool ends_answer; /* its end is that of the answer in progress */
 	bool closing;
 } conn_t;
 
@@ -91,7 +92,10 @@
 		return;
 	conn->closing = true;
 	conn->req = NULL;
-	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+	/* An end in order would complete an answer that was broken off. */
+	if (!conn->ends_answer ||
+	    uv_tcp_close_reset(&conn->tcp, on_conn_closed) != 0)
+		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 	if (req == NULL)
 		return;
 	if (!conn->h1d->dropped && conn->h1d->handlers.disconnected != NULL)
@@ -153,6 +157,15 @@
 	    (status >= 100 && status < 200);
 }
 
+/* Callers of HTTP/1.0 do not know chunks. */
+static bool
+reads_chunks(const conn_t *conn)
+{
+	const http_parser *parser = &conn->reader.parser;
+
+	return parser->http_major > 1 || parser->http_minor > 0;
+}
+
 void
 dff_h1d_begin(
     dff_h1d_req_t *req, int status, const char *fields, int64_t length)
@@ -164,7 +177,10 @@
 		conn->close_after = true;
 	req->no_body = status_has_no_body(status) ||
 	    conn->reader.parser.method == HTTP_HEAD;
-	req->chunked = length < 0 && !req->no_body;
+	req->chunked = length < 0 && !req->no_body && reads_chunks(conn);
+	conn->ends_answer = length < 0 && !req->no_body && !req->chunked;
+	if (conn->ends_answer)
+		conn->close_after = true;
 	g_string_append_printf(head, "HTTP/1.1 %d %s\r\n%s", status,
 	    dff_h1_reason(status), fields);
 	if (length >= 0 && !status_has_no_body(status))
@@ -219,6 +235,7 @@
 void
 dff_h1d_end(dff_h1d_req_t *req)
 {
+	req->conn->ends_answer = false;
 	if (req->chunked)
 		send_bytes(req->conn, g_string_new("0\r\n\r\n"));
 	finish_req(req);
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -3,6 +3,7 @@
  * length or early, and requests that are cut, doubled or smuggled.
  */
 #include <check.h>
+#include <errno.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -657,12 +658,25 @@
 	int requests;
 	int gone;
 	bool hold; /* answer later */
+	bool stream; /* answer with a body of unknown length */
+	bool abort; /* break that answer off */
 	char target[64];
 	guint body;
 } served_t;
 
 static served_t served;
 
+static void
+answer_stream(dff_h1d_req_t *req)
+{
+	dff_h1d_begin(req, 200, "", -1);
+	dff_h1d_write(req, "part", 4);
+	if (served.abort)
+		dff_h1d_abort(req);
+	else
+		dff_h1d_end(req);
+}
+
 static void
 on_request(void *arg, dff_h1d_req_t *req)
 {
@@ -673,6 +687,8 @@
 	served.body = dff_h1d_body(req)->len;
 	if (served.hold)
 		served.waiting = req;
+	else if (served.stream)
+		answer_stream(req);
 	else
 		dff_h1d_answer(req, 200, "X-A: b\r\n", "ok", 2);
 }
@@ -698,6 +714,13 @@
 	    0);
 }
 
+/* How the last connection of talk() ended. */
+static enum {
+	TALK_OPEN,
+	TALK_CLOSED,
+	TALK_RESET
+} talk_end;
+
 /* Send bytes to the server; what comes back, until it closes or is quiet. */
 static void
 talk(const char *text, GString *back)
@@ -712,7 +735,8 @@
 	ck_assert_int_eq(
 	    (int)send(fd, text, strlen(text), MSG_NOSIGNAL), (int)strlen(text));
 	end = dff_program_now() + 100 * DFF_MSEC;
-	while (dff_program_now() < end) {
+	talk_end = TALK_OPEN;
+	while (dff_program_now() < end && talk_end == TALK_OPEN) {
 		ssize_t got;
 
 		(void)uv_run(&loop, UV_RUN_NOWAIT);
@@ -720,7 +744,9 @@
 		if (got > 0)
 			g_string_append_len(back, bytes, got);
 		if (got == 0)
-			break;
+			talk_end = TALK_CLOSED;
+		else if (got < 0 && errno == ECONNRESET)
+			talk_end = TALK_RESET;
 		g_usleep(500);
 	}
 	(void)close(fd);
@@ -824,6 +850,55 @@
 }
 END_TEST
 
+/* Requests a body of unknown length; returns the answer. */
+static GString *
+talk_stream(const char *version, bool abort)
+{
+	GString *back = g_string_new(NULL);
+	char *text = g_strdup_printf("GET / HTTP/%s\r\nHost: h\r\n"
+				     "Connection: keep-alive\r\n\r\n",
+	    version);
+
+	serve();
+	served.stream = true;
+	served.abort = abort;
+	talk(text, back);
+	dff_h1d_drop(served.server);
+	g_free(text);
+	return back;
+}
+
+START_TEST(caller_of_http_1_0_gets_no_chunks)
+{
+	GString *back = talk_stream("1.0", false);
+
+	ck_assert_ptr_null(strstr(back->str, "chunked"));
+	ck_assert_ptr_nonnull(strstr(back->str, "Connection: close\r\n"));
+	ck_assert(g_str_has_suffix(back->str, "\r\n\r\npart"));
+	ck_assert_int_eq(talk_end, TALK_CLOSED);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
+START_TEST(answer_broken_off_for_caller_of_http_1_0_is_reset)
+{
+	GString *back = talk_stream("1.0", true);
+
+	ck_assert_int_eq(talk_end, TALK_RESET);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
+START_TEST(answer_broken_off_has_no_last_chunk)
+{
+	GString *back = talk_stream("1.1", true);
+
+	ck_assert(g_str_has_suffix(back->str, "4\r\npart\r\n"));
+	ck_assert_int_eq(talk_end, TALK_CLOSED);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
 START_TEST(draining_server_closes_after_answer)
 {
 	GString *back = g_string_new(NULL);
@@ -909,6 +984,10 @@
 	tcase_add_test(tcase, smuggled_request_is_a_body);
 	tcase_add_test(tcase, head_and_body_limits_are_enforced);
 	tcase_add_test(tcase, caller_disconnect_is_reported);
+	tcase_add_test(tcase, caller_of_http_1_0_gets_no_chunks);
+	tcase_add_test(
+	    tcase, answer_broken_off_for_caller_of_http_1_0_is_reset);
+	tcase_add_test(tcase, answer_broken_off_has_no_last_chunk);
 	tcase_add_test(tcase, draining_server_closes_after_answer);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
