Soak: a quarter of the answers have no framing; lossy links lose all that follows

The soak's upstreams send streams and plain answers with neither a length nor chunks, whole, cut anywhere inside an event and closed in order, or reset.

The soak's proxy dropped bytes while a link was silent and went on with the same connection when it healed, and passed an end of connection on over a link that lost the bytes before it. TCP does neither. A direction that lost bytes now stays silent until its connection is closed: 'connections may go silent for good'. Answers without framing would have been cut by the proxy alone.

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -113,10 +113,13 @@
 /** dff_h1d_data() - value attached to a request, 0 if none */
 uint64_t dff_h1d_data(const dff_h1d_req_t *req);
 
+/* Length of a body that ends with its connection. */
+#define DFF_H1D_UNTIL_CLOSE (-2)
+
 /**
  * dff_h1d_begin() - begin an answer
  * @fields: "name: value\r\n" lines without framing, borrowed
- * @length: bytes of the body, or -1 if not known
+ * @length: bytes of the body, -1 if not known, or DFF_H1D_UNTIL_CLOSE
  */
 void dff_h1d_begin(
     dff_h1d_req_t *req, int status, const char *fields, int64_t length);
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -12,6 +12,7 @@
 	struct end *other;
 	bool to_caller; /* data read here is sent to the caller */
 	bool open;
+	bool lost; /* bytes read here were dropped: nothing may follow them */
 } endpoint_t;
 
 struct conn {
@@ -100,18 +101,17 @@
 	endpoint_t *end = (endpoint_t *)stream;
 	proxy_t *proxy = end->conn->proxy;
 
+	end->lost |= proxy->fault == LINK_SILENT ||
+	    (proxy->fault == LINK_ONE_WAY && end->to_caller);
 	if (got < 0) {
 		/* A silent link does not report that the peer has closed. */
-		if (proxy->fault != LINK_SILENT)
+		if (!end->lost)
 			close_connection(end->conn, got == UV_ECONNRESET);
 		else
 			(void)uv_read_stop(stream);
 		return;
 	}
-	if (proxy->fault == LINK_SILENT ||
-	    (proxy->fault == LINK_ONE_WAY && end->to_caller))
-		return;
-	if (end->other->open)
+	if (!end->lost && end->other->open)
 		write_to(end->other, buf->base, (size_t)got);
 }
 
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -26,6 +26,9 @@
  * third one, from edges without a recent fault or start. */
 #define BAD_LATE_MAX 3
 
+/* Share of answers with neither a length nor chunks. */
+#define UNFRAMED_SHARE 0.25
+
 /* Size of the header line that names a rate limit. */
 #define LIMIT_FIELD_MAX 40
 
@@ -41,6 +44,7 @@
 	int event;
 	int corruption; /* 0 none, 1 answer lost, 2 truncated */
 	bool stream;
+	bool unframed; /* its answer ends with its connection */
 } job_t;
 
 static const char *
@@ -84,13 +88,18 @@
 	job->req = NULL;
 	switch (job->corruption) {
 	case 0:
-		dff_h1d_answer(req, 200, fields, body, strlen(body));
+		dff_h1d_begin(req, 200, fields,
+		    job->unframed ? DFF_H1D_UNTIL_CLOSE :
+				    (int64_t)strlen(body));
+		dff_h1d_write(req, body, strlen(body));
+		dff_h1d_end(req);
 		break;
 	case 1:
 		dff_h1d_abort(req);
 		break;
 	default:
-		dff_h1d_begin(req, 200, fields, 1000);
+		dff_h1d_begin(req, 200, fields,
+		    job->unframed ? DFF_H1D_UNTIL_CLOSE : 1000);
 		dff_h1d_write(req, body, strlen(body));
 		dff_h1d_abort(req);
 		break;
@@ -99,20 +108,36 @@
 	g_free(body);
 }
 
+/* Ends a stream inside an event; without framing the connection may be closed
+ * in order. */
+static void
+cut_stream(job_t *job, const char *event)
+{
+	gint32 len = g_rand_int_range(job->soak->rng, 1, (gint32)strlen(event));
+	dff_h1d_req_t *req = job->req;
+
+	job->req = NULL;
+	dff_h1d_write(req, event, (size_t)len);
+	dff_h1d_set_data(req, 0);
+	if (job->unframed && job->corruption == 1)
+		dff_h1d_end(req);
+	else
+		dff_h1d_abort(req);
+	end_job(job);
+}
+
 static void
 on_event(job_t *job)
 {
 	char *text;
 
+	text = g_strdup_printf("id: %d\ndata: %s\n\n", job->event + 1, job->id);
 	if (job->corruption != 0 && job->event == EVENTS / 2) {
-		dff_h1d_write(job->req, "id: ", 4);
-		dff_h1d_abort(job->req);
-		job->req = NULL;
-		end_job(job);
+		cut_stream(job, text);
+		g_free(text);
 		return;
 	}
 	job->event++;
-	text = g_strdup_printf("id: %d\ndata: %s\n\n", job->event, job->id);
 	dff_h1d_write(job->req, text, strlen(text));
 	g_free(text);
 	if (job->event < EVENTS)
@@ -190,6 +215,7 @@
 	g_strlcpy(job->id, id, sizeof(job->id));
 	if (g_rand_double(soak->rng) < corrupt_share)
 		job->corruption = g_rand_int_range(soak->rng, 1, 3);
+	job->unframed = g_rand_double(soak->rng) < UNFRAMED_SHARE;
 	job->timer.data = job;
 	dff_h1d_set_data(req, (uint64_t)(uintptr_t)job);
 	(void)uv_timer_init(&soak->loop, &job->timer);
@@ -198,7 +224,8 @@
 	if (!job->stream)
 		return;
 	fields = head_fields(job);
-	dff_h1d_begin(req, 200, fields, -1);
+	dff_h1d_begin(
+	    req, 200, fields, job->unframed ? DFF_H1D_UNTIL_CLOSE : -1);
 	g_free(fields);
 }
 
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -177,7 +177,8 @@
 		conn->close_after = true;
 	req->no_body = status_has_no_body(status) ||
 	    conn->reader.parser.method == HTTP_HEAD;
-	req->chunked = length < 0 && !req->no_body && reads_chunks(conn);
+	req->chunked = length < 0 && length != DFF_H1D_UNTIL_CLOSE &&
+	    !req->no_body && reads_chunks(conn);
 	conn->ends_answer = length < 0 && !req->no_body && !req->chunked;
 	if (conn->ends_answer)
 		conn->close_after = true;
