Tests: requests with one part in common crash engine after engine (failing)

test_relay_suspect_parts, virtual time: relays that exchange frames before engines of both stages. Requests share one part of their prompt, which crashes each engine that begins to answer on it, and have a content of their own each; sound requests share all other parts. 10 seeds of each random load.

Bounds are the stated targets: five engines a part, three sends later than 3 s after the fifth crash, no sound request refused.

--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -14,8 +14,11 @@
 #define ANSWER_AFTER (100 * DFF_MSEC)
 /* Time from the start of an upstream until nodes get its record. */
 #define RECORD_LAG (1 * DFF_SEC)
-/* Time after the third crash from which sends count as late. */
+/* Crash after which sends count as late, and the time after it. */
+#define LATE_CRASH 3
 #define LATE_AFTER (3 * DFF_SEC)
+/* Tokens of each part of a prompt. */
+#define PART_TOKENS 2000
 
 typedef struct sim_upstream {
 	char id[16];
@@ -61,10 +64,11 @@
 static int statuses[NODES_MAX];
 static dff_time_t retries[NODES_MAX];
 static crash_sim_counts_t counts;
-static dff_time_t third_crash_at;
+static dff_time_t late_crash_at;
 static dff_crash_report_t stored; /* the evidence that was stored last */
 static dff_time_t stored_at;
 static uint32_t runs;
+static uint64_t next_content;
 
 static void take_effects(int node);
 
@@ -127,8 +131,9 @@
 	if (config.record_expiry != DFF_TIME_NEVER)
 		up->expires_at = now() + config.record_expiry;
 	counts.crashes++;
-	if (counts.crashes == 3)
-		third_crash_at = now();
+	if (counts.crashes ==
+	    (config.late_crash > 0 ? config.late_crash : LATE_CRASH))
+		late_crash_at = now();
 	for (guint i = 0; i < jobs->len; i++) {
 		job_t *job = &g_array_index(jobs, job_t, i);
 
@@ -167,10 +172,16 @@
 		return;
 	}
 	job->ends_at = now() + CRASH_AFTER;
-	if (third_crash_at != 0 && now() - third_crash_at > LATE_AFTER)
+	if (late_crash_at != 0 && now() - late_crash_at > LATE_AFTER)
 		counts.late_sends++;
 }
 
+void
+crash_sim_crash(int upstream)
+{
+	crash(upstream);
+}
+
 void
 crash_sim_crash_all(void)
 {
@@ -473,9 +484,10 @@
 	memset(&counts, 0, sizeof(counts));
 	memset(statuses, 0, sizeof(statuses));
 	memset(ups, 0, sizeof(ups));
-	third_crash_at = 0;
+	late_crash_at = 0;
 	memset(&stored, 0, sizeof(stored));
 	runs = 0;
+	next_content = 1000 * CRASH_CONTENT;
 	jobs = g_array_new(FALSE, FALSE, sizeof(job_t));
 	probes = g_array_new(FALSE, FALSE, sizeof(probe_t));
 	for (int i = 0; i < config.upstreams; i++) {
@@ -548,6 +560,25 @@
 	take_effects(node);
 }
 
+void
+crash_sim_request_parts(
+    int node, const uint64_t *parts, uint32_t count, bool crashes)
+{
+	uint64_t content = ++next_content;
+	dff_prompt_t prompt = {
+	    .count = count, .tokens = count * PART_TOKENS, .tokens_out = 100};
+
+	ck_assert_uint_le(count, DFF_PARTS_MAX);
+	for (uint32_t i = 0; i < count; i++) {
+		prompt.parts[i].id = parts[i];
+		prompt.parts[i].tokens = PART_TOKENS;
+	}
+	(void)note_call(node, crashes ? CRASH_CONTENT : content);
+	(void)relay_bench_open_parts(
+	    net.nodes[node], "/talk/x", content, &prompt);
+	take_effects(node);
+}
+
 void
 crash_sim_restart(int node)
 {
--- a/test/fake/crash_sim.h
+++ b/test/fake/crash_sim.h
@@ -22,6 +22,8 @@
  * @lost_every: every n-th harmless run breaks off; 0 for none
  * @engines: upstreams are engines, one half for prefill and one for decode
  * @prefill_is_safe: prefills do not crash engines
+ * @late_crash: sends of CRASH_CONTENT count as late after this crash; 0 for
+ *	the third
  * @unreliable_node: index of a node whose sends alternately break off and fail
  *	to connect, and whose probes time out; 0 for none
  * @silent_crash: crashed upstreams become silent, and no connection breaks off
@@ -35,6 +37,7 @@
 	bool engines;
 	bool prefill_is_safe;
 	bool silent_crash;
+	int late_crash;
 	int unreliable_node;
 } crash_sim_config_t;
 
@@ -42,7 +45,7 @@
  * struct crash_sim_counts - events at upstreams and callers
  * @crashes: crashes of upstreams
  * @late_sends: arrivals of CRASH_CONTENT at live upstreams later than 3 s after
- *	the third crash
+ *	the crash after which they are late
  * @answered: harmless requests that were answered
  * @refused: harmless requests that were refused
  * @failed: harmless requests that failed
@@ -67,6 +70,15 @@
 /** crash_sim_request_prompt() - open a request with a prompt, for engines */
 void crash_sim_request_prompt(int node, uint64_t content);
 
+/** crash_sim_request_parts() - open a request with these parts, for engines;
+ *	each has a content of its own
+ * @crashes: it crashes the engine that begins it */
+void crash_sim_request_parts(
+    int node, const uint64_t *parts, uint32_t count, bool crashes);
+
+/** crash_sim_crash() - crash one upstream */
+void crash_sim_crash(int upstream);
+
 /** crash_sim_advance() - advance the virtual time */
 void crash_sim_advance(dff_time_t time);
 
--- a/test/fake/relay_bench.c
+++ b/test/fake/relay_bench.c
@@ -173,6 +173,13 @@
 	return open_request(bench, target, own_id, &prompt);
 }
 
+uint64_t
+relay_bench_open_parts(relay_bench_t *bench, const char *target,
+    uint64_t content, const dff_prompt_t *prompt)
+{
+	return open_request(bench, target, content, prompt);
+}
+
 const dff_relay_effect_t *
 relay_bench_find(const relay_bench_t *bench, dff_relay_effect_type_t type)
 {
--- a/test/fake/relay_bench.h
+++ b/test/fake/relay_bench.h
@@ -66,6 +66,10 @@
 uint64_t relay_bench_open_prompt(relay_bench_t *bench, const char *target,
     uint64_t shared_id, uint32_t shared, uint64_t own_id, uint32_t own);
 
+/** relay_bench_open_parts() - pass a request with any prompt */
+uint64_t relay_bench_open_parts(relay_bench_t *bench, const char *target,
+    uint64_t content, const dff_prompt_t *prompt);
+
 /** relay_bench_find() - find the last effect of a type, or NULL */
 const dff_relay_effect_t *relay_bench_find(
     const relay_bench_t *bench, dff_relay_effect_type_t type);
--- /dev/null
+++ b/test/test_relay_suspect_parts.c
@@ -0,0 +1,286 @@
+/*
+ * Requests of which no two are alike, but that share one part of their prompt
+ * which crashes each engine that begins to answer on it; and sound requests
+ * that share all other parts with them, which must be served.
+ */
+#include <check.h>
+#include <limits.h>
+#include <stdlib.h>
+
+#include "fake/crash_sim.h"
+
+/* Most sends to live engines later than 3 s after the fifth crash. */
+#define LATE_SENDS_MAX 3
+/* Most engines that one part may crash. */
+#define CRASHES_MAX 5
+/* Seeds of each random load. DFF_SEEDS sets another number. */
+#define SEEDS 10
+
+#define STEP (50 * DFF_MSEC)
+
+/**
+ * struct load - requests a second and how long they come
+ * @deadly: requests a second with each deadly part
+ * @deadly_parts: number of such parts
+ * @deadly_first: the part is the prompt's first one
+ * @sound: sound requests a second
+ * @crashes: engines a second that crash for another reason
+ * @time: length of the load
+ */
+typedef struct load {
+	double deadly;
+	int deadly_parts;
+	bool deadly_first;
+	double sound;
+	double crashes;
+	dff_time_t time;
+} load_t;
+
+static const crash_sim_config_t small_fleet = {.nodes = 9,
+    .upstreams = 24,
+    .restart_delay = 2 * DFF_SEC,
+    .record_expiry = 3 * DFF_SEC,
+    .engines = true,
+    .prefill_is_safe = true,
+    .late_crash = CRASHES_MAX};
+
+static GRand *rng;
+static int sound_requests;
+
+static void
+start(const crash_sim_config_t *config, guint32 seed)
+{
+	crash_sim_start(config);
+	rng = g_rand_new_with_seed(seed);
+	sound_requests = 0;
+}
+
+static void
+teardown(void)
+{
+	if (rng == NULL)
+		return;
+	g_rand_free(rng);
+	rng = NULL;
+	crash_sim_stop();
+}
+
+/* One of three first parts, one of ten that callers share, a part of its own
+ * session and one of its own; a deadly one stands first or third. */
+static void
+request(int node, int deadly, bool first)
+{
+	static uint64_t next_own = 100000;
+	uint64_t parts[] = {(uint64_t)g_rand_int_range(rng, 1, 4),
+	    (uint64_t)g_rand_int_range(rng, 10, 20), next_own++, next_own++};
+
+	if (deadly != 0)
+		parts[first ? 0 : 2] = 1000 + (uint64_t)deadly;
+	else
+		sound_requests++;
+	crash_sim_request_parts(node, parts, G_N_ELEMENTS(parts), deadly != 0);
+}
+
+static bool
+is_due(double per_second)
+{
+	return g_rand_double(rng) < per_second * (double)STEP / (double)DFF_SEC;
+}
+
+static void
+play(const crash_sim_config_t *config, const load_t *load)
+{
+	for (dff_time_t t = 0; t < load->time; t += STEP) {
+		for (int i = 1; i <= load->deadly_parts; i++) {
+			if (is_due(load->deadly))
+				request(g_rand_int_range(rng, 0, config->nodes),
+				    i, load->deadly_first);
+		}
+		for (int i = 0; i < 4; i++) {
+			if (is_due(load->sound / 4))
+				request(g_rand_int_range(rng, 0, config->nodes),
+				    0, false);
+		}
+		if (is_due(load->crashes))
+			crash_sim_crash(
+			    g_rand_int_range(rng, 0, config->upstreams));
+		crash_sim_advance(STEP);
+	}
+	crash_sim_advance(5 * DFF_SEC);
+}
+
+static int
+seeds(void)
+{
+	const char *text = getenv("DFF_SEEDS");
+
+	return text != NULL ? atoi(text) : SEEDS;
+}
+
+static void
+play_seeds(const crash_sim_config_t *config, const load_t *load,
+    int crashes_max, int refused_max)
+{
+	for (int seed = 0; seed < seeds(); seed++) {
+		const crash_sim_counts_t *counts = crash_sim_counts();
+
+		start(config, (guint32)seed);
+		play(config, load);
+		ck_assert_msg(counts->crashes <= crashes_max,
+		    "%d engines crashed, seed %d", counts->crashes, seed);
+		ck_assert_msg(counts->late_sends <= LATE_SENDS_MAX,
+		    "%d late sends, seed %d", counts->late_sends, seed);
+		ck_assert_msg(counts->refused <= refused_max,
+		    "%d of %d sound requests refused, seed %d", counts->refused,
+		    sound_requests, seed);
+		teardown();
+	}
+}
+
+START_TEST(deadly_part_crashes_few_engines)
+{
+	const load_t load = {
+	    .deadly = 1, .deadly_parts = 1, .sound = 20, .time = 20 * DFF_SEC};
+
+	play_seeds(&small_fleet, &load, CRASHES_MAX, 0);
+}
+END_TEST
+
+START_TEST(deadly_part_crashes_few_engines_of_a_large_fleet)
+{
+	crash_sim_config_t config = small_fleet;
+	const load_t load = {
+	    .deadly = 5, .deadly_parts = 1, .sound = 40, .time = 10 * DFF_SEC};
+
+	config.nodes = 27;
+	config.upstreams = 32;
+	play_seeds(&config, &load, CRASHES_MAX, 0);
+}
+END_TEST
+
+START_TEST(each_of_two_deadly_parts_crashes_few_engines)
+{
+	const load_t load = {
+	    .deadly = 1, .deadly_parts = 2, .sound = 20, .time = 20 * DFF_SEC};
+
+	play_seeds(&small_fleet, &load, 2 * CRASHES_MAX, 0);
+}
+END_TEST
+
+START_TEST(deadly_first_part_crashes_few_engines)
+{
+	const load_t load = {.deadly = 1,
+	    .deadly_parts = 1,
+	    .deadly_first = true,
+	    .sound = 20,
+	    .time = 20 * DFF_SEC};
+
+	play_seeds(&small_fleet, &load, CRASHES_MAX, 0);
+}
+END_TEST
+
+/* Without sound requests nothing clears the other parts. */
+START_TEST(deadly_part_crashes_few_engines_without_other_requests)
+{
+	const load_t load = {
+	    .deadly = 1, .deadly_parts = 1, .time = 20 * DFF_SEC};
+
+	play_seeds(&small_fleet, &load, CRASHES_MAX, 0);
+}
+END_TEST
+
+START_TEST(sound_parts_are_served_while_engines_crash)
+{
+	const load_t load = {.sound = 30, .crashes = 2, .time = 20 * DFF_SEC};
+
+	play_seeds(&small_fleet, &load, INT_MAX, 0);
+}
+END_TEST
+
+START_TEST(restarted_fleet_remembers_deadly_part)
+{
+	const load_t load = {
+	    .deadly = 2, .deadly_parts = 1, .sound = 20, .time = 8 * DFF_SEC};
+	int crashes;
+
+	start(&small_fleet, 1);
+	play(&small_fleet, &load);
+	crashes = crash_sim_counts()->crashes;
+	for (int i = 0; i < small_fleet.nodes; i++)
+		crash_sim_restart(i);
+	crash_sim_advance(DFF_SEC);
+	for (int i = 0; i < small_fleet.nodes; i++)
+		request(i, 1, false);
+	crash_sim_advance(5 * DFF_SEC);
+	ck_assert_int_ge(crashes, 3);
+	ck_assert_int_eq(crash_sim_counts()->crashes, crashes);
+}
+END_TEST
+
+START_TEST(deadly_part_far_back_in_a_long_prompt_is_found)
+{
+	uint64_t parts[40];
+	uint64_t own = 1 << 20;
+
+	start(&small_fleet, 1);
+	for (int n = 0; n < 12; n++) {
+		for (guint i = 0; i < G_N_ELEMENTS(parts); i++)
+			parts[i] = own++;
+		parts[35] = 7;
+		crash_sim_request_parts(
+		    n % small_fleet.nodes, parts, G_N_ELEMENTS(parts), true);
+		crash_sim_advance(DFF_SEC);
+	}
+	ck_assert_int_le(crash_sim_counts()->crashes, CRASHES_MAX);
+}
+END_TEST
+
+/* The part works again, as with new weights. */
+START_TEST(refused_part_is_served_again_after_a_while)
+{
+	const load_t load = {
+	    .deadly = 2, .deadly_parts = 1, .sound = 20, .time = 8 * DFF_SEC};
+	uint64_t parts[] = {1, 10, 1001, 5};
+
+	start(&small_fleet, 1);
+	play(&small_fleet, &load);
+	crash_sim_request_parts(0, parts, G_N_ELEMENTS(parts), false);
+	ck_assert_int_eq(crash_sim_status(0), 503);
+	crash_sim_advance(crash_sim_retry_after(0));
+	crash_sim_request_parts(0, parts, G_N_ELEMENTS(parts), false);
+	ck_assert_int_eq(crash_sim_status(0), 0);
+	crash_sim_advance(3 * DFF_SEC);
+	for (int i = 1; i < small_fleet.nodes; i++) {
+		crash_sim_request_parts(i, parts, G_N_ELEMENTS(parts), false);
+		ck_assert_int_eq(crash_sim_status(i), 0);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("relay_suspect_parts");
+	TCase *tcase = tcase_create("relay_suspect_parts");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_checked_fixture(tcase, NULL, teardown);
+	tcase_add_test(tcase, deadly_part_crashes_few_engines);
+	tcase_add_test(tcase, deadly_part_crashes_few_engines_of_a_large_fleet);
+	tcase_add_test(tcase, each_of_two_deadly_parts_crashes_few_engines);
+	tcase_add_test(tcase, deadly_first_part_crashes_few_engines);
+	tcase_add_test(
+	    tcase, deadly_part_crashes_few_engines_without_other_requests);
+	tcase_add_test(tcase, sound_parts_are_served_while_engines_crash);
+	tcase_add_test(tcase, restarted_fleet_remembers_deadly_part);
+	tcase_add_test(tcase, deadly_part_far_back_in_a_long_prompt_is_found);
+	tcase_add_test(tcase, refused_part_is_served_again_after_a_while);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
