Relay: evidence of crashes hangs on the parts of a prompt too

Cause: evidence hung on the hash of path and body alone. Each of these requests had one crash, and none was refused.

Change: each part of the prompt but the last, with its model, is a key like the content. A part is refused after three crashes without an answer, six where an answer is remembered. Answers clear parts and vouch for them; a part in less than a quarter of the crashes since its first is not refused yet; a refused part that the request lacks explains the crashes of its others. Refused parts head the evidence in frames, and nodes that know better reply. Up to 64 parts of a prompt are seen, 16 before.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -157,8 +157,11 @@
 
 /* ---- prompts ---- */
 
-/* Parts of one prompt that placement considers. */
-#define DFF_PARTS_MAX 16
+/* Set in keys of prompt parts, not set in hashes of requests. */
+#define DFF_PART_KEY (UINT64_C(1) << 63)
+
+/* Parts of one prompt that are considered. */
+#define DFF_PARTS_MAX 64
 
 /** struct dff_part - one part of a prompt */
 typedef struct dff_part {
@@ -170,12 +173,14 @@
  * struct dff_prompt - a prompt as a chain of parts
  * @parts: in order; the last is specific to the request or its session
  * @count: number of parts
+ * @model: hash of the name of the model that it is for
  * @tokens: prompt tokens in total
  * @tokens_out: most tokens of the answer
  */
 typedef struct dff_prompt {
 	dff_part_t parts[DFF_PARTS_MAX];
 	uint32_t count;
+	uint64_t model;
 	uint32_t tokens;
 	uint32_t tokens_out;
 } dff_prompt_t;
@@ -203,7 +208,8 @@
  * @id: the caller's id of this attempt, for logs
  * @host: host without port
  * @target: path and query
- * @content_hash: hash over target and body, equal when a request is repeated
+ * @content_hash: hash over target and body, equal when a request is repeated;
+ *	without DFF_PART_KEY
  * @timeout: how long the caller waits; 0 if it did not say
  * @after_event: last event that the caller has; -1 for none
  * @prompt: prompt; its count is 0 for requests without one
@@ -314,8 +320,9 @@
 #define DFF_CRASH_REPORT_MAX 8
 
 /**
- * struct dff_crash_report - upstreams that crashed while running one request
- * @content_hash: hash of the request
+ * struct dff_crash_report - upstreams that crashed while running one request,
+ *	or requests with one part in common
+ * @content_hash: hash of the request, or key of the part
  * @age: time since the last crash
  * @count: rows of @crashes
  * @crashes: hash of an upstream's id and its number of crashes
--- a/source/relay/answer_end.c
+++ b/source/relay/answer_end.c
@@ -87,7 +87,7 @@
 		return;
 	}
 	if (good)
-		suspect_clear_answered(step, call->content_hash);
+		suspect_clear_answered(step, call);
 	forward_answer(step, call, end);
 	send_release(step, call);
 	relay_call_close(step, call);
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -70,6 +70,7 @@
 	dff_relay_t *relay = step->relay;
 	const dff_route_t *route;
 	dff_time_t refused_for;
+	uint64_t key = 0;
 	call_t *call;
 
 	relay->counts[COUNT_REQUESTS]++;
@@ -89,10 +90,10 @@
 		answer_without_call(step, open, 404, 0, "no_route");
 		return;
 	}
-	refused_for =
-	    suspect_refusal_time(relay, open->content_hash, step->now);
+	refused_for = suspect_refusal_time(
+	    relay, open->content_hash, &open->prompt, step->now, &key);
 	if (refused_for > 0) {
-		relay->counts[COUNT_REFUSED_POISON]++;
+		suspect_note_refusal(step, open->id, key);
 		answer_without_call(
 		    step, open, 503, refused_for, "breaks_upstreams");
 		return;
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -15,6 +15,7 @@
     [COUNT_UNREACHABLE] = "sends_unreachable",
     [COUNT_BUDGET_EMPTY] = "budget_empty",
     [COUNT_REFUSED_POISON] = "refused_poison",
+    [COUNT_REFUSED_PARTS] = "refused_parts",
     [COUNT_PROBES] = "probes",
     [COUNT_END_PROBES] = "answer_end_probes",
     [COUNT_RUNS_CRASHED] = "runs_crashed",
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -180,7 +180,7 @@
 static void
 retry_after_break(step_t *step, call_t *call, dff_handle_t upstream)
 {
-	if (suspect_depends_on_probe(step, call->content_hash, upstream) &&
+	if (suspect_depends_on_probe(step, call, upstream) &&
 	    (call->progress < DFF_PROGRESS_MAY_HAVE_RUN ||
 		send_may_repeat(call))) {
 		call->awaited_probe = upstream;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -323,16 +323,18 @@
 		call->kv_handle[0] = '\0';
 }
 
-/* Other requests with the same content may have crashed upstreams since. */
+/* Other requests with the same content or part may have crashed upstreams
+ * since. */
 static bool
 give_up_if_refused(step_t *step, call_t *call)
 {
-	dff_time_t refused_for =
-	    suspect_refusal_time(step->relay, call->content_hash, step->now);
+	uint64_t key = 0;
+	dff_time_t refused_for = suspect_refusal_time(
+	    step->relay, call->content_hash, &call->prompt, step->now, &key);
 
 	if (refused_for == 0 || DFF_FAULT(RELAY_VERDICT_ON_ARRIVAL))
 		return false;
-	step->relay->counts[COUNT_REFUSED_POISON]++;
+	suspect_note_refusal(step, call->id, key);
 	relay_call_give_up(step, call,
 	    call->progress < DFF_PROGRESS_MAY_HAVE_RUN ? DFF_FAILURE_BUSY :
 							 DFF_FAILURE_UPSTREAM,
@@ -485,7 +487,8 @@
 	up = upstreams_get(relay->upstreams, call->send.upstream);
 	if (step->now < call->deadline && up != NULL &&
 	    upstream_is_available(up, step->now) &&
-	    (suspect_refusal_time(relay, call->content_hash, step->now) == 0 ||
+	    (suspect_refusal_time(relay, call->content_hash, &call->prompt,
+		 step->now, NULL) == 0 ||
 		DFF_FAULT(RELAY_VERDICT_ON_ARRIVAL)))
 		return;
 	if (DFF_FAULT(RELAY_DUE_UNCHECKED))
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -1,27 +1,22 @@
 /*
  * Requests that crash the upstreams that run them. Such a request may crash
  * each upstream and be repeated at any node, also as several concurrent
- * copies.
+ * copies. So may all requests with one part of a prompt in common.
  *
- * Evidence is kept for each content and upstream. Crashes of one upstream
+ * Evidence is kept for each key and upstream; keys are the content of a request
+ * and each part of its prompt but the last, which is its own. Crashes of one upstream
  * follow one another, so that counts of several nodes are merged by their
  * maximum; crashes of different upstreams are added up, whichever node saw
- * them. Contents that merely shared an upstream with such a request are cleared
- * by their next answer.
+ * them. Contents and parts that merely shared an upstream with such a request
+ * are cleared by their next answer. Parts that were answered just before a
+ * crash are not suspected at all.
  */
 #include "relay/suspect_parts.h"
 
 #include "base/fault.h"
 
-/* Time for which a request is refused after its last crash. It doubles with
- * each further crash, up to the maximum number of doublings. */
-#define REFUSAL_TIME	      (60 * DFF_SEC)
-#define REFUSAL_DOUBLINGS_MAX 6
-/* Evidence is kept for this multiple of the time of refusal, so that the next
- * crash counts as a further one. */
-#define RETENTION_FACTOR 2
-/* Most contents with evidence. */
-#define SUSPECTS_MAX 4096
+/* Most keys with evidence. */
+#define SUSPECTS_MAX 16384
 /* A run that broke off is attributed to a crash if its upstream is found dead
  * or restarted within this time: its record expires sooner. */
 #define CONFIRM_TIME (5 * DFF_SEC)
@@ -30,10 +25,9 @@
 #define CONFIRM_TIME_UNRESPONSIVE (30 * DFF_SEC)
 /* Longest time for the connection of a probe: several round trips. */
 #define PROBE_TIME (350 * DFF_MSEC)
-/* An upstream does not restart sooner: runs that break off there within this
- * time met the same crash. */
-#define RESTART_MIN (500 * DFF_MSEC)
-
+/* Evidence against a part is stored once it has held for this time: answers
+ * that clear sound parts arrive from all nodes meanwhile. */
+#define PART_STORE_DELAY DFF_SEC
 static void
 free_suspect(void *data)
 {
@@ -48,8 +42,12 @@
 {
 	suspects_t *suspects = g_new0(suspects_t, 1);
 
-	suspects->by_content = g_hash_table_new_full(
+	suspects->by_key = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, free_suspect);
+	suspects->answered = answered_parts_new();
+	suspects->crash_events =
+	    g_array_new(FALSE, FALSE, sizeof(crash_event_t));
+	suspects->refused_parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	suspects->broken_runs = g_array_new(FALSE, FALSE, sizeof(broken_run_t));
 	return suspects;
 }
@@ -57,7 +55,10 @@
 void
 suspects_drop(suspects_t *suspects)
 {
-	g_hash_table_unref(suspects->by_content);
+	g_hash_table_unref(suspects->by_key);
+	answered_parts_drop(suspects->answered);
+	g_array_unref(suspects->crash_events);
+	g_array_unref(suspects->refused_parts);
 	g_array_unref(suspects->broken_runs);
 	g_free(suspects);
 }
@@ -65,19 +66,19 @@
 /* ---- evidence ---- */
 
 suspect_t *
-suspects_find_or_add(suspects_t *suspects, uint64_t content)
+suspects_find_or_add(suspects_t *suspects, uint64_t key)
 {
-	suspect_t *suspect =
-	    g_hash_table_lookup(suspects->by_content, &content);
+	suspect_t *suspect = suspects_find(suspects, key);
 
 	if (suspect != NULL)
 		return suspect;
-	if (g_hash_table_size(suspects->by_content) >= SUSPECTS_MAX)
+	if (g_hash_table_size(suspects->by_key) >= SUSPECTS_MAX)
 		return NULL;
 	suspect = g_new0(suspect_t, 1);
 	suspect->crashes = g_array_new(FALSE, FALSE, sizeof(crash_t));
-	g_hash_table_insert(suspects->by_content,
-	    g_memdup2(&content, sizeof(content)), suspect);
+	suspect->crashes_to_refuse = suspect_threshold(suspects, key);
+	g_hash_table_insert(
+	    suspects->by_key, g_memdup2(&key, sizeof(key)), suspect);
 	return suspect;
 }
 
@@ -118,26 +119,27 @@
 	return last;
 }
 
-/* Time after the last crash for which a request with this number of crashes is
- * refused. */
-static dff_time_t
-refusal_duration(uint32_t crashes)
+bool
+suspect_saw_crash(const suspect_t *suspect)
 {
-	if (crashes < CRASHES_TO_REFUSE)
-		return REFUSAL_TIME;
-	return REFUSAL_TIME
-	    << MIN(crashes - CRASHES_TO_REFUSE, REFUSAL_DOUBLINGS_MAX);
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		if (g_array_index(suspect->crashes, crash_t, i).seen_here)
+			return true;
+	}
+	return false;
 }
 
 static void
 log_crash(
     step_t *step, const broken_run_t *run, const upstream_t *up, uint32_t count)
 {
-	step->relay->counts[COUNT_RUNS_CRASHED]++;
+	/* Of the parts, only those that were in two crashes are few. */
+	if (suspect_is_part(run->key) && count < 2)
+		return;
 	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-	    "upstream crashed during request content=%016" G_GINT64_MODIFIER
+	    "upstream crashed during request %s=%016" G_GINT64_MODIFIER
 	    "x upstream=%s crashes=%u age_ms=%" G_GINT64_FORMAT,
-	    run->content, up->record.id, count,
+	    suspect_key_name(run->key), run->key, up->record.id, count,
 	    (step->now - run->ended_at) / DFF_MSEC);
 }
 
@@ -148,11 +150,13 @@
 	const upstream_t *up =
 	    upstreams_get(step->relay->upstreams, run->upstream);
 
+	if (suspect_is_part(run->key))
+		return;
 	step->relay->counts[COUNT_BREAKS_FORGOTTEN]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
 	    "broken run was not attributed to a crash content=%016" G_GINT64_MODIFIER
 	    "x upstream=%s age_ms=%" G_GINT64_FORMAT,
-	    run->content, up != NULL ? up->record.id : "-",
+	    run->key, up != NULL ? up->record.id : "-",
 	    (step->now - run->ended_at) / DFF_MSEC);
 }
 
@@ -160,10 +164,10 @@
 count_crash(step_t *step, const broken_run_t *run, const upstream_t *up)
 {
 	suspect_t *suspect =
-	    suspects_find_or_add(step->relay->suspects, run->content);
+	    suspects_find_or_add(step->relay->suspects, run->key);
 	crash_t *crash;
 
-	if (suspect == NULL)
+	if (suspect == NULL || run->ended_at <= suspect->answered_at)
 		return;
 	crash = suspect_find_or_add_crash(suspect, up->hash);
 	crash->seen_here = true;
@@ -172,8 +176,12 @@
 	crash->count++;
 	crash->last_at = run->ended_at;
 	crash->learned_at = step->now;
+	suspect_note_crash(step, run->key, suspect, crash);
+	if (!suspect_is_part(run->key)) {
+		step->relay->counts[COUNT_RUNS_CRASHED]++;
+		suspect_store_evidence(step, run->key, suspect);
+	}
 	log_crash(step, run, up, suspect_count_crashes(suspect));
-	suspect_store_evidence(step, run->content, suspect);
 	frame_schedule_update(step);
 }
 
@@ -186,18 +194,27 @@
 void
 suspect_add_broken_run(step_t *step, const call_t *call)
 {
+	suspects_t *suspects = step->relay->suspects;
 	const upstream_t *up =
 	    upstreams_get(step->relay->upstreams, call->send.upstream);
-	broken_run_t run = {.content = call->content_hash,
-	    .upstream = call->send.upstream,
+	broken_run_t run = {.upstream = call->send.upstream,
 	    .sent_at = call->send.sent_at,
 	    .ended_at = step->now};
+	uint64_t keys[SUSPECT_KEYS_MAX];
+	size_t count =
+	    suspect_list_keys(call->content_hash, &call->prompt, keys);
 
 	/* An upstream that is leaving breaks off its last runs. */
 	if (up == NULL || up->record.leaving)
 		return;
 	run.unresponsive = up->silent;
-	g_array_append_val(step->relay->suspects->broken_runs, run);
+	for (size_t i = 0; i < count; i++) {
+		if (answered_parts_vouch(
+			suspects->answered, keys[i], step->now))
+			continue;
+		run.key = keys[i];
+		g_array_append_val(suspects->broken_runs, run);
+	}
 }
 
 void
@@ -319,72 +336,77 @@
 	}
 	if (suspect->crashes->len == before)
 		return;
+	if (suspect->crashes->len == 0)
+		suspect->first_at = 0;
 	suspect->answer_learned_at = now;
 	suspect->answer_seen_here = seen;
 }
 
-void
-suspect_clear_answered(step_t *step, uint64_t content)
+static void
+clear_key(step_t *step, uint64_t key)
 {
 	suspects_t *suspects = step->relay->suspects;
-	suspect_t *suspect =
-	    g_hash_table_lookup(suspects->by_content, &content);
+	suspect_t *suspect = suspects_find(suspects, key);
 
+	if (suspect_is_part(key))
+		answered_parts_note(suspects->answered, key, step->now);
+	if (suspect != NULL)
+		suspect->crashes_to_refuse = suspect_threshold(suspects, key);
 	if (suspect == NULL || suspect->crashes->len == 0)
 		return;
-	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-	    "request was answered, its crashes no longer count "
-	    "content=%016" G_GINT64_MODIFIER "x crashes=%u",
-	    content, suspect_count_crashes(suspect));
+	if (!suspect_is_part(key) || suspect_count_crashes(suspect) > 1)
+		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+		    "request was answered, its crashes no longer count "
+		    "%s=%016" G_GINT64_MODIFIER "x crashes=%u",
+		    suspect_key_name(key), key, suspect_count_crashes(suspect));
 	suspect_remove_crashes(suspect, step->now, true, step->now);
 	frame_schedule_update(step);
 }
 
-/* ---- refusal ---- */
-
-dff_time_t
-suspect_refusal_time(const dff_relay_t *relay, uint64_t content, dff_time_t now)
+void
+suspect_clear_answered(step_t *step, const call_t *call)
 {
-	const suspect_t *suspect =
-	    g_hash_table_lookup(relay->suspects->by_content, &content);
-	uint32_t crashes;
-	dff_time_t until;
-
-	if (suspect == NULL)
-		return 0;
-	crashes = suspect_count_crashes(suspect);
-	until = suspect_last_crash(suspect) + refusal_duration(crashes);
-	if (crashes < CRASHES_TO_REFUSE || DFF_FAULT(RELAY_POISON_SERVED))
-		return 0;
-	return MAX(until - now, 0);
+	uint64_t keys[SUSPECT_KEYS_MAX];
+	size_t count =
+	    suspect_list_keys(call->content_hash, &call->prompt, keys);
+
+	for (size_t i = 0; i < count; i++)
+		clear_key(step, keys[i]);
 }
 
-bool
-suspect_depends_on_probe(
-    const step_t *step, uint64_t content, dff_handle_t upstream)
+static bool
+is_expired(const suspect_t *suspect, dff_time_t now)
 {
-	const upstream_t *up = upstreams_get(step->relay->upstreams, upstream);
-	const suspect_t *suspect =
-	    g_hash_table_lookup(step->relay->suspects->by_content, &content);
-
-	return up != NULL && up->probing && suspect != NULL &&
-	    suspect_count_crashes(suspect) + 1 >= CRASHES_TO_REFUSE;
+	return now - MAX(suspect_last_crash(suspect), suspect->answered_at) >=
+	    suspect_retention_time(suspect);
 }
 
-dff_time_t
-suspect_retention_time(uint32_t crashes)
+/* Stores the evidence against a part that has been refused for a while. */
+static void
+store_part(step_t *step, uint64_t key, suspect_t *suspect)
 {
-	return RETENTION_FACTOR * refusal_duration(crashes);
+	uint32_t crashes = suspect_count_crashes(suspect);
+
+	if (suspect_is_part(key) && crashes > suspect->stored_crashes &&
+	    suspect_is_refused(suspect, step->now) &&
+	    suspect_saw_crash(suspect) &&
+	    step->now - suspect_last_crash(suspect) >= PART_STORE_DELAY)
+		suspect_store_evidence(step, key, suspect);
 }
 
-static bool
-is_expired(const suspect_t *suspect, dff_time_t now)
+static void
+sweep_broken_runs(step_t *step)
 {
-	dff_time_t retention =
-	    suspect_retention_time(suspect_count_crashes(suspect));
+	GArray *runs = step->relay->suspects->broken_runs;
 
-	return now - MAX(suspect_last_crash(suspect), suspect->answered_at) >=
-	    retention;
+	for (guint i = runs->len; i-- > 0;) {
+		const broken_run_t run = g_array_index(runs, broken_run_t, i);
+
+		if (step->now - run.ended_at < confirm_time(&run))
+			continue;
+		log_unconfirmed(step, &run);
+		g_array_remove_index_fast(runs, i);
+	}
 }
 
 void
@@ -392,19 +414,15 @@
 {
 	suspects_t *suspects = step->relay->suspects;
 	GHashTableIter iter;
+	gpointer key;
 	gpointer value;
 
-	for (guint i = suspects->broken_runs->len; i-- > 0;) {
-		const broken_run_t run =
-		    g_array_index(suspects->broken_runs, broken_run_t, i);
-
-		if (step->now - run.ended_at < confirm_time(&run))
-			continue;
-		log_unconfirmed(step, &run);
-		g_array_remove_index_fast(suspects->broken_runs, i);
-	}
-	g_hash_table_iter_init(&iter, suspects->by_content);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	sweep_broken_runs(step);
+	answered_parts_sweep(suspects->answered, step->now);
+	suspect_sweep_refused(step);
+	g_hash_table_iter_init(&iter, suspects->by_key);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		store_part(step, *(uint64_t *)key, value);
 		if (is_expired(value, step->now))
 			g_hash_table_iter_remove(&iter);
 	}
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -41,22 +41,28 @@
 void suspect_confirm_crash(step_t *step, dff_handle_t upstream, bool sure);
 
 /** suspect_depends_on_probe() - a probe of the upstream is under way, and one
- *	more crash would cause the content to be refused */
+ *	more crash would cause the call to be refused */
 bool suspect_depends_on_probe(
-    const step_t *step, uint64_t content, dff_handle_t upstream);
+    const step_t *step, const call_t *call, dff_handle_t upstream);
 
-/** suspect_clear_answered() - remove the evidence against a content that was
- *	answered */
-void suspect_clear_answered(step_t *step, uint64_t content);
+/** suspect_clear_answered() - remove the evidence against the content and the
+ *	parts of a call that was answered */
+void suspect_clear_answered(step_t *step, const call_t *call);
 
 /**
- * suspect_refusal_time() - remaining time for which a content is refused
+ * suspect_refusal_time() - remaining time for which a request is refused
+ * @refused_key: set to the content or the key of the part that causes it; may
+ *	be NULL
  *
- * Return: time for which requests with it are refused because they crashed too
- * many upstreams; 0 if they are served.
+ * Return: time for which requests with that content or part are refused because
+ * they crashed too many upstreams; 0 if they are served.
  */
-dff_time_t suspect_refusal_time(
-    const dff_relay_t *relay, uint64_t content, dff_time_t now);
+dff_time_t suspect_refusal_time(const dff_relay_t *relay, uint64_t content,
+    const dff_prompt_t *prompt, dff_time_t now, uint64_t *refused_key);
+
+/** suspect_note_refusal() - count and log that request @id is refused because of
+ *	a key */
+void suspect_note_refusal(step_t *step, const char *id, uint64_t key);
 
 /** suspect_sweep() - remove expired evidence and broken runs */
 void suspect_sweep(step_t *step);
--- a/source/relay/suspect_evidence.c
+++ b/source/relay/suspect_evidence.c
@@ -11,17 +11,18 @@
 #define REPORT_TIME (2 * DFF_SEC)
 
 void
-suspect_store_evidence(step_t *step, uint64_t content, const suspect_t *suspect)
+suspect_store_evidence(step_t *step, uint64_t key, suspect_t *suspect)
 {
 	dff_relay_effect_t *fx;
 	dff_crash_report_t *evidence;
 
-	if (suspect_count_crashes(suspect) < CRASHES_TO_REFUSE ||
+	if (suspect_count_crashes(suspect) < suspect->crashes_to_refuse ||
 	    DFF_FAULT(RELAY_EVIDENCE_UNKEPT))
 		return;
+	suspect->stored_crashes = suspect_count_crashes(suspect);
 	fx = relay_add_fx(step, DFF_RELAY_FX_STORE_CRASHES);
 	evidence = &fx->crash_report;
-	evidence->content_hash = content;
+	evidence->content_hash = key;
 	evidence->age = step->now - suspect_last_crash(suspect);
 	for (guint i = 0; i < suspect->crashes->len && i < DFF_CRASH_REPORT_MAX;
 	     i++) {
@@ -34,20 +35,10 @@
 	}
 }
 
-static bool
-saw_crash(const suspect_t *suspect)
-{
-	for (guint i = 0; i < suspect->crashes->len; i++) {
-		if (g_array_index(suspect->crashes, crash_t, i).seen_here)
-			return true;
-	}
-	return false;
-}
-
 /* Merges a count of crashes of one upstream; returns whether it was new. */
 static bool
-merge_crash(suspect_t *suspect, uint32_t upstream, uint32_t count,
-    dff_time_t at, dff_time_t now)
+merge_crash(step_t *step, uint64_t key, suspect_t *suspect, uint32_t upstream,
+    uint32_t count, dff_time_t at)
 {
 	crash_t *crash;
 
@@ -58,17 +49,32 @@
 		return false;
 	crash->count = count;
 	crash->last_at = at;
-	crash->learned_at = now;
+	crash->learned_at = step->now;
+	suspect_note_crash(step, key, suspect, crash);
 	return true;
 }
 
+static void
+log_peer_crash(step_t *step, const peer_t *peer, const Dff__RelayCrash *row,
+    uint32_t crashes)
+{
+	if (suspect_is_part(row->content) && crashes < 2)
+		return;
+	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
+	    "peer reported a crash during request %s=%016" G_GINT64_MODIFIER
+	    "x crashes=%u age_ms=%u told_by=%s",
+	    suspect_key_name(row->content), row->content, crashes, row->age_ms,
+	    peer->node != NULL ? peer->node : peer->addr);
+}
+
 void
 suspect_apply_peer_crash(
     step_t *step, const peer_t *peer, const Dff__RelayCrash *row)
 {
 	dff_time_t at = step->now - (dff_time_t)row->age_ms * DFF_MSEC;
-	suspect_t *suspect =
-	    suspects_find_or_add(step->relay->suspects, row->content);
+	suspects_t *suspects = step->relay->suspects;
+	suspect_t *suspect = suspects_find_or_add(suspects, row->content);
+	dff_time_t answered_at;
 
 	if (suspect == NULL)
 		return;
@@ -76,15 +82,20 @@
 		suspect_remove_crashes(suspect, at, false, step->now);
 		return;
 	}
-	if (!merge_crash(suspect, row->upstream, row->count, at, step->now))
+	/* The peer does not know of the answer that this node received. */
+	if (at <= suspect->answered_at && suspect->answer_seen_here)
+		suspect->answer_learned_at = step->now;
+	if (!merge_crash(
+		step, row->content, suspect, row->upstream, row->count, at))
 		return;
-	dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-	    "peer reported a crash during request content=%016" G_GINT64_MODIFIER
-	    "x crashes=%u age_ms=%u told_by=%s",
-	    row->content, suspect_count_crashes(suspect), row->age_ms,
-	    peer->node != NULL ? peer->node : peer->addr);
+	answered_at = answered_parts_last(suspects->answered, row->content);
+	if (answered_at > at) {
+		suspect_remove_crashes(suspect, answered_at, true, step->now);
+		return;
+	}
+	log_peer_crash(step, peer, row, suspect_count_crashes(suspect));
 	/* Nodes that saw one of the crashes store the whole: these are few. */
-	if (saw_crash(suspect))
+	if (!suspect_is_part(row->content) && suspect_saw_crash(suspect))
 		suspect_store_evidence(step, row->content, suspect);
 }
 
@@ -92,40 +103,37 @@
 suspect_restore_evidence(step_t *step, const dff_crash_report_t *evidence)
 {
 	dff_time_t at = step->now - evidence->age;
-	uint32_t crashes = 0;
 	suspect_t *suspect;
 	bool is_new = false;
 
-	for (size_t i = 0; i < evidence->count; i++)
-		crashes += evidence->crashes[i].count;
-	if (evidence->age >= suspect_retention_time(crashes))
-		return;
 	suspect =
 	    suspects_find_or_add(step->relay->suspects, evidence->content_hash);
 	if (suspect == NULL)
 		return;
 	for (size_t i = 0; i < evidence->count; i++)
-		is_new |= merge_crash(suspect, evidence->crashes[i].upstream,
-		    evidence->crashes[i].count, at, step->now);
+		is_new |= merge_crash(step, evidence->content_hash, suspect,
+		    evidence->crashes[i].upstream, evidence->crashes[i].count,
+		    at);
 	if (is_new)
 		dff_log(step->ctx, DFF_LOG_NOTICE, "call",
-		    "stored crashes during request were loaded content=%016" G_GINT64_MODIFIER
+		    "stored crashes during request were loaded %s=%016" G_GINT64_MODIFIER
 		    "x crashes=%u age_ms=%" G_GINT64_FORMAT,
+		    suspect_key_name(evidence->content_hash),
 		    evidence->content_hash, suspect_count_crashes(suspect),
 		    evidence->age / DFF_MSEC);
 }
 
 static void
-init_row(Dff__RelayCrash *row, uint64_t content, dff_time_t age)
+init_row(Dff__RelayCrash *row, uint64_t key, dff_time_t age)
 {
 	dff__relay_crash__init(row);
-	row->content = content;
+	row->content = key;
 	row->age_ms = (uint32_t)(age / DFF_MSEC);
 }
 
-/* Lists the rows of one content; rows that do not fit are counted too. */
+/* Lists the rows of one key; rows that do not fit are counted too. */
 static uint32_t
-list_suspect(uint64_t content, const suspect_t *suspect, bool refused,
+list_suspect(uint64_t key, const suspect_t *suspect, bool refused,
     bool from_peers, Dff__RelayCrash *rows, uint32_t room, dff_time_t now)
 {
 	uint32_t count = 0;
@@ -133,7 +141,7 @@
 	if (suspect->answered_at != 0 &&
 	    (suspect->answer_seen_here || from_peers) &&
 	    now - suspect->answer_learned_at < REPORT_TIME && count++ < room) {
-		init_row(rows, content, now - suspect->answered_at);
+		init_row(rows, key, now - suspect->answered_at);
 		rows->answered = true;
 	}
 	for (guint i = 0; i < suspect->crashes->len; i++) {
@@ -146,39 +154,64 @@
 			continue;
 		if (count++ >= room)
 			continue;
-		init_row(&rows[count - 1], content, now - crash->last_at);
+		init_row(&rows[count - 1], key, now - crash->last_at);
 		rows[count - 1].upstream = crash->upstream;
 		rows[count - 1].count = crash->count;
 	}
 	return count;
 }
 
+/* Lists the parts that this node refuses: peers that received answers for them
+ * clear them. */
+static uint32_t
+list_refused_parts(const suspects_t *suspects, Dff__RelayCrash *rows,
+    evidence_scope_t scope, dff_time_t now)
+{
+	const GArray *parts = suspects->refused_parts;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < parts->len; i++) {
+		uint64_t key = g_array_index(parts, uint64_t, i);
+		const suspect_t *suspect = suspects_find(suspects, key);
+
+		if (suspect != NULL && suspect_is_refused(suspect, now))
+			count += list_suspect(key, suspect, true,
+			    scope == EVIDENCE_ALL, &rows[count],
+			    CRASH_ROWS_MAX - count, now);
+		count = MIN(count, CRASH_ROWS_MAX);
+	}
+	return count;
+}
+
 size_t
 suspect_list(dff_relay_t *relay, Dff__RelayCrash *rows, evidence_scope_t scope,
     dff_time_t now)
 {
 	suspects_t *suspects = relay->suspects;
+	uint32_t first = list_refused_parts(suspects, rows, scope, now);
 	uint32_t skip = suspects->next_row;
 	uint32_t passed = 0;
-	uint32_t count = 0;
+	uint32_t count = first;
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, suspects->by_content);
+	g_hash_table_iter_init(&iter, suspects->by_key);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		uint64_t content = *(uint64_t *)key;
-		bool refused = scope != EVIDENCE_OWN &&
-		    suspect_refusal_time(relay, content, now) > 0;
-		uint32_t listed =
-		    list_suspect(content, value, refused, scope == EVIDENCE_ALL,
-			&rows[count], CRASH_ROWS_MAX - count, now);
+		bool refused = suspect_is_refused(value, now);
+		uint32_t listed;
 
+		if (refused && suspect_is_part(*(uint64_t *)key))
+			continue;
+		listed = list_suspect(*(uint64_t *)key, value,
+		    refused && scope != EVIDENCE_OWN, scope == EVIDENCE_ALL,
+		    &rows[count], CRASH_ROWS_MAX - count, now);
 		passed += listed;
 		if (passed <= skip)
 			continue;
 		count = MIN(count + listed, CRASH_ROWS_MAX);
 	}
-	suspects->next_row = skip + count < passed ? skip + count : 0;
+	skip += count - first;
+	suspects->next_row = skip < passed ? skip : 0;
 	return count;
 }
--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -17,6 +17,8 @@
 /* Crash after which sends count as late, and the time after it. */
 #define LATE_CRASH 3
 #define LATE_AFTER (3 * DFF_SEC)
+/* Refusals for any other reason than crashes have a shorter retry time. */
+#define LOAD_RETRY_MAX (6 * DFF_SEC)
 /* Tokens of each part of a prompt. */
 #define PART_TOKENS 2000
 
@@ -389,6 +391,8 @@
 	if (contents[node][fx->call] == CRASH_CONTENT)
 		return;
 	counts.refused += fx->status == 503;
+	counts.suspected +=
+	    fx->status == 503 && fx->retry_after > LOAD_RETRY_MAX;
 	counts.failed += fx->status != 503;
 }
 
--- a/test/fake/crash_sim.h
+++ b/test/fake/crash_sim.h
@@ -48,6 +48,7 @@
  *	the crash after which they are late
  * @answered: harmless requests that were answered
  * @refused: harmless requests that were refused
+ * @suspected: of @refused, those refused because of crashes
  * @failed: harmless requests that failed
  */
 typedef struct crash_sim_counts {
@@ -55,6 +56,7 @@
 	int late_sends;
 	int answered;
 	int refused;
+	int suspected;
 	int failed;
 } crash_sim_counts_t;
 
--- a/test/test_relay_log_lines.c
+++ b/test/test_relay_log_lines.c
@@ -77,6 +77,36 @@
 	relay_bench_drop(bench);
 }
 
+/* Requests with one part in common crash three upstreams. */
+static void
+crash_by_part(void)
+{
+	static const char *const ids[] = {"d1", "d2", "d3"};
+	relay_bench_t *bench = relay_bench_new();
+
+	dff_ctx_drop(bench->ctx);
+	bench->ctx = dff_ctx_new(1, DFF_LOG_DEBUG, store_line, NULL);
+	relay_bench_load_routing(bench, 1);
+	for (guint i = 0; i < G_N_ELEMENTS(ids); i++)
+		relay_bench_load_upstream(
+		    bench, ids[i], "llm", DFF_ROLE_DECODE, "a", 1);
+	for (uint64_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		const dff_relay_effect_t *fx;
+		char id[DFF_NAME_MAX];
+
+		(void)relay_bench_open_prompt(
+		    bench, "/talk/x", 7, 100, 200 + i, 100);
+		fx = relay_bench_find(bench, DFF_RELAY_FX_SEND);
+		ck_assert_ptr_nonnull(fx);
+		g_strlcpy(id, fx->send.upstream, sizeof(id));
+		relay_bench_end(bench, fx->send.send, DFF_SEND_BROKEN, NULL);
+		refuse_probe(bench, id);
+	}
+	(void)relay_bench_open_prompt(bench, "/talk/x", 7, 100, 300, 100);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+	relay_bench_drop(bench);
+}
+
 /* Run the kinds of failed requests that the page describes. */
 static void
 run_failed_requests(void)
@@ -101,6 +131,7 @@
 	(void)relay_bench_open(bench, "/order/x", 2);
 	relay_bench_drop(bench);
 	exceed_rate_limit();
+	crash_by_part();
 }
 
 /* Whether a line has the part, the words and the fields of the one shown. */
