Soak: streams that share a part of their prompt which crashes their upstream

KIND_PART: streams with a content of their own and one part in common; the upstream that begins one crashes. The counts of this kind and of KIND_BAD are one struct.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -13,8 +13,8 @@
 #define CALLER_TIMEOUT (4 * DFF_SEC)
 
 static const char *const paths[KIND_COUNT] = {
-    "read", "order", "talk", "resume", "move", "bad"};
-/* Share of requests that crash upstreams (KIND_BAD). */
+    "read", "order", "talk", "resume", "move", "bad", "part"};
+/* Share of requests that crash upstreams, of each kind. */
 #define BAD_SHARE 0.02
 
 attempt_t *
@@ -90,6 +90,33 @@
 
 /* ---- requests ---- */
 
+static int
+choose_kind(soak_t *soak)
+{
+	double share = g_rand_double(soak->rng);
+
+	if (share < BAD_SHARE)
+		return KIND_BAD;
+	if (share < 2 * BAD_SHARE)
+		return KIND_PART;
+	return g_rand_int_range(soak->rng, 0, KIND_BAD);
+}
+
+/* Header lines of the prompt, or "". Streams share the first part. */
+static char *
+prompt_fields(const attempt_t *attempt)
+{
+	if (attempt->kind == KIND_PART)
+		return g_strdup_printf("X-Token-Count: 900,8\r\n"
+				       "X-Prompt-Prefix: aa:800,dead:50,%s:"
+				       "50\r\n",
+		    attempt->id);
+	if (attempt->kind == KIND_TALK || attempt->kind == KIND_RESUME)
+		return g_strdup("X-Token-Count: 900,8\r\n"
+				"X-Prompt-Prefix: aa:800,bb:100\r\n");
+	return g_strdup("");
+}
+
 static void
 on_head(void *arg, const dff_h1_head_t *head)
 {
@@ -150,38 +177,33 @@
 	attempt_t *attempt = g_new0(attempt_t, 1);
 	dff_h1c_call_t call = {.connect_time = DFF_SEC};
 	const char *body;
-	bool model;
+	char *fields;
 	char *text;
 
 	(void)g_snprintf(attempt->id, sizeof(attempt->id),
 	    "a%08x-%06" G_GUINT64_FORMAT, soak->seed, soak->next_attempt++);
 	attempt->soak = soak;
-	attempt->kind = g_rand_double(soak->rng) < BAD_SHARE ?
-	    KIND_BAD :
-	    g_rand_int_range(soak->rng, 0, KIND_BAD);
+	attempt->kind = choose_kind(soak);
 	body = attempt->kind == KIND_BAD ? "bad" : attempt->id;
 	attempt->edge = g_rand_int_range(soak->rng, 0, EDGES);
 	attempt->body = g_string_new(NULL);
 	attempt->sent = dff_program_now();
-	model = attempt->kind == KIND_TALK || attempt->kind == KIND_RESUME;
 	g_hash_table_insert(soak->attempts, attempt->id, attempt);
 	soak->requests++;
-	attempt->counts_for_recovery = attempt->kind != KIND_BAD &&
+	attempt->counts_for_recovery = attempt->kind < KIND_BAD &&
 	    attempt->sent > soak->faults_end + 4 * DFF_SEC &&
 	    upstreams_can_serve(soak, attempt->kind);
 	if (attempt->counts_for_recovery)
 		soak->recovery_requests++;
 	call.addr = soak->edges[attempt->edge].front;
 	call.peer = "edge";
+	fields = prompt_fields(attempt);
 	text = g_strdup_printf(
 	    "POST /%s/x HTTP/1.1\r\nHost: h.example\r\n"
 	    "X-Attempt-Id: %s\r\nX-Deadline-Ms: 3000\r\n%sContent-Length: "
 	    "%zu\r\n\r\n%s",
-	    paths[attempt->kind], attempt->id,
-	    model ?
-		"X-Token-Count: 900,8\r\nX-Prompt-Prefix: aa:800,bb:100\r\n" :
-		"",
-	    strlen(body), body);
+	    paths[attempt->kind], attempt->id, fields, strlen(body), body);
+	g_free(fields);
 	call.bytes = g_byte_array_new();
 	g_byte_array_append(
 	    call.bytes, (const guint8 *)text, (guint)strlen(text));
--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -363,10 +363,12 @@
 	soak.trace = g_ptr_array_new();
 	run_soak(&soak, seconds * DFF_SEC);
 	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
+		     "part_ended=%d part_late=%d "
 		     "limited=%d returns=%d broken=%d\n",
 	    soak.seed, soak.requests, soak.served, soak.recovery_served,
-	    soak.recovery_requests, soak.bad_crashes, soak.bad_late_runs,
-	    soak.limited_requests, soak.returns, soak.violations);
+	    soak.recovery_requests, soak.bad.crashes, soak.bad.late,
+	    soak.part.crashes, soak.part.late, soak.limited_requests,
+	    soak.returns, soak.violations);
 	if (soak.violations > 0)
 		write_trace(&soak);
 	else
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -96,9 +96,18 @@
 	KIND_RESUME, /* resumable stream */
 	KIND_MOVE, /* its route changes between two services */
 	KIND_BAD, /* crashes the upstream that begins it; same body each time */
+	KIND_PART, /* a stream that crashes the upstream that begins it; only a
+		    * part of its prompt is the same each time */
 	KIND_COUNT,
 } soak_kind_t;
 
+/** struct crash_count - crashes of upstreams by one kind of request */
+typedef struct crash_count {
+	int crashes;
+	dff_time_t last_allowed; /* the crash after which they are late */
+	int late; /* long after it, from edges without a recent fault */
+} crash_count_t;
+
 /** struct soak - state of one run */
 typedef struct soak {
 	uv_loop_t loop;
@@ -136,10 +145,8 @@
 	int served;
 	int recovery_requests;
 	int recovery_served;
-	int bad_crashes; /* upstreams crashed by KIND_BAD */
-	/* crashes long after the third, from edges without a recent fault */
-	int bad_late_runs;
-	dff_time_t bad_third_crash; /* time of the third such crash */
+	crash_count_t bad; /* by KIND_BAD */
+	crash_count_t part; /* by KIND_PART */
 	dff_time_t next_limit; /* when an upstream begins to limit its rate */
 	int limited_requests; /* that counted against a limit in force */
 	int violations; /* failed checks */
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -22,9 +22,13 @@
 /* Time after which all nodes know a new upstream. */
 #define DISCOVERY_TIME (2 * DFF_SEC)
 
-/* Accepted crashes by KIND_BAD requests later than FAULT_EFFECT_TIME after the
- * third one, from edges without a recent fault or start. */
-#define BAD_LATE_MAX 3
+/* Crashes by one kind of request after which further ones are late: as the
+ * platform counts requests that return, and parts of prompts. */
+#define BAD_CRASHES  3
+#define PART_CRASHES 5
+/* Accepted crashes later than FAULT_EFFECT_TIME after that, from edges without
+ * a recent fault or start. */
+#define LATE_MAX 3
 
 /* Share of answers with neither a length nor chunks. */
 #define UNFRAMED_SHARE 0.25
@@ -229,24 +233,27 @@
 	g_free(fields);
 }
 
-/* Crashes the upstream that began a KIND_BAD request, and checks that the edges
- * soon stop forwarding such requests. */
+/* Crashes the upstream that began a request, and checks that the edges soon
+ * stop forwarding such requests. */
 static void
-crash_by_request(soak_t *soak, soak_upstream_t *up, const edge_proc_t *edge)
+crash_by_request(soak_t *soak, soak_upstream_t *up, const attempt_t *attempt)
 {
+	const edge_proc_t *edge = &soak->edges[attempt->edge];
+	bool part = attempt->kind == KIND_PART;
+	crash_count_t *count = part ? &soak->part : &soak->bad;
 	dff_time_t now = dff_program_now();
 
 	if (up->crashed || up->drain_start != 0)
 		return;
-	if (soak->bad_third_crash != 0 &&
-	    now - soak->bad_third_crash > FAULT_EFFECT_TIME &&
+	if (count->last_allowed != 0 &&
+	    now - count->last_allowed > FAULT_EFFECT_TIME &&
 	    now - edge->last_fault > FAULT_EFFECT_TIME &&
-	    now - edge->started > FAULT_EFFECT_TIME &&
-	    ++soak->bad_late_runs > BAD_LATE_MAX)
-		soak_fail(soak, "request goes on crashing upstreams ended=%d",
-		    soak->bad_crashes);
-	if (++soak->bad_crashes == 3)
-		soak->bad_third_crash = now;
+	    now - edge->started > FAULT_EFFECT_TIME && ++count->late > LATE_MAX)
+		soak_fail(soak,
+		    "request goes on crashing upstreams part=%d ended=%d", part,
+		    count->crashes);
+	if (++count->crashes == (part ? PART_CRASHES : BAD_CRASHES))
+		count->last_allowed = now;
 	upstream_crash(soak, up);
 }
 
@@ -300,10 +307,9 @@
 		dff_h1d_answer(req, 200, "", "", 0);
 	else if (!count_run(soak, up, id, head->target))
 		dff_h1d_abort(req);
-	else if (callers_find(soak, id)->kind == KIND_BAD) {
+	else if (callers_find(soak, id)->kind >= KIND_BAD) {
 		dff_h1d_abort(req);
-		crash_by_request(
-		    soak, up, &soak->edges[callers_find(soak, id)->edge]);
+		crash_by_request(soak, up, callers_find(soak, id));
 	} else
 		start_job(soak, up, req, id);
 }
@@ -339,14 +345,20 @@
 	g_free(text);
 }
 
+static bool
+generates(int kind)
+{
+	return kind == KIND_TALK || kind == KIND_RESUME || kind == KIND_PART;
+}
+
 void
 config_write(soak_t *soak)
 {
 	static const char *const kinds[KIND_COUNT] = {"idempotent",
 	    "non_idempotent", "streaming", "streaming", "idempotent",
-	    "non_idempotent"};
+	    "non_idempotent", "streaming"};
 	static const char *const paths[KIND_COUNT] = {
-	    "read", "order", "talk", "resume", "move", "bad"};
+	    "read", "order", "talk", "resume", "move", "bad", "part"};
 	GString *text = g_string_new(NULL);
 
 	g_string_append_printf(text,
@@ -360,11 +372,11 @@
 		    "\"%s\",\"maxAttempts\":2,\"resumable\":%s,"
 		    "\"sessionAffinity\":%s}",
 		    k > 0 ? "," : "", paths[k], paths[k], kinds[k],
-		    k == KIND_TALK || k == KIND_RESUME		? "llm" :
+		    generates(k)				? "llm" :
 			k == KIND_MOVE && soak->move_uses_other ? "other" :
 								  "plain",
 		    k == KIND_RESUME ? "true" : "false",
-		    k == KIND_TALK || k == KIND_RESUME ? "true" : "false");
+		    generates(k) ? "true" : "false");
 	g_string_append(text,
 	    "],\"services\":[{\"name\":\"plain\"},"
 	    "{\"name\":\"other\"},{\"name\":\"llm\",\"engineKind\":"
@@ -447,11 +459,10 @@
 static void
 find_pool(const soak_t *soak, int kind, int *first, int *last)
 {
-	bool generates = kind == KIND_TALK || kind == KIND_RESUME;
 	bool other = kind == KIND_MOVE && soak->move_uses_other;
 
-	*first = generates ? 5 : other ? 3 : 0;
-	*last = generates ? 6 : other ? 3 : 2;
+	*first = generates(kind) ? 5 : other ? 3 : 0;
+	*last = generates(kind) ? 6 : other ? 3 : 2;
 }
 
 bool
