--- a/source/relay/answered_parts.c
+++ b/source/relay/answered_parts.c
@@ -2,10 +2,10 @@
 
 #include <glib.h>
 
-/* An answer speaks for its parts for this time: longer than the next answer of
- * a part in common use takes, and short enough that new weights which a part
- * crashes are noticed soon. */
-#define VOUCH_TIME (2 * DFF_SEC)
+/* After an answer its parts are not suspected for this time: longer than the
+ * next answer of a part in common use takes, and short enough that a part which
+ * new weights cannot process is noticed soon. */
+#define RECENT_TIME (2 * DFF_SEC)
 /* Time for which answers are remembered. */
 #define KEEP_TIME (60 * DFF_SEC)
 /* Most parts. */
@@ -53,11 +53,12 @@
 }
 
 bool
-answered_parts_vouch(const answered_parts_t *parts, uint64_t key, dff_time_t at)
+answered_parts_is_recent(
+    const answered_parts_t *parts, uint64_t key, dff_time_t at)
 {
 	dff_time_t answered_at = answered_parts_last(parts, key);
 
-	return answered_at != 0 && answered_at + VOUCH_TIME > at;
+	return answered_at != 0 && answered_at + RECENT_TIME > at;
 }
 
 void
--- a/source/relay/answered_parts.h
+++ b/source/relay/answered_parts.h
@@ -23,9 +23,9 @@
  *	received recently */
 dff_time_t answered_parts_last(const answered_parts_t *parts, uint64_t key);
 
-/** answered_parts_vouch() - whether an answer for the part was received shortly
+/** answered_parts_is_recent() - whether an answer for the part was received shortly
  *	before @at */
-bool answered_parts_vouch(
+bool answered_parts_is_recent(
     const answered_parts_t *parts, uint64_t key, dff_time_t at);
 
 /** answered_parts_sweep() - remove old entries */
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -209,7 +209,7 @@
 		return;
 	run.unresponsive = up->silent;
 	for (size_t i = 0; i < count; i++) {
-		if (answered_parts_vouch(
+		if (answered_parts_is_recent(
 			suspects->answered, keys[i], step->now))
 			continue;
 		run.key = keys[i];
--- a/test/test_answered_parts.c
+++ b/test/test_answered_parts.c
@@ -20,21 +20,21 @@
 	answered_parts_drop(parts);
 }
 
-START_TEST(answer_vouches_for_its_part_for_a_while)
+START_TEST(answer_is_recent_for_a_while)
 {
 	const dff_time_t at = 100 * DFF_SEC;
 
-	ck_assert(!answered_parts_vouch(parts, 1, at));
+	ck_assert(!answered_parts_is_recent(parts, 1, at));
 	answered_parts_note(parts, 1, at);
-	ck_assert(answered_parts_vouch(parts, 1, at + DFF_SEC));
-	ck_assert(!answered_parts_vouch(parts, 1, at + 3 * DFF_SEC));
-	ck_assert(!answered_parts_vouch(parts, 2, at));
+	ck_assert(answered_parts_is_recent(parts, 1, at + DFF_SEC));
+	ck_assert(!answered_parts_is_recent(parts, 1, at + 3 * DFF_SEC));
+	ck_assert(!answered_parts_is_recent(parts, 2, at));
 	answered_parts_note(parts, 1, at + 3 * DFF_SEC);
-	ck_assert(answered_parts_vouch(parts, 1, at + 4 * DFF_SEC));
+	ck_assert(answered_parts_is_recent(parts, 1, at + 4 * DFF_SEC));
 }
 END_TEST
 
-START_TEST(last_answer_is_remembered_longer_than_it_vouches)
+START_TEST(last_answer_is_remembered_longer)
 {
 	const dff_time_t at = 100 * DFF_SEC;
 
@@ -68,8 +68,8 @@
 	int failed;
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
-	tcase_add_test(tcase, answer_vouches_for_its_part_for_a_while);
-	tcase_add_test(tcase, last_answer_is_remembered_longer_than_it_vouches);
+	tcase_add_test(tcase, answer_is_recent_for_a_while);
+	tcase_add_test(tcase, last_answer_is_remembered_longer);
 	tcase_add_test(tcase, table_is_bounded);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
--- a/test/test_relay_suspect_parts.c
+++ b/test/test_relay_suspect_parts.c
@@ -22,17 +22,17 @@
 
 /**
  * struct load - requests a second and how long they come
- * @deadly: requests a second with each deadly part
- * @deadly_parts: number of such parts
- * @deadly_first: the part is the prompt's first one
+ * @crashing: requests a second with each crashing part
+ * @crashing_parts: number of such parts
+ * @crashing_first: the part is the prompt's first one
  * @sound: sound requests a second
  * @crashes: engines a second that crash for another reason
  * @time: length of the load
  */
 typedef struct load {
-	double deadly;
-	int deadly_parts;
-	bool deadly_first;
+	double crashing;
+	int crashing_parts;
+	bool crashing_first;
 	double sound;
 	double crashes;
 	dff_time_t time;
@@ -68,19 +68,20 @@
 }
 
 /* One of three first parts, one of ten that callers share, a part of its own
- * session and one of its own; a deadly one stands first or third. */
+ * session and one of its own; a crashing one stands first or third. */
 static void
-request(int node, int deadly, bool first)
+request(int node, int crashing, bool first)
 {
 	static uint64_t next_own = 100000;
 	uint64_t parts[] = {(uint64_t)g_rand_int_range(rng, 1, 4),
 	    (uint64_t)g_rand_int_range(rng, 10, 20), next_own++, next_own++};
 
-	if (deadly != 0)
-		parts[first ? 0 : 2] = 1000 + (uint64_t)deadly;
+	if (crashing != 0)
+		parts[first ? 0 : 2] = 1000 + (uint64_t)crashing;
 	else
 		sound_requests++;
-	crash_sim_request_parts(node, parts, G_N_ELEMENTS(parts), deadly != 0);
+	crash_sim_request_parts(
+	    node, parts, G_N_ELEMENTS(parts), crashing != 0);
 }
 
 static bool
@@ -93,10 +94,10 @@
 play_load(const crash_sim_config_t *config, const load_t *load)
 {
 	for (dff_time_t t = 0; t < load->time; t += STEP) {
-		for (int i = 1; i <= load->deadly_parts; i++) {
-			if (is_due(load->deadly))
+		for (int i = 1; i <= load->crashing_parts; i++) {
+			if (is_due(load->crashing))
 				request(g_rand_int_range(rng, 0, config->nodes),
-				    i, load->deadly_first);
+				    i, load->crashing_first);
 		}
 		for (int i = 0; i < 4; i++) {
 			if (is_due(load->sound / 4))
@@ -159,20 +160,24 @@
 	}
 }
 
-START_TEST(deadly_part_crashes_few_engines)
+START_TEST(crashing_part_crashes_few_engines)
 {
-	const load_t load = {
-	    .deadly = 1, .deadly_parts = 1, .sound = 20, .time = 20 * DFF_SEC};
+	const load_t load = {.crashing = 1,
+	    .crashing_parts = 1,
+	    .sound = 20,
+	    .time = 20 * DFF_SEC};
 
 	play_seeds(&small_fleet, &load, CRASHES_MAX);
 }
 END_TEST
 
-START_TEST(deadly_part_crashes_few_engines_of_a_large_fleet)
+START_TEST(crashing_part_crashes_few_engines_of_a_large_fleet)
 {
 	crash_sim_config_t config = small_fleet;
-	const load_t load = {
-	    .deadly = 5, .deadly_parts = 1, .sound = 40, .time = 10 * DFF_SEC};
+	const load_t load = {.crashing = 5,
+	    .crashing_parts = 1,
+	    .sound = 40,
+	    .time = 10 * DFF_SEC};
 
 	config.nodes = 27;
 	config.upstreams = 32;
@@ -180,20 +185,22 @@
 }
 END_TEST
 
-START_TEST(each_of_two_deadly_parts_crashes_few_engines)
+START_TEST(each_of_two_crashing_parts_crashes_few_engines)
 {
-	const load_t load = {
-	    .deadly = 1, .deadly_parts = 2, .sound = 20, .time = 20 * DFF_SEC};
+	const load_t load = {.crashing = 1,
+	    .crashing_parts = 2,
+	    .sound = 20,
+	    .time = 20 * DFF_SEC};
 
 	play_seeds(&small_fleet, &load, 2 * CRASHES_MAX);
 }
 END_TEST
 
-START_TEST(deadly_first_part_crashes_few_engines)
+START_TEST(crashing_first_part_crashes_few_engines)
 {
-	const load_t load = {.deadly = 1,
-	    .deadly_parts = 1,
-	    .deadly_first = true,
+	const load_t load = {.crashing = 1,
+	    .crashing_parts = 1,
+	    .crashing_first = true,
 	    .sound = 20,
 	    .time = 20 * DFF_SEC};
 
@@ -202,10 +209,10 @@
 END_TEST
 
 /* Without sound requests nothing clears the other parts. */
-START_TEST(deadly_part_crashes_few_engines_without_other_requests)
+START_TEST(crashing_part_crashes_few_engines_without_other_requests)
 {
 	const load_t load = {
-	    .deadly = 1, .deadly_parts = 1, .time = 20 * DFF_SEC};
+	    .crashing = 1, .crashing_parts = 1, .time = 20 * DFF_SEC};
 
 	play_seeds(&small_fleet, &load, CRASHES_MAX);
 }
@@ -219,8 +226,8 @@
 }
 END_TEST
 
-/* All parts have the same crashes until a request lacks the deadly one. */
-START_TEST(parts_that_always_came_with_a_deadly_one_are_served)
+/* All parts have the same crashes until a request lacks the crashing one. */
+START_TEST(parts_that_always_came_with_a_crashing_one_are_served)
 {
 	uint64_t parts[] = {1, 10, 1001, 100};
 	const uint64_t sound[] = {1, 10, 101};
@@ -243,10 +250,12 @@
 }
 END_TEST
 
-START_TEST(restarted_fleet_remembers_deadly_part)
+START_TEST(restarted_fleet_remembers_crashing_part)
 {
-	const load_t load = {
-	    .deadly = 2, .deadly_parts = 1, .sound = 20, .time = 8 * DFF_SEC};
+	const load_t load = {.crashing = 2,
+	    .crashing_parts = 1,
+	    .sound = 20,
+	    .time = 8 * DFF_SEC};
 	int crashes;
 
 	start(&small_fleet, 1);
@@ -263,7 +272,7 @@
 }
 END_TEST
 
-START_TEST(deadly_part_far_back_in_a_long_prompt_is_found)
+START_TEST(crashing_part_far_back_in_a_long_prompt_is_found)
 {
 	uint64_t parts[40];
 	uint64_t own = 1 << 20;
@@ -284,8 +293,10 @@
 /* The part works again, as with new weights. */
 START_TEST(refused_part_is_served_again_after_a_while)
 {
-	const load_t load = {
-	    .deadly = 2, .deadly_parts = 1, .sound = 20, .time = 8 * DFF_SEC};
+	const load_t load = {.crashing = 2,
+	    .crashing_parts = 1,
+	    .sound = 20,
+	    .time = 8 * DFF_SEC};
 	uint64_t parts[] = {1, 10, 1001, 5};
 
 	start(&small_fleet, 1);
@@ -313,17 +324,18 @@
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_checked_fixture(tcase, NULL, teardown);
-	tcase_add_test(tcase, deadly_part_crashes_few_engines);
-	tcase_add_test(tcase, deadly_part_crashes_few_engines_of_a_large_fleet);
-	tcase_add_test(tcase, each_of_two_deadly_parts_crashes_few_engines);
-	tcase_add_test(tcase, deadly_first_part_crashes_few_engines);
+	tcase_add_test(tcase, crashing_part_crashes_few_engines);
+	tcase_add_test(
+	    tcase, crashing_part_crashes_few_engines_of_a_large_fleet);
+	tcase_add_test(tcase, each_of_two_crashing_parts_crashes_few_engines);
+	tcase_add_test(tcase, crashing_first_part_crashes_few_engines);
 	tcase_add_test(
-	    tcase, deadly_part_crashes_few_engines_without_other_requests);
+	    tcase, crashing_part_crashes_few_engines_without_other_requests);
 	tcase_add_test(tcase, sound_parts_are_served_while_engines_crash);
 	tcase_add_test(
-	    tcase, parts_that_always_came_with_a_deadly_one_are_served);
-	tcase_add_test(tcase, restarted_fleet_remembers_deadly_part);
-	tcase_add_test(tcase, deadly_part_far_back_in_a_long_prompt_is_found);
+	    tcase, parts_that_always_came_with_a_crashing_one_are_served);
+	tcase_add_test(tcase, restarted_fleet_remembers_crashing_part);
+	tcase_add_test(tcase, crashing_part_far_back_in_a_long_prompt_is_found);
 	tcase_add_test(tcase, refused_part_is_served_again_after_a_while);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
