--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -3,13 +3,13 @@
  * each upstream and be repeated at any node, also as several concurrent
  * copies. So may all requests with one part of a prompt in common.
  *
- * Evidence is kept for each key and upstream; keys are the content of a request
- * and each part of its prompt but the last, which is its own. Crashes of one upstream
- * follow one another, so that counts of several nodes are merged by their
- * maximum; crashes of different upstreams are added up, whichever node saw
- * them. Contents and parts that merely shared an upstream with such a request
- * are cleared by their next answer. Parts that were answered just before a
- * crash are not suspected at all.
+ * Evidence is kept for each key and upstream; keys are the content of a
+ * request and each part of its prompt but the last, which is its own. Crashes
+ * of one upstream follow one another, so that counts of several nodes are
+ * merged by their maximum; crashes of different upstreams are added up,
+ * whichever node saw them. Contents and parts that merely shared an upstream
+ * with such a request are cleared by their next answer. Parts that were
+ * answered just before a crash are not suspected at all.
  */
 #include "relay/suspect_parts.h"
 
