review: streams go on at another software version after a restart

An edge that has no run at an engine when it crashes keeps believing its old entry, so that for up to 0.65 s after its return under the same id with other software, broken streams of the old version are sent on to it.

--- a/review/common/tunnel.c
+++ b/review/common/tunnel.c
@@ -236,14 +236,30 @@
 	return block_address(tunnel);
 }
 
-bool
-tunnel_return(tunnel_t *tunnel)
+static void
+reset_pairs(tunnel_t *tunnel)
 {
 	for (GList *link = tunnel->pairs.head; link != NULL; link = link->next)
 		close_pair(link->data, true);
-	for (int i = 0; i < FILLERS; i++)
-		(void)close(tunnel->fillers[i]);
-	(void)close(tunnel->dark_socket);
+}
+
+void
+tunnel_crash(tunnel_t *tunnel)
+{
+	reset_pairs(tunnel);
+	uv_close((uv_handle_t *)tunnel->listener, on_listener_closed);
+	tunnel->listener = NULL;
+}
+
+bool
+tunnel_return(tunnel_t *tunnel)
+{
+	reset_pairs(tunnel);
+	if (tunnel->dark_socket >= 0) {
+		for (int i = 0; i < FILLERS; i++)
+			(void)close(tunnel->fillers[i]);
+		(void)close(tunnel->dark_socket);
+	}
 	tunnel->dark_socket = -1;
 	return start_listening(tunnel);
 }
--- a/review/common/world.h
+++ b/review/common/world.h
@@ -15,18 +15,27 @@
 #include "review/common/tunnel.h"
 
 #define EDGES_MAX   3
-#define WORKERS_MAX 6
+#define WORKERS_MAX 8
 
 typedef struct world world_t;
 typedef struct attempt attempt_t;
 
-/** struct worker - a worker of the service "plain", in one incarnation after
- *	another */
+/** enum crash - how a worker crashes */
+typedef enum crash {
+	CRASH_DARK, /* it sends nothing any more */
+	CRASH_RESET, /* its process ends: connections are reset and refused */
+} crash_t;
+
+/** struct worker - a worker of the service "plain" or an engine of the service
+ *	"llm", in one incarnation after another */
 typedef struct worker {
 	world_t *world;
 	int index;
 	int incarnation;
 	char id[24];
+	bool keeps_id; /* its next incarnation has the same id */
+	char software[8]; /* of its next incarnation, too */
+	GPtrArray *jobs; /* requests that it runs */
 	uint64_t started_ms;
 	uint64_t seq;
 	dff_time_t heartbeat_at; /* its last one */
@@ -49,6 +58,7 @@
 	char *log;
 	uv_process_t process;
 	bool running;
+	tunnel_t *store_link;
 } edge_t;
 
 /** struct attempt - one request of a caller */
@@ -61,7 +71,11 @@
 	double ended_at;
 	int status; /* 0 without an answer */
 	bool ended;
+	GString *body;
 	int runs; /* times that a worker began it */
+	char resumes[24]; /* attempt that began its stream; "" if it does */
+	int after_event;
+	int tries; /* to resume the stream before this one */
 	dff_h1c_req_t *req;
 };
 
@@ -84,11 +98,13 @@
 	int edge_count;
 	GPtrArray *attempts; /* attempt_t */
 	GHashTable *attempts_by_id;
+	bool engines; /* workers are engines, requests are streams */
 	int target_ms; /* targetLatencyMs and timeoutMs of the route */
 	int timeout_ms;
 	int bad_wait_ms; /* X-Deadline-Ms of requests that are bad */
 	int down_ms; /* how long a worker that has crashed is dark */
 	bool trouble; /* not set with TROUBLE=0 */
+	void (*on_end)(world_t *world, attempt_t *attempt); /* may be NULL */
 	void (*on_bad_run)(
 	    world_t *world, worker_t *worker, attempt_t *attempt);
 };
@@ -110,9 +126,15 @@
  *	the same path and body */
 attempt_t *world_send(world_t *world, int edge, bool bad);
 
-/** world_crash() - a worker crashes, is dark for a while, and starts again under
- *	another id */
-void world_crash(worker_t *worker);
+/** world_resume() - a caller takes its stream up again at another edge, after
+ *	the last complete event that it has */
+attempt_t *world_resume(world_t *world, const attempt_t *broken, int edge);
+
+/** world_kill_edge() - end an edge with SIGKILL */
+void world_kill_edge(world_t *world, int edge);
+
+/** world_crash() - a worker crashes, and starts again after the time down */
+void world_crash(worker_t *worker, crash_t how);
 
 /** world_end() - end all processes and exit with @status */
 void world_end(world_t *world, int status) G_GNUC_NORETURN;
