--- a/review/common/world.c
+++ b/review/common/world.c
@@ -83,8 +83,10 @@
 answer_fields(const job_t *job, const char *more)
 {
 	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Stamp: s-%s\r\n"
-			       "Keep-Alive: timeout=5\r\n%s",
-	    job->id, job->id, more);
+			       "Keep-Alive: timeout=5\r\n"
+			       "X-Server-Load: %u,0,%d\r\n%s",
+	    job->id, job->id, job->worker->jobs->len,
+	    job->worker->world->engines ? 64 : 6, more);
 }
 
 static void
@@ -108,8 +110,9 @@
 	char *text;
 
 	if (!job->begun) {
-		fields =
-		    answer_fields(job, "Content-Type: text/event-stream\r\n");
+		fields = answer_fields(job,
+		    "Content-Type: text/event-stream\r\n"
+		    "X-Weight-Versions: 1\r\n");
 		dff_h1d_begin(job->req, 200, fields, -1);
 		g_free(fields);
 		job->begun = true;
@@ -469,7 +472,11 @@
 static void
 on_head(void *arg, const dff_h1_head_t *head)
 {
-	((attempt_t *)arg)->status = head->status;
+	attempt_t *attempt = arg;
+	const char *retry = dff_h1_field(head, "Retry-After");
+
+	attempt->status = head->status;
+	attempt->retry_after = retry != NULL ? g_ascii_strtod(retry, NULL) : 0;
 }
 
 static void
@@ -515,6 +522,8 @@
 	attempt->edge = edge;
 	attempt->body = g_string_new(NULL);
 	attempt->sent_at = world_now(world);
+	attempt->thing = g_rand_int_range(world->rng, 0, THINGS);
+	attempt->deadline_at = attempt->sent_at + world->timeout_ms / 1000.0;
 	g_ptr_array_add(world->attempts, attempt);
 	g_hash_table_insert(world->attempts_by_id, attempt->id, attempt);
 	return attempt;
@@ -538,6 +547,9 @@
 			    "%sContent-Length: %zu\r\n\r\n%s",
 		route, path, attempt->id, wait_ms, lines, strlen(body), body);
 
+	/* Each retry is on a new connection. */
+	if (attempt->resumes[0] != '\0')
+		call.peer = attempt->id;
 	call.bytes = g_byte_array_new();
 	g_byte_array_append(
 	    call.bytes, (const guint8 *)text, (guint)strlen(text));
@@ -548,12 +560,13 @@
 	attempt->req = dff_h1c_start(world->client, &call, &handlers, attempt);
 }
 
+/* @begun_by: attempt that began the stream */
 static char *
-prompt_lines(world_t *world, const attempt_t *attempt, const char *more)
+prompt_lines(const attempt_t *attempt, const char *begun_by, const char *more)
 {
 	return g_strdup_printf("X-Model: m\r\nX-Token-Count: 900,35\r\n"
 			       "X-Prompt-Prefix: b%x:700,%s:200\r\n%s",
-	    g_rand_int_range(world->rng, 0, THINGS), attempt->id, more);
+	    attempt->thing, begun_by, more);
 }
 
 attempt_t *
@@ -569,7 +582,7 @@
 		    bad ? BAD_BODY : attempt->id);
 		return attempt;
 	}
-	lines = prompt_lines(world, attempt, "");
+	lines = prompt_lines(attempt, attempt->id, "");
 	send_attempt(attempt, "stream", attempt->id, world->timeout_ms, lines,
 	    attempt->id);
 	g_free(lines);
@@ -600,13 +613,16 @@
 	g_strlcpy(attempt->resumes,
 	    broken->resumes[0] != '\0' ? broken->resumes : broken->id,
 	    sizeof(attempt->resumes));
+	attempt->thing = broken->thing;
+	attempt->deadline_at = broken->deadline_at;
 	attempt->after_event = last_event(broken);
 	attempt->tries = broken->resumes[0] != '\0' ? broken->tries + 1 : 0;
 	more = g_strdup_printf("Last-Event-Id: %d\r\nResumes: %s\r\n",
 	    attempt->after_event, attempt->resumes);
-	lines = prompt_lines(world, attempt, more);
-	send_attempt(attempt, "stream", attempt->resumes, world->timeout_ms,
-	    lines, attempt->resumes);
+	lines = prompt_lines(attempt, attempt->resumes, more);
+	send_attempt(attempt, "stream", attempt->resumes,
+	    (int)((attempt->deadline_at - attempt->sent_at) * 1000), lines,
+	    attempt->resumes);
 	g_free(lines);
 	g_free(more);
 	return attempt;
--- a/review/common/world.h
+++ b/review/common/world.h
@@ -76,6 +76,9 @@
 	char resumes[24]; /* attempt that began its stream; "" if it does */
 	int after_event;
 	int tries; /* to resume the stream before this one */
+	int thing; /* shared first part of its prompt */
+	double deadline_at; /* of the caller, for all its tries */
+	double retry_after; /* seconds that a 503 names */
 	dff_h1c_req_t *req;
 };
 
