Interfaces for organisations, duties, scaling and the pace of upstreams

Cause: two deployments name organisations with keys, duties, bounds for ordered upstreams and a fourth figure of an upstream's load; none of it was read.

Nothing uses the new fields yet.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -45,6 +45,7 @@
  *	event
  * @target_gap: target for the longest pause between events of a stream
  * @priority: 0 is the most urgent
+ * @is_public: requests need no key of an organisation
  * @runs_max: upstreams that one attempt of a caller may run on
  * @shares: GArray of dff_route_share_t, at least one
  */
@@ -59,10 +60,41 @@
 	dff_time_t target_latency;
 	dff_time_t target_gap;
 	uint32_t priority;
+	bool is_public;
 	uint32_t runs_max;
 	GArray *shares;
 } dff_route_t;
 
+/* Failure domains for which a pool may have a price. */
+#define DFF_SCALING_DOMAINS_MAX 32
+
+/** struct dff_domain_price - price of an upstream in a failure domain */
+typedef struct dff_domain_price {
+	char domain[DFF_NAME_MAX];
+	double price; /* of one second of one upstream */
+} dff_domain_price_t;
+
+/**
+ * struct dff_scaling - within which bounds upstreams of a pool may be ordered
+ * @enabled: the number of upstreams is ordered; else it is given
+ * @min: fewest upstreams in each failure domain
+ * @max: most of them there, of both kinds together
+ * @boot_time: time from an order until new upstreams serve
+ * @reclaimable_price: price of an upstream that may be reclaimed, as a share
+ *	of that of the others; 0 if none can be ordered
+ * @prices: by failure domain
+ * @price_count: rows of @prices
+ */
+typedef struct dff_scaling {
+	bool enabled;
+	uint32_t min;
+	uint32_t max;
+	dff_time_t boot_time;
+	double reclaimable_price;
+	dff_domain_price_t prices[DFF_SCALING_DOMAINS_MAX];
+	uint32_t price_count;
+} dff_scaling_t;
+
 /**
  * struct dff_pool - an operator's settings of a pool of upstreams
  * @name: name
@@ -72,6 +104,7 @@
  * @token_bytes: KV cache size of one token
  * @link_mbps: speed of the links between engines
  * @handle_lifetime: how long the KV memory of a prefilled prompt is held
+ * @scaling: whether and how its upstreams are ordered
  */
 typedef struct dff_pool {
 	char name[DFF_NAME_MAX];
@@ -81,6 +114,7 @@
 	uint64_t token_bytes;
 	double link_mbps;
 	dff_time_t handle_lifetime;
+	dff_scaling_t scaling;
 } dff_pool_t;
 
 /**
@@ -145,6 +179,9 @@
  * @started_ms: time of its start, Unix milliseconds; 0 if unknown
  * @seq: sequence number of the record since that start
  * @leaving: it is shutting down and gets no new requests
+ * @leaves_in: with @leaving, time until it ends; 0 if unknown
+ * @reclaimable: it may be reclaimed at any time, with all such upstreams of its
+ *	failure domain
  * @removed: its record was removed; only @id is set
  */
 typedef struct dff_upstream_record {
@@ -158,6 +195,8 @@
 	uint64_t started_ms;
 	uint64_t seq;
 	bool leaving;
+	dff_time_t leaves_in;
+	bool reclaimable;
 	bool removed;
 } dff_upstream_record_t;
 
@@ -221,6 +260,9 @@
  * @resumes: id of the attempt that brought the stream's first event, if the
  *	caller resumes one; else ""
  * @prompt: prompt; its count is 0 for requests without one
+ * @credential: key that the caller presents; "" for none. In no log line
+ * @organisation: with @from_peer, the organisation that the peer has found by
+ *	the key; else ""
  * @from_peer: a peer that reaches no upstream passes it on for its caller
  */
 typedef struct dff_relay_open {
@@ -233,6 +275,8 @@
 	int64_t after_event;
 	const char *resumes;
 	dff_prompt_t prompt;
+	const char *credential;
+	const char *organisation;
 	bool from_peer;
 } dff_relay_open_t;
 
@@ -269,6 +313,8 @@
  * @stamped: it has the upstream's signature
  * @events: its content is a stream of events
  * @loaded: it reports the load in @running, @waiting and @slots
+ * @pace: with @loaded, how long work takes on its VM at this moment: 1 as
+ *	usual, 2 twice as long; 0 if it does not say
  * @notice: state that the upstream reports
  */
 typedef struct dff_relay_head {
@@ -281,6 +327,7 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	double pace;
 	dff_upstream_notice_t notice;
 } dff_relay_head_t;
 
@@ -483,6 +530,9 @@
  * @time_left: time that the upstream may take
  * @after_event: resume after this event; -1 for none
  * @priority: 0 is the most urgent
+ * @organisation: organisation whose request it is; "" for none
+ * @checks_keys: the routing has organisations, so that a caller's own fields
+ *	about them are not forwarded
  * @connect_time: longest time for a connection to be made
  * @fresh_connection: open a new connection: idle ones to an upstream that
  *	failed may be dead, and one that has answered this call before may
@@ -501,6 +551,8 @@
 	dff_time_t time_left;
 	int64_t after_event;
 	uint32_t priority;
+	char organisation[DFF_NAME_MAX];
+	bool checks_keys;
 	dff_time_t connect_time;
 	bool fresh_connection;
 } dff_relay_send_t;
@@ -635,6 +687,11 @@
  *	process
  * @store_writes_rate: writes a second that the store takes from all nodes
  * @cross_domain_latency: one-way latency to another failure domain
+ * @config_time: time within which a new configuration is in force
+ * @revoke_strictly: a removed key counts nowhere after @revoke_time, also at
+ *	nodes that are cut off
+ * @revoke_time: time from the store's answer to a configuration after which
+ *	the keys that it removes do not count
  */
 typedef struct dff_relay_config {
 	char id[DFF_NAME_MAX];
@@ -651,6 +708,9 @@
 	bool fleet_is_new;
 	double store_writes_rate;
 	dff_time_t cross_domain_latency;
+	dff_time_t config_time;
+	bool revoke_strictly;
+	dff_time_t revoke_time;
 } dff_relay_config_t;
 
 /** dff_relay_defaults() - set the defaults, which suit a small fleet */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -15,6 +15,8 @@
 #define SLACK_DEFAULT		     10.0
 #define STORE_WRITES_DEFAULT	     400.0
 #define CROSS_DOMAIN_LATENCY_DEFAULT (5 * DFF_MSEC)
+#define CONFIG_TIME_DEFAULT	     (2 * DFF_SEC)
+#define REVOKE_TIME_DEFAULT	     (5 * DFF_SEC)
 /* Time between sweeps of expired state. */
 #define SWEEP_EVERY DFF_SEC
 /* Silence of the record source that counts as an outage: some polls. In a
@@ -37,6 +39,8 @@
 	config->budget_slack = SLACK_DEFAULT;
 	config->store_writes_rate = STORE_WRITES_DEFAULT;
 	config->cross_domain_latency = CROSS_DOMAIN_LATENCY_DEFAULT;
+	config->config_time = CONFIG_TIME_DEFAULT;
+	config->revoke_time = REVOKE_TIME_DEFAULT;
 }
 
 /* Give each node of the fleet an equal part of the slack. */
@@ -120,6 +124,9 @@
 	relay->config.budget_slack = config->budget_slack;
 	relay->config.store_writes_rate = config->store_writes_rate;
 	relay->config.cross_domain_latency = config->cross_domain_latency;
+	relay->config.config_time = config->config_time;
+	relay->config.revoke_strictly = config->revoke_strictly;
+	relay->config.revoke_time = config->revoke_time;
 }
 
 void
