net: red: the end of an answer begins the next request

Tests only: next_request_does_not_begin_inside_the_end_of_an_answer and dropped_server_parses_no_more_requests of test_process_h1.

Assertion 'served.requests == i' failed: served.requests == 2, i == 1 Assertion 'served.requests == 1' failed: served.requests == 2, 1 == 1

--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -757,9 +757,21 @@
 	TALK_RESET
 } talk_end;
 
-/* Send bytes to the server; what comes back, until it closes or is quiet. */
 static void
-talk(const char *text, GString *back)
+run_for(dff_time_t time)
+{
+	dff_time_t end = dff_program_now() + time;
+
+	while (dff_program_now() < end) {
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(500);
+	}
+}
+
+/* Send bytes to the server; what comes back, until it closes or is quiet.
+ * Returns the connection, which the caller closes. */
+static int
+send_and_read(const char *text, GString *back)
 {
 	struct sockaddr_in sa;
 	char bytes[4096];
@@ -785,11 +797,14 @@
 			talk_end = TALK_RESET;
 		g_usleep(500);
 	}
-	(void)close(fd);
-	for (int i = 0; i < 20; i++) {
-		(void)uv_run(&loop, UV_RUN_NOWAIT);
-		g_usleep(500);
-	}
+	return fd;
+}
+
+static void
+talk(const char *text, GString *back)
+{
+	(void)close(send_and_read(text, back));
+	run_for(10 * DFF_MSEC);
 }
 
 static int
@@ -833,6 +848,59 @@
 }
 END_TEST
 
+/* Whoever ends an answer may be in the middle of a step, so that its handlers
+ * must not be called meanwhile. */
+START_TEST(next_request_does_not_begin_inside_the_end_of_an_answer)
+{
+	GString *back = g_string_new(NULL);
+	dff_h1d_req_t *first;
+	int fd;
+
+	serve();
+	served.hold = true;
+	fd = send_and_read(REQUEST REQUEST REQUEST, back);
+	ck_assert_int_eq(served.requests, 1);
+	for (int i = 1; i < 3; i++) {
+		first = served.waiting;
+		served.waiting = NULL;
+		dff_h1d_answer(first, 200, "", "ok", 2);
+		ck_assert_int_eq(served.requests, i);
+		ck_assert_ptr_null(served.waiting);
+		run_for(20 * DFF_MSEC);
+		ck_assert_int_eq(served.requests, i + 1);
+		ck_assert_ptr_nonnull(served.waiting);
+	}
+	/* A connection that closes meanwhile is not parsed any more. */
+	first = served.waiting;
+	dff_h1d_abort(first);
+	run_for(20 * DFF_MSEC);
+	ck_assert_int_eq(served.requests, 3);
+	ck_assert_int_eq(served.gone, 0);
+	(void)close(fd);
+	dff_h1d_drop(served.server);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
+/* The server closes while requests wait to be parsed. */
+START_TEST(dropped_server_parses_no_more_requests)
+{
+	GString *back = g_string_new(NULL);
+	int fd;
+
+	serve();
+	served.hold = true;
+	fd = send_and_read(REQUEST REQUEST, back);
+	dff_h1d_answer(served.waiting, 200, "", "ok", 2);
+	served.waiting = NULL;
+	dff_h1d_drop(served.server);
+	run_for(20 * DFF_MSEC);
+	(void)close(fd);
+	ck_assert_int_eq(served.requests, 1);
+	(void)g_string_free(back, TRUE);
+}
+END_TEST
+
 START_TEST(two_lengths_are_refused)
 {
 	expect_served("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
@@ -1018,6 +1086,9 @@
 	tcase_add_test(tcase, cancelled_request_calls_no_handler);
 	tcase_add_test(tcase, target_and_body_are_unchanged);
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_turn);
+	tcase_add_test(
+	    tcase, next_request_does_not_begin_inside_the_end_of_an_answer);
+	tcase_add_test(tcase, dropped_server_parses_no_more_requests);
 	tcase_add_test(tcase, two_lengths_are_refused);
 	tcase_add_test(tcase, length_and_chunks_are_refused);
 	tcase_add_test(tcase, smuggled_request_is_a_body);
