net: a step never begins inside another's effects

Cause: the end of an answer parsed the input that was read meanwhile and opened the next request at once: dff_relay_host_feed() of the one step called itself inside its effects, and freed frames and rows that were still to be sent. A probe that could not be started reported that from inside its effect, too.

Change: the server's loop parses such input (an idle handle, connections in order); a probe that cannot be started ends as unreachable later. dff_relay_host_feed() asserts that no step is under way. Looked at and found safe: the client (ends are reported by its timers), writes, aborts, closings (the request is detached first), the store's handlers (they begin in the loop; addresses are checked in the settings).

--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -58,9 +58,11 @@
 
 /**
  * struct dff_h1d_handlers - callbacks of a server
- * @request: a complete request arrived; answer it now or later
+ * @request: a complete request arrived; answer it now or later; called by the
+ *	loop, never from inside a function of the server
  * @disconnected: the caller closed the connection before its answer ended;
- *	the request must not be used afterwards; may be NULL
+ *	the request must not be used afterwards; called by the loop, never from
+ *	inside a function of the server; may be NULL
  */
 typedef struct dff_h1d_handlers {
 	void (*request)(void *arg, dff_h1d_req_t *req);
@@ -234,11 +236,10 @@
  * dff_h1c_probe() - test whether a server accepts connections
  * @call: only address, peer and connect time are used
  * @token: passed to @done
- * @done: called once, never from inside this call or dff_h1c_drop()
- *
- * Return: 0, or a negative error number if the probe cannot be started.
+ * @done: called once, never from inside this call or dff_h1c_drop(); a probe
+ *	that cannot be started ends as DFF_H1C_UNREACHABLE
  */
-int dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, uint64_t token,
+void dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, uint64_t token,
     dff_h1c_probe_done_fn done, void *arg);
 
 /** dff_h1c_close_idle() - close idle connections to one peer */
--- a/source/net/h1_probe.c
+++ b/source/net/h1_probe.c
@@ -119,19 +119,14 @@
 						DFF_H1C_UNREACHABLE);
 }
 
-int
+void
 dff_h1c_probe(dff_h1c_t *h1c, const dff_h1c_call_t *call, uint64_t token,
     dff_h1c_probe_done_fn done, void *arg)
 {
-	struct sockaddr_storage sa;
-	probe_t *probe;
+	probe_t *probe = g_new0(probe_t, 1);
 
-	if (dff_address_parse(call->addr, &sa) < 0)
-		return -EINVAL;
-	probe = g_new0(probe_t, 1);
 	probe->h1c = h1c;
 	probe->addr = g_strdup(call->addr);
-	probe->sa = sa;
 	probe->peer = g_strdup(call->peer);
 	probe->link.data = probe;
 	probe->timer.data = probe;
@@ -144,8 +139,9 @@
 	h1c->handles++;
 	(void)uv_timer_init(h1c->loop, &probe->timer);
 	g_queue_push_tail_link(&h1c->probes, &probe->link);
-	if (connect_probe(probe))
-		return 0;
-	h1_probe_drop(probe);
-	return -ECONNABORTED;
+	if (dff_address_parse(call->addr, &probe->sa) < 0)
+		probe->tries_left = 0;
+	/* Its end is never reported from inside this call. */
+	if (!connect_probe(probe))
+		(void)uv_timer_start(&probe->timer, on_probe_retry, 0, 0);
 }
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -19,6 +19,7 @@
 	uv_tcp_t tcp; /* first, so that a handle is a connection */
 	dff_h1d_t *h1d;
 	GList link;
+	GList ready_link;
 	h1_reader_t reader;
 	GByteArray *body;
 	GByteArray *input; /* read, not yet parsed */
@@ -28,6 +29,7 @@
 	int error_status; /* error status for a request over a limit, or 0 */
 	bool complete; /* the parser has read a complete request */
 	bool parsing;
+	bool ready; /* in the server's queue @ready */
 	bool close_after; /* close after this answer */
 	bool ends_answer; /* its end is that of the answer in progress */
 	bool closing;
@@ -38,10 +40,12 @@
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	uv_timer_t sweep;
+	uv_idle_t parse; /* active while @ready is not empty */
 	dff_h1d_limits_t limits;
 	dff_h1d_handlers_t handlers;
 	void *arg;
 	GQueue conns;
+	GQueue ready; /* connections with input after a finished request */
 	int handles;
 	bool draining;
 	bool dropped;
@@ -83,6 +87,14 @@
 	free_when_empty(h1d);
 }
 
+static void
+set_not_ready(conn_t *conn)
+{
+	if (conn->ready)
+		g_queue_unlink(&conn->h1d->ready, &conn->ready_link);
+	conn->ready = false;
+}
+
 static void
 close_conn(conn_t *conn)
 {
@@ -92,6 +104,7 @@
 		return;
 	conn->closing = true;
 	conn->req = NULL;
+	set_not_ready(conn);
 	/* An end in order would complete an answer that was broken off. */
 	if (!conn->ends_answer ||
 	    uv_tcp_close_reset(&conn->tcp, on_conn_closed) != 0)
@@ -212,7 +225,37 @@
 	send_bytes(conn, bytes);
 }
 
-/* End a request: close the connection or parse the next request. */
+static void
+on_parse(uv_idle_t *idle)
+{
+	dff_h1d_t *h1d = idle->data;
+	guint count = h1d->ready.length;
+
+	while (count-- > 0 && h1d->ready.length > 0) {
+		conn_t *conn = h1d->ready.head->data;
+
+		set_not_ready(conn);
+		parse_input(conn);
+	}
+	if (h1d->ready.length == 0)
+		(void)uv_idle_stop(idle);
+}
+
+/* Requests that were read during an answer are parsed by the loop: whoever ends
+ * the answer must not be called back meanwhile. */
+static void
+parse_later(conn_t *conn)
+{
+	dff_h1d_t *h1d = conn->h1d;
+
+	if (conn->ready || h1d->dropped)
+		return;
+	conn->ready = true;
+	g_queue_push_tail_link(&h1d->ready, &conn->ready_link);
+	(void)uv_idle_start(&h1d->parse, on_parse);
+}
+
+/* End a request: close the connection or prepare for the next request. */
 static void
 finish_req(dff_h1d_req_t *req)
 {
@@ -230,7 +273,7 @@
 	g_byte_array_set_size(conn->body, 0);
 	conn->complete = false;
 	if (conn->input->len > 0 && !conn->parsing)
-		parse_input(conn);
+		parse_later(conn);
 }
 
 void
@@ -430,6 +473,7 @@
 	conn = g_new0(conn_t, 1);
 	conn->h1d = h1d;
 	conn->link.data = conn;
+	conn->ready_link.data = conn;
 	conn->body = g_byte_array_new();
 	conn->input = g_byte_array_new();
 	conn->idle_since = uv_now(h1d->loop);
@@ -492,12 +536,15 @@
 	h1d->limits = *limits;
 	h1d->handlers = *handlers;
 	h1d->arg = arg;
-	h1d->handles = 2;
+	h1d->handles = 3;
 	h1d->listener.data = h1d;
 	h1d->sweep.data = h1d;
+	h1d->parse.data = h1d;
 	g_queue_init(&h1d->conns);
+	g_queue_init(&h1d->ready);
 	(void)uv_tcp_init(loop, &h1d->listener);
 	(void)uv_timer_init(loop, &h1d->sweep);
+	(void)uv_idle_init(loop, &h1d->parse);
 	err = uv_tcp_bind(&h1d->listener, (const struct sockaddr *)&sa, 0);
 	if (err == 0)
 		err = uv_listen(
@@ -531,6 +578,7 @@
 	h1d->dropped = true;
 	uv_close((uv_handle_t *)&h1d->listener, on_handle_closed);
 	uv_close((uv_handle_t *)&h1d->sweep, on_handle_closed);
+	uv_close((uv_handle_t *)&h1d->parse, on_handle_closed);
 	for (GList *link = h1d->conns.head; link != NULL; link = link->next)
 		close_conn(link->data);
 }
--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -310,12 +310,17 @@
 void
 dff_relay_host_feed(dff_relay_host_t *host, const dff_relay_event_t *event)
 {
-	GArray *fx = g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
+	GArray *fx;
 
+	/* A step frees what the effects of the one before may still use. */
+	g_assert(!host->stepping);
+	host->stepping = true;
+	fx = g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
 	dff_relay_step(host->ctx, host->relay, event, dff_program_now(), fx);
 	for (guint i = 0; i < fx->len; i++)
 		execute_effect(host, &g_array_index(fx, dff_relay_effect_t, i));
 	g_array_unref(fx);
+	host->stepping = false;
 	if (event->type == DFF_RELAY_ROUTING)
 		apply_limits(host);
 	set_timer(host);
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -37,6 +37,7 @@
 	void *store_crashes_arg;
 	dff_relay_host_origins_t origins;
 	void *origins_arg;
+	bool stepping; /* the effects of an event are being executed */
 	bool ready; /* as last answered */
 	char frame[65536];
 };
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -375,10 +375,5 @@
 
 	if (send != NULL)
 		send->probed_after_end = true;
-	if (dff_h1c_probe(host->client, &call, fx->send, on_probed, host) == 0)
-		return;
-	dff_log(host->ctx, DFF_LOG_WARNING, "upstream",
-	    "probe cannot be started upstream=%s addr=%s", fx->upstream,
-	    fx->addr);
-	feed_probed(host, fx->upstream, fx->send, DFF_PROBE_INCONCLUSIVE);
+	dff_h1c_probe(host->client, &call, fx->send, on_probed, host);
 }
