--- a/source/net/h1_head.c
+++ b/source/net/h1_head.c
@@ -172,6 +172,13 @@
 	return false;
 }
 
+bool
+h1_status_has_no_body(int status)
+{
+	return status == 204 || status == 304 ||
+	    (status >= 100 && status < 200);
+}
+
 const char *
 dff_h1_reason(int status)
 {
--- a/source/net/h1_head.h
+++ b/source/net/h1_head.h
@@ -46,6 +46,9 @@
 /** h1_reader_value() - parser callback: a part of a field's value */
 int h1_reader_value(http_parser *parser, const char *at, size_t len);
 
+/** h1_status_has_no_body() - whether answers with this status have no body */
+bool h1_status_has_no_body(int status);
+
 /** h1_alloc() - a uv_alloc_cb; the read callback frees the buffer */
 void h1_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf);
 
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -163,13 +163,6 @@
 	}
 }
 
-static bool
-status_has_no_body(int status)
-{
-	return status == 204 || status == 304 ||
-	    (status >= 100 && status < 200);
-}
-
 /* Callers of HTTP/1.0 do not know chunks. */
 static bool
 reads_chunks(const conn_t *conn)
@@ -188,7 +181,7 @@
 
 	if (conn->h1d->draining)
 		conn->close_after = true;
-	req->no_body = status_has_no_body(status) ||
+	req->no_body = h1_status_has_no_body(status) ||
 	    conn->reader.parser.method == HTTP_HEAD;
 	req->chunked = length < 0 && length != DFF_H1D_UNTIL_CLOSE &&
 	    !req->no_body && reads_chunks(conn);
@@ -197,7 +190,7 @@
 		conn->close_after = true;
 	g_string_append_printf(head, "HTTP/1.1 %d %s\r\n%s", status,
 	    dff_h1_reason(status), fields);
-	if (length >= 0 && !status_has_no_body(status))
+	if (length >= 0 && !h1_status_has_no_body(status))
 		g_string_append_printf(
 		    head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
 	else if (req->chunked)
@@ -229,9 +222,8 @@
 on_parse(uv_idle_t *idle)
 {
 	dff_h1d_t *h1d = idle->data;
-	guint count = h1d->ready.length;
 
-	while (count-- > 0 && h1d->ready.length > 0) {
+	for (guint i = h1d->ready.length; i-- > 0 && h1d->ready.length > 0;) {
 		conn_t *conn = h1d->ready.head->data;
 
 		set_not_ready(conn);
@@ -241,8 +233,7 @@
 		(void)uv_idle_stop(idle);
 }
 
-/* Requests that were read during an answer are parsed by the loop: whoever ends
- * the answer must not be called back meanwhile. */
+/* Whoever ends an answer must not be called back meanwhile. */
 static void
 parse_later(conn_t *conn)
 {
