relay: runs that were given up count if their upstream then ends

Cause: a run counted as evidence only if its connection broke, or if its upstream was marked silent when this node gave the run up.

Change: a run that is given up (deadline, caller gone) without any part of an answer is kept for 10 s; a restart of its upstream, a refused probe or the end of its record makes it a broken run. A byte from the upstream or its leaving drops it. At most 4096 keys.

--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -178,6 +178,7 @@
 void
 relay_call_close(step_t *step, call_t *call)
 {
+	suspect_add_cancelled_run(step, call);
 	relay_send_cancel(step, call);
 	release_handle(step, call);
 	free_call(step->relay, call);
@@ -195,6 +196,7 @@
 	    !DFF_FAULT(RELAY_UNDER_WAY_IS_UNSENT))
 		call->progress = MAX(call->progress, DFF_PROGRESS_MAY_HAVE_RUN);
 	status = dff_relay_status(call->progress, failure);
+	suspect_add_cancelled_run(step, call);
 	relay_send_cancel(step, call);
 	if (status == 0) {
 		fx = relay_add_fx(step, DFF_RELAY_FX_ABORT);
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -103,6 +103,7 @@
 		reach_note_bytes(step);
 		upstream_note_reached(up);
 		upstream_note_byte(up, step->now);
+		suspect_note_byte(step, send->upstream);
 		notice_receive(step, send->upstream, send->upstream_started_ms,
 		    send->sent_at, &head->notice);
 	}
@@ -335,6 +336,7 @@
 	if (up != NULL) {
 		reach_note_bytes(step);
 		upstream_note_byte(up, step->now);
+		suspect_note_byte(step, call->send.upstream);
 	}
 	if (call->send.stage == DFF_STAGE_PREFILL)
 		return;
--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -24,11 +24,17 @@
 /* The same for an unresponsive upstream: the record source may be unreachable
  * meanwhile. */
 #define CONFIRM_TIME_UNRESPONSIVE (30 * DFF_SEC)
+/* The same for a run that this node gave up: until the record expires, and the
+ * record source is read. */
+#define CONFIRM_TIME_CANCELLED (10 * DFF_SEC)
+/* Most keys of runs that were given up and not answered since. */
+#define CANCELLED_RUNS_MAX 4096
 /* Longest time for the connection of a probe: several round trips. */
 #define PROBE_TIME (350 * DFF_MSEC)
 /* Evidence against a part is stored once it has held for this time: answers
  * that clear sound parts arrive from all nodes meanwhile. */
 #define PART_STORE_DELAY DFF_SEC
+
 static void
 free_suspect(void *data)
 {
@@ -160,7 +166,7 @@
 	const upstream_t *up =
 	    upstreams_get(step->relay->upstreams, run->upstream);
 
-	if (suspect_is_part(run->key))
+	if (suspect_is_part(run->key) || run->cancelled)
 		return;
 	step->relay->counts[COUNT_BREAKS_FORGOTTEN]++;
 	dff_log(step->ctx, DFF_LOG_INFO, "call",
@@ -199,18 +205,21 @@
 static dff_time_t
 confirm_time(const broken_run_t *run)
 {
+	if (run->cancelled)
+		return CONFIRM_TIME_CANCELLED;
 	return run->unresponsive ? CONFIRM_TIME_UNRESPONSIVE : CONFIRM_TIME;
 }
 
-void
-suspect_add_broken_run(step_t *step, const call_t *call)
+static void
+add_run(step_t *step, const call_t *call, bool cancelled)
 {
 	suspects_t *suspects = step->relay->suspects;
 	const upstream_t *up =
 	    upstreams_get(step->relay->upstreams, call->send.upstream);
 	broken_run_t run = {.upstream = call->send.upstream,
 	    .sent_at = call->send.sent_at,
-	    .ended_at = step->now};
+	    .ended_at = step->now,
+	    .cancelled = cancelled};
 	uint64_t keys[SUSPECT_KEYS_MAX];
 	size_t count =
 	    suspect_list_keys(call->content_hash, &call->prompt, keys);
@@ -228,6 +237,41 @@
 	}
 }
 
+void
+suspect_add_broken_run(step_t *step, const call_t *call)
+{
+	add_run(step, call, false);
+}
+
+void
+suspect_add_cancelled_run(step_t *step, const call_t *call)
+{
+	const send_t *send = &call->send;
+	const upstream_t *up =
+	    upstreams_get(step->relay->upstreams, send->upstream);
+
+	/* Runs at a silent upstream are evidence without more. */
+	if (send->number == 0 || send->to_peer || send->head_seen ||
+	    up == NULL || up->silent ||
+	    step->relay->suspects->broken_runs->len >= CANCELLED_RUNS_MAX ||
+	    DFF_FAULT(RELAY_CANCELLED_UNSUSPECTED))
+		return;
+	add_run(step, call, true);
+}
+
+void
+suspect_note_byte(step_t *step, dff_handle_t upstream)
+{
+	GArray *runs = step->relay->suspects->broken_runs;
+
+	for (guint i = runs->len; i-- > 0;) {
+		const broken_run_t *run = &g_array_index(runs, broken_run_t, i);
+
+		if (run->upstream == upstream && run->cancelled)
+			g_array_remove_index_fast(runs, i);
+	}
+}
+
 /* Whether the run broke off at an upstream that was down already, as far as is
  * known: after the crash that was counted last it neither answered nor wrote a
  * record of another start. */
@@ -256,6 +300,7 @@
 		broken_run_t run = g_array_index(runs, broken_run_t, i);
 
 		if (run.upstream != upstream || (run.connected && !sure) ||
+		    (run.cancelled && up->record.leaving) ||
 		    is_after_crash(step->relay->suspects, &run, up))
 			continue;
 		g_array_remove_index_fast(runs, i);
@@ -274,7 +319,9 @@
 	const GArray *runs = step->relay->suspects->broken_runs;
 
 	for (guint i = 0; i < runs->len; i++) {
-		if (g_array_index(runs, broken_run_t, i).upstream == upstream)
+		const broken_run_t *run = &g_array_index(runs, broken_run_t, i);
+
+		if (run->upstream == upstream && !run->cancelled)
 			return true;
 	}
 	return false;
--- a/source/relay/suspect.h
+++ b/source/relay/suspect.h
@@ -20,6 +20,17 @@
  *	answer */
 void suspect_add_broken_run(step_t *step, const call_t *call);
 
+/**
+ * suspect_add_cancelled_run() - record that a call's run, if there is one, is
+ *	given up before any part of an answer
+ *
+ * It is evidence if its upstream ends without having sent anything since.
+ */
+void suspect_add_cancelled_run(step_t *step, const call_t *call);
+
+/** suspect_note_byte() - an upstream sent a byte: it did not crash before */
+void suspect_note_byte(step_t *step, dff_handle_t upstream);
+
 /** suspect_start_probe() - after a run broke off, probe whether its upstream
  *	still accepts connections */
 void suspect_start_probe(step_t *step, dff_handle_t upstream);
--- a/source/relay/suspect_parts.h
+++ b/source/relay/suspect_parts.h
@@ -44,6 +44,8 @@
 	dff_time_t ended_at;
 	bool unresponsive; /* its upstream is silent, or a probe timed out */
 	bool connected; /* its upstream accepted a connection since */
+	bool cancelled; /* this node gave it up before any part of an answer; it
+			 * is no evidence once the upstream sends a byte */
 } broken_run_t;
 
 /* An upstream does not restart sooner: runs that break off there within this
--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -649,6 +649,15 @@
 	take_effects(node);
 }
 
+void
+crash_sim_hang_up(int node)
+{
+	const dff_relay_event_t gone = {.type = DFF_RELAY_CALLER_GONE,
+	    .caller_gone = net.nodes[node]->next_call};
+
+	apply_event(node, &gone);
+}
+
 void
 crash_sim_request_prompt(int node, uint64_t content)
 {
--- a/test/fake/crash_sim.h
+++ b/test/fake/crash_sim.h
@@ -82,6 +82,9 @@
 /** crash_sim_request() - open a request at a node */
 void crash_sim_request(int node, const char *target, uint64_t content);
 
+/** crash_sim_hang_up() - the caller of a node's last request disconnects */
+void crash_sim_hang_up(int node);
+
 /** crash_sim_request_prompt() - open a request with a prompt, for engines */
 void crash_sim_request_prompt(int node, uint64_t content);
 
--- a/test/test_relay_suspect.c
+++ b/test/test_relay_suspect.c
@@ -127,6 +127,54 @@
 }
 END_TEST
 
+/* Callers wait for less than the time after which an upstream counts as
+ * silent. */
+START_TEST(crashes_of_requests_that_were_given_up_count)
+{
+	crash_sim_config_t config = default_config;
+
+	config.silent_crash = true;
+	config.restart_delay = 3 * DFF_SEC;
+	config.record_expiry = 4 * DFF_SEC;
+	crash_sim_start(&config);
+	for (int i = 0; i < 40; i++) {
+		crash_sim_request(i % config.nodes, "/order/x", CRASH_CONTENT);
+		crash_sim_advance(200 * DFF_MSEC);
+		crash_sim_hang_up(i % config.nodes);
+		crash_sim_advance(800 * DFF_MSEC);
+	}
+	check_crashes(6);
+}
+END_TEST
+
+/* The callers of a sound request hang up, and their upstreams crash for other
+ * reasons after they have answered others. */
+START_TEST(requests_given_up_before_an_answer_of_the_upstream_are_no_evidence)
+{
+	crash_sim_config_t config = default_config;
+
+	config.silent_crash = true;
+	config.upstreams = 2;
+	config.nodes = 2;
+	crash_sim_start(&config);
+	for (int i = 0; i < 6; i++) {
+		crash_sim_request(0, "/order/y", CRASH_CONTENT + 1);
+		crash_sim_advance(20 * DFF_MSEC);
+		crash_sim_hang_up(0);
+		for (int k = 0; k < 4; k++)
+			crash_sim_request(
+			    0, "/order/z", CRASH_CONTENT + 10 + i * 4 + k);
+		crash_sim_advance(300 * DFF_MSEC);
+		crash_sim_crash_all();
+		crash_sim_advance(10 * DFF_SEC);
+	}
+	crash_sim_request(0, "/order/y", CRASH_CONTENT + 1);
+	crash_sim_advance(DFF_SEC);
+	ck_assert_int_eq(crash_sim_counts()->suspected, 0);
+	ck_assert_int_gt(crash_sim_served(0), 0);
+}
+END_TEST
+
 START_TEST(prompt_crashes_few_engines)
 {
 	crash_sim_config_t config = default_config;
@@ -436,6 +484,9 @@
 	tcase_add_test(tcase, crashes_count_while_records_are_late);
 	tcase_add_test(tcase, crashes_count_without_any_record);
 	tcase_add_test(tcase, crashes_without_connection_reset_count);
+	tcase_add_test(tcase, crashes_of_requests_that_were_given_up_count);
+	tcase_add_test(tcase,
+	    requests_given_up_before_an_answer_of_the_upstream_are_no_evidence);
 	tcase_add_test(tcase, prompt_crashes_few_engines);
 	tcase_add_test(tcase, started_node_learns_refused_requests);
 	tcase_add_test(tcase, restarted_fleet_remembers_refused_request);
