tests: an engine that refused a send is in doubt

A node that has no broken run at an engine goes on believing its record after its connections were refused, and its peers' reports of that. Three checks of test_relay_stream_software, which fail before the change that follows.

--- a/test/test_relay_stream_software.c
+++ b/test/test_relay_stream_software.c
@@ -5,9 +5,10 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "fake/relay_bench.h"
+#include "fake/relay_net.h"
 
 static relay_bench_t *bench;
+static relay_net_t net;
 
 static void
 load_engine(relay_bench_t *at, const char *id, const char *software)
@@ -50,6 +51,7 @@
 teardown(void)
 {
 	relay_bench_drop(bench);
+	relay_net_drop(&net);
 }
 
 /* Begins a stream at the only engine and forwards its first event. */
@@ -231,6 +233,74 @@
 }
 END_TEST
 
+START_TEST(engine_that_refused_a_send_resumes_no_stream_before_its_next_record)
+{
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	(void)begin_stream("one");
+	(void)relay_bench_open_stream(bench, "/resume/x", "other", "", -1);
+	send = relay_bench_send(bench);
+	relay_bench_end(bench, send, DFF_SEND_UNSENT, NULL);
+	relay_bench_wait(bench, 5 * DFF_SEC);
+	ck_assert_uint_eq(resume_stream("two"), 0);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+	load_records_of_running_engine();
+	ck_assert_uint_ne(resume_stream("three"), 0);
+}
+END_TEST
+
+/* The node that resumes has sent nothing to the engine since. */
+START_TEST(engine_that_refused_a_peer_resumes_no_stream_before_its_next_record)
+{
+	uint64_t send;
+
+	for (int i = 0; i < 2; i++) {
+		relay_net_add(&net, "a", i, 0);
+		relay_bench_load_routing(net.nodes[i], 1);
+		load_engine(net.nodes[i], "d1", "v1");
+	}
+	relay_net_add_all_peers(&net);
+	relay_net_advance(&net, DFF_SEC);
+	(void)relay_bench_open_stream(
+	    net.nodes[1], "/resume/x", "one", "", -1);
+	send = relay_bench_send(net.nodes[1]);
+	ck_assert_uint_ne(send, 0);
+	relay_bench_head(net.nodes[1], send, 200, false);
+	relay_bench_data(net.nodes[1], send, "id: 1\ndata: x\n\n");
+	(void)relay_bench_open_stream(
+	    net.nodes[0], "/resume/x", "other", "", -1);
+	send = relay_bench_send(net.nodes[0]);
+	relay_bench_end(net.nodes[0], send, DFF_SEND_UNSENT, NULL);
+	relay_net_advance(&net, DFF_SEC);
+	(void)relay_bench_open_stream(
+	    net.nodes[1], "/resume/x", "two", "one", 1);
+	ck_assert_uint_eq(relay_bench_send(net.nodes[1]), 0);
+	ck_assert_int_eq(relay_bench_answer(net.nodes[1]), 503);
+}
+END_TEST
+
+/* The send waits in the event loop for its moment. */
+START_TEST(resumed_send_does_not_leave_for_an_engine_in_doubt)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_BEFORE_SEND};
+	uint64_t other;
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	(void)begin_stream("one");
+	(void)relay_bench_open_stream(bench, "/resume/x", "other", "", -1);
+	other = relay_bench_send(bench);
+	send = resume_stream("two");
+	ck_assert_uint_ne(send, 0);
+	relay_bench_end(bench, other, DFF_SEND_UNSENT, NULL);
+	event.before_send = send;
+	relay_bench_step(bench, &event);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_CANCEL), 1);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+}
+END_TEST
+
 START_TEST(engine_listed_again_resumes_no_stream_before_its_next_record)
 {
 	dff_upstream_record_t removed = {.id = "d1", .removed = true};
@@ -474,6 +544,12 @@
 	tcase_add_test(tcase, records_of_before_an_outage_prove_no_software);
 	tcase_add_test(tcase,
 	    engine_without_a_probe_result_resumes_no_stream_before_its_next_record);
+	tcase_add_test(tcase,
+	    engine_that_refused_a_send_resumes_no_stream_before_its_next_record);
+	tcase_add_test(tcase,
+	    engine_that_refused_a_peer_resumes_no_stream_before_its_next_record);
+	tcase_add_test(
+	    tcase, resumed_send_does_not_leave_for_an_engine_in_doubt);
 	tcase_add_test(tcase,
 	    engine_listed_again_resumes_no_stream_before_its_next_record);
 	tcase_add_test(tcase,
