relay: prove the process that goes on with a stream

An upstream's record may be of a process before: for up to 0.65 s a node believed it, and sent streams on to another software version. No header of a request lets an upstream refuse that. But it states its start (born): asked once its answer has begun, the statement is of the process that answers or of a later one. Events of a continuation are held back until the start is the one of the record; else the send breaks off and the upstream is in doubt. Without a statement the record counts as before; an upstream that cannot be asked proves nothing.

A send that waits to leave is also moved if its upstream came in doubt.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -329,6 +329,20 @@
 	dff_probe_result_t result;
 } dff_relay_probed_t;
 
+/**
+ * struct dff_relay_identified - the result of a DFF_RELAY_FX_IDENTIFY
+ * @send: of the effect
+ * @answered: the process that listens there has answered
+ * @said: it has said when it started
+ * @started_ms: if so, that moment; 0 if it is none of the upstream's id
+ */
+typedef struct dff_relay_identified {
+	uint64_t send;
+	bool answered;
+	bool said;
+	uint64_t started_ms;
+} dff_relay_identified_t;
+
 /* Upstreams that one crash report names. */
 #define DFF_CRASH_REPORT_MAX 8
 
@@ -409,6 +423,7 @@
 	DFF_RELAY_NOTICE, /* an upstream's notice outside a request's answer */
 	DFF_RELAY_CRASH_REPORT, /* a stored crash report was read */
 	DFF_RELAY_PROBED, /* a trial connection ended */
+	DFF_RELAY_IDENTIFIED, /* DFF_RELAY_FX_IDENTIFY has ended */
 	DFF_RELAY_ORIGINS_READ, /* DFF_RELAY_FX_READ_ORIGINS has ended */
 	DFF_RELAY_ORIGINS_LOST, /* the store may have lost origins and does not
 				 * return those that it had before */
@@ -453,6 +468,7 @@
 		dff_relay_cache_list_t cache_list;
 		dff_relay_notice_t notice;
 		dff_relay_probed_t probed;
+		dff_relay_identified_t identified;
 		dff_crash_report_t crash_report;
 		dff_relay_origins_t origins;
 		dff_relay_stored_t stored;
@@ -554,6 +570,18 @@
 	dff_time_t connect_time;
 } dff_relay_probe_t;
 
+/**
+ * struct dff_relay_identify - ask an upstream when its process started
+ * @upstream: its id
+ * @addr: its address
+ * @send: a send that it is answering
+ */
+typedef struct dff_relay_identify {
+	char upstream[DFF_NAME_MAX];
+	char addr[DFF_ADDR_MAX];
+	uint64_t send;
+} dff_relay_identify_t;
+
 /** struct dff_relay_frame - a frame to send to a peer */
 typedef struct dff_relay_frame {
 	char addr[DFF_ADDR_MAX];
@@ -581,6 +609,8 @@
 	DFF_RELAY_FX_RELEASE,
 	DFF_RELAY_FX_CACHE_QUERY,
 	DFF_RELAY_FX_PROBE, /* connect and deliver DFF_RELAY_PROBED */
+	DFF_RELAY_FX_IDENTIFY, /* ask and deliver DFF_RELAY_IDENTIFIED, also
+				* without an answer, within half a second */
 	DFF_RELAY_FX_STORE_CRASHES, /* store a crash report so that it
 				     * survives a restart of all nodes */
 	DFF_RELAY_FX_STORE_ORIGINS, /* store origins of streams, so that any
@@ -604,6 +634,7 @@
 		dff_relay_release_t release;
 		dff_relay_cache_query_t cache_query;
 		dff_relay_probe_t probe;
+		dff_relay_identify_t identify;
 		dff_crash_report_t
 		    crash_report; /* DFF_RELAY_FX_STORE_CRASHES */
 		char upstream[DFF_NAME_MAX]; /* DFF_RELAY_FX_CLOSE_IDLE */
--- a/include/dragonflyfall/relay_host.h
+++ b/include/dragonflyfall/relay_host.h
@@ -29,6 +29,9 @@
  * @encode_cache_query: encode a request for an engine's list of cached parts
  * @decode_cache_list: decode its answer, adding dff_part_t to @parts;
  *	-EBADMSG if it is invalid
+ * @encode_identify: encode a request for the start of an upstream's process
+ * @decode_identity: decode its answer: returns whether it states that moment,
+ *	and sets that, or 0 if the answer is of another upstream
  */
 typedef struct dff_wire {
 	const char *echo_field;
@@ -46,6 +49,9 @@
 	GByteArray *(*encode_release)(const dff_relay_release_t *release);
 	GByteArray *(*encode_cache_query)(const dff_relay_cache_query_t *query);
 	int (*decode_cache_list)(const char *body, size_t len, GArray *parts);
+	GByteArray *(*encode_identify)(const dff_relay_identify_t *identify);
+	bool (*decode_identity)(
+	    int status, const char *body, size_t len, uint64_t *started_ms);
 } dff_wire_t;
 
 /**
--- a/review/common/world.c
+++ b/review/common/world.c
@@ -193,6 +193,18 @@
 		    list, strlen(list));
 		return;
 	}
+	/* The pages: born is at the top level of all that a worker says of
+	 * itself. */
+	if (strcmp(head->target, "/report") == 0) {
+		char *report = g_strdup_printf(
+		    "{\"stage\":\"decode\",\"born\":%" G_GUINT64_FORMAT "}",
+		    worker->started_ms);
+
+		dff_h1d_answer(req, 200, "Content-Type: application/json\r\n",
+		    report, strlen(report));
+		g_free(report);
+		return;
+	}
 	attempt =
 	    id != NULL ? g_hash_table_lookup(world->attempts_by_id, id) : NULL;
 	if (attempt == NULL) {
--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -249,6 +249,9 @@
 	case DFF_RELAY_FX_PROBE:
 		host_probe(host, &fx->probe);
 		break;
+	case DFF_RELAY_FX_IDENTIFY:
+		host_identify(host, &fx->identify);
+		break;
 	case DFF_RELAY_FX_STORE_CRASHES:
 		if (host->store_crashes != NULL)
 			host->store_crashes(
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -95,6 +95,9 @@
 void host_query_cache(
     dff_relay_host_t *host, const dff_relay_cache_query_t *fx);
 
+/** host_identify() - ask an upstream for the start of its process */
+void host_identify(dff_relay_host_t *host, const dff_relay_identify_t *fx);
+
 /** host_probe() - check whether an upstream accepts connections */
 void host_probe(dff_relay_host_t *host, const dff_relay_probe_t *fx);
 
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -14,6 +14,10 @@
  * caller's request. */
 #define BACKGROUND_CONNECT_TIME (300 * DFF_MSEC)
 #define BACKGROUND_ANSWER_TIME	(5 * DFF_SEC)
+/* Longest times to connect and to answer when an upstream is asked for its
+ * start, and its largest answer. */
+#define IDENTIFY_TIME (250 * DFF_MSEC)
+#define IDENTITY_MAX  (64u << 10)
 /* Largest list of cached parts: some thousand of about 50 bytes. */
 #define CACHE_LIST_MAX (1u << 20)
 
@@ -208,6 +212,7 @@
 typedef struct background {
 	dff_relay_host_t *host;
 	char upstream[DFF_NAME_MAX];
+	uint64_t send; /* for which it was made; 0 for none */
 	GByteArray *body;
 	int status;
 } background_t;
@@ -243,6 +248,17 @@
 	g_byte_array_append(background->body, (const guint8 *)data, (guint)len);
 }
 
+static background_t *
+new_background(dff_relay_host_t *host, const char *upstream)
+{
+	background_t *background = g_new0(background_t, 1);
+
+	background->host = host;
+	background->body = g_byte_array_new();
+	g_strlcpy(background->upstream, upstream, sizeof(background->upstream));
+	return background;
+}
+
 static void
 start_background(dff_relay_host_t *host, const char *upstream, const char *addr,
     GByteArray *bytes, const dff_h1c_handlers_t *handlers)
@@ -253,11 +269,8 @@
 	    .connect_time = BACKGROUND_CONNECT_TIME,
 	    .body_max = CACHE_LIST_MAX,
 	    .answer_time = BACKGROUND_ANSWER_TIME};
-	background_t *background = g_new0(background_t, 1);
+	background_t *background = new_background(host, upstream);
 
-	background->host = host;
-	background->body = g_byte_array_new();
-	g_strlcpy(background->upstream, upstream, sizeof(background->upstream));
 	if (dff_h1c_start(host->client, &http, handlers, background) == NULL)
 		free_background(background);
 }
@@ -331,6 +344,49 @@
 	    host->wire.encode_cache_query(fx), &handlers);
 }
 
+/* ---- statements of a process's start ---- */
+
+static void
+on_identity_end(void *arg, dff_h1c_end_t end)
+{
+	background_t *background = arg;
+	dff_relay_host_t *host = background->host;
+	dff_relay_event_t event = {.type = DFF_RELAY_IDENTIFIED};
+
+	event.identified.send = background->send;
+	event.identified.answered = dff_h1c_may_be_whole(end);
+	if (event.identified.answered)
+		event.identified.said = host->wire.decode_identity(
+		    background->status, (const char *)background->body->data,
+		    background->body->len, &event.identified.started_ms);
+	dff_log(host->ctx, DFF_LOG_INFO, "upstream",
+	    "upstream was asked for its start id=%s status=%d said=%d "
+	    "started_ms=%" G_GUINT64_FORMAT,
+	    background->upstream, background->status, event.identified.said,
+	    event.identified.started_ms);
+	free_background(background);
+	dff_relay_host_feed(host, &event);
+}
+
+void
+host_identify(dff_relay_host_t *host, const dff_relay_identify_t *fx)
+{
+	static const dff_h1c_handlers_t handlers = {.head = on_background_head,
+	    .data = on_background_data,
+	    .end = on_identity_end};
+	dff_h1c_call_t http = {.addr = fx->addr,
+	    .peer = fx->upstream,
+	    .bytes = host->wire.encode_identify(fx),
+	    .connect_time = IDENTIFY_TIME,
+	    .body_max = IDENTITY_MAX,
+	    .answer_time = IDENTIFY_TIME};
+	background_t *background = new_background(host, fx->upstream);
+
+	background->send = fx->send;
+	if (dff_h1c_start(host->client, &http, &handlers, background) == NULL)
+		on_identity_end(background, DFF_H1C_UNSENT);
+}
+
 /* ---- probes ---- */
 
 static void
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -29,6 +29,7 @@
 	COUNT_STREAMS_RESUMED,
 	COUNT_STREAMS_UNKNOWN,
 	COUNT_STREAM_EVENTS_REJECTED,
+	COUNT_IDENTITIES_ASKED,
 	COUNT_REJECTED,
 	COUNT_BROKEN,
 	COUNT_UNREACHABLE,
@@ -130,6 +131,10 @@
 	bool head_seen;
 	bool not_run; /* the upstream stated that it did not run it */
 	bool stamped; /* its answer has the upstream's signature */
+	bool unidentified; /* it awaits its upstream's statement of its start */
+	size_t identified_len; /* complete events that wait for that */
+	bool ended; /* it has ended meanwhile, with this result */
+	dff_send_result_t result;
 	bool other_type; /* its content is not that of the stream begun */
 	int status;
 } send_t;
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -18,6 +18,7 @@
     [COUNT_STREAMS_RESUMED] = "streams_resumed",
     [COUNT_STREAMS_UNKNOWN] = "streams_unknown",
     [COUNT_STREAM_EVENTS_REJECTED] = "stream_events_rejected",
+    [COUNT_IDENTITIES_ASKED] = "identities_asked",
     [COUNT_REJECTED] = "sends_rejected",
     [COUNT_BROKEN] = "sends_broken",
     [COUNT_UNREACHABLE] = "sends_unreachable",
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -3,6 +3,7 @@
 #include "base/fault.h"
 #include "relay/answer_end.h"
 #include "relay/coordinator.h"
+#include "relay/identity.h"
 #include "relay/origin.h"
 #include "relay/reach.h"
 #include "relay/suspect.h"
@@ -368,6 +369,9 @@
 		else
 			suspect_apply_probe(&step, &event->probed);
 		break;
+	case DFF_RELAY_IDENTIFIED:
+		identity_apply(&step, &event->identified);
+		break;
 	case DFF_RELAY_ORIGINS_READ:
 		origin_apply_read(&step, &event->origins);
 		break;
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -7,6 +7,7 @@
 #include "base/fault.h"
 #include "relay/answer_end.h"
 #include "relay/forward.h"
+#include "relay/identity.h"
 #include "relay/origin.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
@@ -122,6 +123,8 @@
 	    (call->route->kind == DFF_ROUTE_STREAM ||
 		DFF_FAULT(RELAY_HALF_ANSWERS)))
 		result_begin_answer(step, call);
+	if (result_is_good(send) && up != NULL)
+		identity_ask(step, call, up);
 }
 
 /* Forward the first @len buffered bytes, the complete events of a resumable
@@ -284,6 +287,30 @@
 		retry_after_break(step, call, send->upstream);
 }
 
+/* Breaks the send off if the events that have arrived from it may not be
+ * forwarded. */
+static bool
+accept_events(step_t *step, call_t *call)
+{
+	upstream_t *up =
+	    upstreams_get(step->relay->upstreams, call->send.upstream);
+
+	if (call->events.events == 0 || origin_note_event(step, call))
+		return true;
+	relay_send_cancel(step, call);
+	result_break(step, call, up, SEND_BREAK_SOFTWARE);
+	return false;
+}
+
+bool
+result_forward_events(step_t *step, call_t *call, size_t len)
+{
+	if (!accept_events(step, call))
+		return false;
+	forward_events(step, call, len);
+	return true;
+}
+
 static bool
 event_is_too_large(const call_t *call)
 {
@@ -315,12 +342,12 @@
 	    call->buffered, (const guint8 *)data->bytes, (guint)data->len);
 	if (complete == 0)
 		return;
-	if (call->events.events > 0 && !origin_note_event(step, call)) {
-		relay_send_cancel(step, call);
-		result_break(step, call, up, SEND_BREAK_SOFTWARE);
+	if (!accept_events(step, call))
 		return;
-	}
-	forward_events(step, call, before + complete);
+	if (call->send.unidentified)
+		call->send.identified_len = before + complete;
+	else
+		forward_events(step, call, before + complete);
 }
 
 void
@@ -405,6 +432,8 @@
 
 	if (call == NULL)
 		return;
+	if (identity_hold_end(call, end->result))
+		return;
 	send = &call->send;
 	up = upstreams_get(step->relay->upstreams, send->upstream);
 	if (end->result == DFF_SEND_DONE)
--- a/source/relay/result.h
+++ b/source/relay/result.h
@@ -38,4 +38,10 @@
  *	answer; @up may be NULL */
 void result_break(step_t *step, call_t *call, upstream_t *up, send_break_t why);
 
+/** result_forward_events() - forward the first @len buffered bytes, complete
+ *	events of a resumable stream; returns false if they are or may be of
+ *	another software version than those before, so that the send was
+ *	broken off */
+bool result_forward_events(step_t *step, call_t *call, size_t len);
+
 #endif
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -510,6 +510,18 @@
 	}
 }
 
+/* Whether the call goes on with a stream of which the upstream's process may not
+ * be of the software version any more. */
+static bool
+is_in_doubt(const call_t *call, const upstream_t *up)
+{
+	const char *software = origin_bound_software(call);
+
+	return software[0] != '\0' &&
+	    strcmp(upstream_software(up), software) != 0 &&
+	    !DFF_FAULT(RELAY_DUE_SOFTWARE_UNCHECKED);
+}
+
 void
 relay_send_recheck(step_t *step, uint64_t number)
 {
@@ -521,7 +533,7 @@
 		return;
 	up = upstreams_get(relay->upstreams, call->send.upstream);
 	if (step->now < call->deadline && up != NULL &&
-	    upstream_is_available(up, step->now) &&
+	    upstream_is_available(up, step->now) && !is_in_doubt(call, up) &&
 	    (suspect_refusal_time(relay, call->content_hash, &call->prompt,
 		 step->now, NULL) == 0 ||
 		DFF_FAULT(RELAY_VERDICT_ON_ARRIVAL)))
@@ -530,9 +542,10 @@
 		return;
 	dff_log(step->ctx, DFF_LOG_INFO, "place",
 	    "send cancelled before it left id=%s upstream=%s accepts=%d "
-	    "time_left_ms=%" G_GINT64_FORMAT,
+	    "in_doubt=%d time_left_ms=%" G_GINT64_FORMAT,
 	    call->id, call->send.id,
 	    up != NULL && upstream_is_available(up, step->now),
+	    up != NULL && is_in_doubt(call, up),
 	    (call->deadline - step->now) / DFF_MSEC);
 	relay_send_cancel(step, call);
 	call->sends--;
--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -530,6 +530,7 @@
 	case DFF_RELAY_FX_FORWARD_DATA:
 	case DFF_RELAY_FX_RELEASE:
 	case DFF_RELAY_FX_CACHE_QUERY:
+	case DFF_RELAY_FX_IDENTIFY:
 	case DFF_RELAY_FX_STORE_ORIGINS:
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
--- a/test/fake/limit_sim.c
+++ b/test/fake/limit_sim.c
@@ -511,6 +511,7 @@
 	case DFF_RELAY_FX_FORWARD_DATA:
 	case DFF_RELAY_FX_PROBE:
 	case DFF_RELAY_FX_STORE_CRASHES:
+	case DFF_RELAY_FX_IDENTIFY:
 	case DFF_RELAY_FX_STORE_ORIGINS:
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
--- a/test/fake/relay_bench.c
+++ b/test/fake/relay_bench.c
@@ -373,6 +373,18 @@
 	g_array_unref(fx);
 }
 
+void
+relay_bench_identify(relay_bench_t *bench, uint64_t send)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_IDENTIFIED};
+
+	event.identified.send = send;
+	event.identified.answered = true;
+	event.identified.said = true;
+	event.identified.started_ms = 1;
+	relay_bench_step(bench, &event);
+}
+
 void
 relay_bench_refuse_probe(relay_bench_t *bench)
 {
--- a/test/fake/relay_bench.h
+++ b/test/fake/relay_bench.h
@@ -125,6 +125,10 @@
 void relay_bench_end_probes(
     relay_bench_t *bench, dff_probe_result_t result, dff_probe_result_t next);
 
+/** relay_bench_identify() - the upstream of a send states the start that the
+ *	records of relay_bench_make_record() have */
+void relay_bench_identify(relay_bench_t *bench, uint64_t send);
+
 /** relay_bench_refuse_probe() - refuse the probe of the last step; other
  *	upstreams accept those that result from it */
 void relay_bench_refuse_probe(relay_bench_t *bench);
--- a/test/fake/relay_sim.c
+++ b/test/fake/relay_sim.c
@@ -388,6 +388,7 @@
 		    true;
 		break;
 	case DFF_RELAY_FX_PROBE:
+	case DFF_RELAY_FX_IDENTIFY:
 	case DFF_RELAY_FX_STORE_ORIGINS:
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -414,6 +414,7 @@
 	send = fx->send.send;
 	relay_bench_head(bench, send, 200, false);
 	ck_assert_ptr_null(relay_bench_find(bench, DFF_RELAY_FX_FORWARD_HEAD));
+	relay_bench_identify(bench, send);
 	relay_bench_data(bench, send, "id: 2\ndata: b\n\n");
 	ck_assert_ptr_nonnull(
 	    relay_bench_find(bench, DFF_RELAY_FX_FORWARD_DATA));
--- a/test/test_relay_answer_end.c
+++ b/test/test_relay_answer_end.c
@@ -133,6 +133,7 @@
 	/* The rest from the other upstream completes it. */
 	send = fx->send.send;
 	relay_bench_head(bench, send, 200, false);
+	relay_bench_identify(bench, send);
 	relay_bench_data(bench, send, stream->text + whole);
 	note_forwarded();
 	ck_assert_str_eq(forwarded->str, stream->text);
@@ -266,6 +267,7 @@
 	/* The stream had been whole: nothing follows. */
 	send = fx->send.send;
 	relay_bench_head(bench, send, 200, false);
+	relay_bench_identify(bench, send);
 	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
 	ck_assert(ended_complete());
 }
--- a/test/test_relay_continuation.c
+++ b/test/test_relay_continuation.c
@@ -129,6 +129,7 @@
 	uint64_t send = break_stream();
 
 	pass_head(send, 200, true, true);
+	relay_bench_identify(bench, send);
 	relay_bench_data(bench, send, "id: 2\ndata: y\n\n");
 	ck_assert_uint_eq(
 	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 1);
