relay: peers store the origins that a node cannot store

Streams begun at a node that the store does not answer were lost when it was killed: their origins were in its memory only. Once a write was refused, or not answered for 250 ms, the node tells the rows that are not stored to up to three peers, three times each, first to those that read the record source themselves; they store them within their own rate of writes. A node asked to resume finds the row in the store as before. Nothing is told while one software version alone has run for 30 s.

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &dff__relay_permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_origin__init
+                     (Dff__RelayOrigin         *message)
+{
+  static const Dff__RelayOrigin init_value = DFF__RELAY_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t dff__relay_origin__get_packed_size
+                     (const Dff__RelayOrigin *message)
+{
+  assert(message->base.descriptor == &dff__relay_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_origin__pack
+                     (const Dff__RelayOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_origin__pack_to_buffer
+                     (const Dff__RelayOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayOrigin *
+       dff__relay_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayOrigin *)
+     protobuf_c_message_unpack (&dff__relay_origin__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_origin__free_unpacked
+                     (Dff__RelayOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4765,7 +4810,97 @@
   (ProtobufCMessageInit) dff__relay_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dff__relay_origin__field_descriptors[5] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayOrigin, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayOrigin, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayOrigin, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayOrigin, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayOrigin, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_origin__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  3,   /* field[3] = pool */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = run */
+  4,   /* field[4] = software */
+};
+static const ProtobufCIntRange dff__relay_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dff__relay_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayOrigin",
+  "RelayOrigin",
+  "Dff__RelayOrigin",
+  "dff",
+  sizeof(Dff__RelayOrigin),
+  5,
+  dff__relay_origin__field_descriptors,
+  dff__relay_origin__field_indices_by_name,
+  1,  dff__relay_origin__number_ranges,
+  (ProtobufCMessageInit) dff__relay_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[23] =
 {
   {
     "node",
@@ -5031,6 +5166,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origins",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_origins),
+    offsetof(Dff__RelayBeat, origins),
+    &dff__relay_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -5047,6 +5194,7 @@
   9,   /* field[9] = marks */
   0,   /* field[0] = node */
   20,   /* field[20] = nodes */
+  22,   /* field[22] = origins */
   18,   /* field[18] = permits */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
@@ -5060,7 +5208,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5070,7 +5218,7 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  22,
+  23,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
   2,  dff__relay_beat__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Dff__RelayWord Dff__RelayWord;
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
+typedef struct Dff__RelayOrigin Dff__RelayOrigin;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -758,6 +759,23 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The origin of a resumable stream that the sender could not store.
+ */
+struct  Dff__RelayOrigin
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+  uint64_t run;
+  uint32_t revision;
+  char *pool;
+  char *software;
+};
+#define DFF__RELAY_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_origin__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -830,10 +848,15 @@
    * it reaches no upstream
    */
   protobuf_c_boolean cut_off;
+  /*
+   * a frame with these has nothing else
+   */
+  size_t n_origins;
+  Dff__RelayOrigin **origins;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1482,6 +1505,25 @@
 void   dff__relay_permit__free_unpacked
                      (Dff__RelayPermit *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayOrigin methods */
+void   dff__relay_origin__init
+                     (Dff__RelayOrigin         *message);
+size_t dff__relay_origin__get_packed_size
+                     (const Dff__RelayOrigin   *message);
+size_t dff__relay_origin__pack
+                     (const Dff__RelayOrigin   *message,
+                      uint8_t             *out);
+size_t dff__relay_origin__pack_to_buffer
+                     (const Dff__RelayOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayOrigin *
+       dff__relay_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_origin__free_unpacked
+                     (Dff__RelayOrigin *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1605,6 +1647,9 @@
 typedef void (*Dff__RelayPermit_Closure)
                  (const Dff__RelayPermit *message,
                   void *closure_data);
+typedef void (*Dff__RelayOrigin_Closure)
+                 (const Dff__RelayOrigin *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1648,6 +1693,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_origin__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -11,6 +11,7 @@
 #include "base/fault.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
+#include "relay/origin_tell.h"
 #include "relay/permit.h"
 #include "relay/suspect.h"
 
@@ -237,6 +238,8 @@
 	}
 	if (frame->n_permits > 0)
 		permit_receive(step, datagram, frame);
+	else if (frame->n_origins > 0)
+		origin_receive(step, frame);
 	else if (!frame->summary ||
 	    strcmp(frame->domain, relay->config.domain) != 0)
 		apply_frame(step, datagram, frame);
--- a/source/relay/origin.c
+++ b/source/relay/origin.c
@@ -1,4 +1,5 @@
 #include "relay/origin_table.h"
+#include "relay/origin_tell.h"
 
 #include <string.h>
 
@@ -483,5 +484,6 @@
 		(void)origin_store_now(step);
 	if (origins->lookup_at != 0 && step->now >= origins->lookup_at)
 		continue_waiting(step, true);
+	origin_tell_due(step);
 	origin_set_timer(step);
 }
--- a/source/relay/origin_table.c
+++ b/source/relay/origin_table.c
@@ -1,4 +1,5 @@
 #include "relay/origin_table.h"
+#include "relay/origin_tell.h"
 
 #include <string.h>
 
@@ -31,6 +32,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	origins->unstored =
 	    g_array_new(FALSE, FALSE, sizeof(dff_stream_origin_t));
+	origins->untold = g_array_new(FALSE, FALSE, sizeof(untold_t));
 	return origins;
 }
 
@@ -40,6 +42,7 @@
 	g_hash_table_unref(origins->by_attempt);
 	g_hash_table_unref(origins->versions_read);
 	g_array_unref(origins->unstored);
+	g_array_unref(origins->untold);
 	g_free(origins);
 }
 
@@ -126,6 +129,7 @@
 		at = origins->store_at;
 	if (origins->lookup_at != 0)
 		at = MIN(at, origins->lookup_at);
+	at = MIN(at, origin_tell_time(origins));
 	if (at != DFF_TIME_NEVER)
 		dff_timers_set(step->relay->timers, DFF_TIMER_FLEET_TICK,
 		    TICK_ORIGINS, at);
@@ -155,6 +159,14 @@
 	return mixed;
 }
 
+bool
+origin_is_calm(const step_t *step)
+{
+	return !has_mixed_versions(step->relay->upstreams) &&
+	    step->now - step->relay->origins->unchanged_since >=
+	    DFF_ORIGIN_TIME;
+}
+
 /* Time between two writes of one node. */
 static dff_time_t
 store_interval(const step_t *step)
@@ -206,6 +218,25 @@
 {
 	note(step, stream, true);
 	store_soon(step, stream);
+	origin_tell(step, stream);
+}
+
+void
+origin_add_helped(step_t *step, const dff_stream_origin_t *stream)
+{
+	GHashTable *by_attempt = step->relay->origins->by_attempt;
+	origin_t *origin = g_hash_table_lookup(by_attempt, &stream->attempt);
+
+	/* Told before, or an own stream, which this node stores itself. */
+	if (origin != NULL && origin->helped &&
+	    origin->stream.run == stream->run &&
+	    origin->stream.revision >= stream->revision)
+		return;
+	note(step, stream, false);
+	origin = g_hash_table_lookup(by_attempt, &stream->attempt);
+	if (origin != NULL && origin->stream.run == stream->run)
+		origin->helped = true;
+	store_soon(step, stream);
 }
 
 void
@@ -220,7 +251,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		origin_t *origin = value;
 
-		if (origin->own) {
+		if (origin->own || origin->helped) {
 			origin->stored = false;
 			store_soon(step, &origin->stream);
 		} else
@@ -266,6 +297,7 @@
 		return false;
 	*row = *stream;
 	note(step, stream, true);
+	origin_tell(step, stream);
 	return true;
 }
 
@@ -276,11 +308,13 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	origin_note_store_answer(step, stored);
 	g_hash_table_iter_init(&iter, origins->by_attempt);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		origin_t *origin = value;
 
-		if (!origin->own || origin->batch != stored->batch ||
+		if ((!origin->own && !origin->helped) ||
+		    origin->batch != stored->batch ||
 		    origin_is_unstored(step->relay, origin->stream.run))
 			continue;
 		if (stored->accepted)
@@ -323,6 +357,8 @@
 	    g_array_new(FALSE, FALSE, sizeof(dff_stream_origin_t));
 	origins->store_at = 0;
 	origins->stored_at = step->now;
+	if (origins->unanswered_since == 0)
+		origins->unanswered_since = step->now;
 	for (guint at = 0; at < rows->len; at += BATCH_ROWS) {
 		dff_relay_effect_t *fx =
 		    relay_add_fx(step, DFF_RELAY_FX_STORE_ORIGINS);
--- a/source/relay/origin_table.h
+++ b/source/relay/origin_table.h
@@ -12,6 +12,8 @@
  * @own: this node began the stream
  * @batch: of an own stream, the last batch that its newest row was part of
  * @stored: the store has accepted that
+ * @helped: a peer that could not store it began the stream, and this node
+ *	stores it
  * @shared: two runs have the same attempt id
  * @ambiguous: they have different origins
  */
@@ -20,17 +22,31 @@
 	bool own;
 	uint64_t batch;
 	bool stored;
+	bool helped;
 	bool shared;
 	bool ambiguous;
 	dff_time_t expires_at;
 } origin_t;
 
+/** struct untold - a row that peers are to store
+ * @times: how often it is told yet
+ */
+typedef struct untold {
+	dff_stream_origin_t row;
+	uint32_t times;
+} untold_t;
+
 struct origins {
 	GHashTable *by_attempt; /* uint64_t to origin_t, which holds it */
 	GArray *unstored; /* dff_stream_origin_t */
 	uint64_t batch; /* number of the last batch */
 	dff_time_t stored_at; /* when that was handed to the store */
 	dff_time_t store_at; /* when the next one is; 0 if @unstored is empty */
+	dff_time_t unanswered_since; /* hand-over of the oldest batch that the
+				      * store has not answered; 0 for none */
+	bool store_fails; /* it refused that, or took too long */
+	GArray *untold; /* untold_t, rows that peers are to store */
+	dff_time_t tell_at; /* when the next are told; 0 if there are none */
 	bool reading;
 	uint64_t reads; /* number of the last read that has begun */
 	uint64_t known_read; /* of the last one that succeeded; 0 for none */
@@ -65,6 +81,13 @@
  *	one is stored again, unless newer rows are on the way */
 void origin_note_stored(step_t *step, const dff_relay_stored_t *stored);
 
+/** origin_is_calm() - one software version alone has run in each pool for so
+ *	long that this node and most others need no rows */
+bool origin_is_calm(const step_t *step);
+
+/** origin_add_helped() - store a row for a peer, unless that is done */
+void origin_add_helped(step_t *step, const dff_stream_origin_t *stream);
+
 /** origin_is_stored() - whether the store has the newest row of a stream of this
  *	node */
 bool origin_is_stored(const dff_relay_t *relay, uint64_t attempt);
