--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -299,6 +299,18 @@
 	g_free(text);
 }
 
+static void
+report(const soak_upstream_t *up, dff_h1d_req_t *req)
+{
+	char *text = g_strdup_printf(
+	    "{\"stage\":\"decode\",\"born\":%" G_GUINT64_FORMAT "}",
+	    up->start_wall_ms);
+
+	dff_h1d_answer(
+	    req, 200, "Content-Type: application/json\r\n", text, strlen(text));
+	g_free(text);
+}
+
 static void
 on_request(void *arg, dff_h1d_req_t *req)
 {
@@ -309,6 +321,11 @@
 	const char *stage = dff_h1_field(head, "X-Stage");
 	soak_t *soak = up->soak;
 
+	if (expected != NULL && strcmp(expected, up->id) == 0 &&
+	    strcmp(head->target, "/report") == 0) {
+		report(up, req);
+		return;
+	}
 	if (expected == NULL || strcmp(expected, up->id) != 0 || id == NULL) {
 		dff_h1d_answer(req, 421, "X-Not-Executed: 1\r\n", "", 0);
 		return;
