--- a/test/test_relay_stream_software.c
+++ b/test/test_relay_stream_software.c
@@ -344,6 +344,46 @@
 }
 END_TEST
 
+/* Another request finds no process at d1; then one answers there, and states
+ * no start. Returns the send that goes on with the stream "one". */
+static uint64_t
+resume_after_refused_send(uint64_t record_seq)
+{
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	(void)begin_stream("one");
+	(void)relay_bench_open_stream(bench, "/resume/x", "other", "", -1);
+	send = relay_bench_send(bench);
+	relay_bench_end(bench, send, DFF_SEND_UNSENT, NULL);
+	relay_bench_wait(bench, 2 * DFF_SEC);
+	if (record_seq != 0)
+		load_record("v1", 1, record_seq, false);
+	send = resume_stream("two");
+	ck_assert_uint_ne(send, 0);
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_data(bench, send, "id: 2\ndata: x\n\n");
+	identify(send, true, false, 0);
+	return send;
+}
+
+START_TEST(record_of_before_a_refused_send_does_not_count)
+{
+	(void)resume_after_refused_send(0);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 0);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_ABORT), 1);
+}
+END_TEST
+
+START_TEST(record_of_after_a_refused_send_counts)
+{
+	(void)resume_after_refused_send(2);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 1);
+}
+END_TEST
+
 START_TEST(engine_listed_again_resumes_no_stream_before_its_next_record)
 {
 	dff_upstream_record_t removed = {.id = "d1", .removed = true};
@@ -596,6 +636,8 @@
 	tcase_add_test(
 	    tcase, answer_of_a_process_that_cannot_be_asked_does_not_go_on);
 	tcase_add_test(tcase, record_counts_where_no_start_is_stated);
+	tcase_add_test(tcase, record_of_before_a_refused_send_does_not_count);
+	tcase_add_test(tcase, record_of_after_a_refused_send_counts);
 	tcase_add_test(tcase,
 	    engine_listed_again_resumes_no_stream_before_its_next_record);
 	tcase_add_test(tcase,
