relay: a record of before a failure does not prove a process

At an engine that does not state its start the record alone counts. It does not if this node or a peer failed to reach the engine since, or less than a second before: a record takes that long.

--- a/source/relay/identity.c
+++ b/source/relay/identity.c
@@ -49,13 +49,17 @@
 }
 
 /* Without a statement of its start the record counts, unless the upstream does
- * not even answer. */
+ * not even answer or was out of reach since the record. */
 static bool
-is_proved(const send_t *send, const dff_relay_identified_t *identified)
+is_proved(const step_t *step, const send_t *send,
+    const dff_relay_identified_t *identified)
 {
+	const upstream_t *up =
+	    upstreams_get(step->relay->upstreams, send->upstream);
+
 	if (identified->said)
 		return identified->started_ms == send->upstream_started_ms;
-	return identified->answered;
+	return identified->answered && up != NULL && upstream_is_recorded(up);
 }
 
 static void
@@ -90,7 +94,7 @@
 		return;
 	send = &call->send;
 	send->unidentified = false;
-	if (!is_proved(send, identified)) {
+	if (!is_proved(step, send, identified)) {
 		reject(step, call, identified);
 		return;
 	}
--- a/source/relay/unreachable.c
+++ b/source/relay/unreachable.c
@@ -102,9 +102,10 @@
 	if (up == NULL)
 		return;
 	took_work = upstream_takes_work(up, step->now);
-	if (failing)
+	if (failing) {
 		up->failing_peers++;
-	else
+		upstream_note_peer_failure(up, step->now);
+	} else
 		up->failing_peers -= MIN(up->failing_peers, 1);
 	if (upstream_takes_work(up, step->now) == took_work)
 		return;
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -52,6 +52,8 @@
  *	run under its id with another software version; 0 for none
  * @proved_from: moment of the first record that may show that it runs; 0 for
  *	none
+ * @failed_at: when this node or a peer could not reach it last; 0 for none
+ * @recorded_at: when its newest record was read
  * @answered_at: when a request that it ran was answered last; 0 for none
  * @max_expected: longest time within which one of the sends in flight was
  *	expected to be answered
@@ -92,6 +94,8 @@
 	uint32_t failing_peers;
 	dff_time_t doubted_at;
 	dff_time_t proved_from;
+	dff_time_t failed_at;
+	dff_time_t recorded_at;
 	dff_time_t answered_at;
 	dff_time_t max_expected;
 	dff_time_t answer_due;
@@ -260,6 +264,13 @@
  *	own: it may be used again at once */
 void upstream_forget_failures(upstream_t *up);
 
+/** upstream_note_peer_failure() - a peer reports that it cannot reach it */
+void upstream_note_peer_failure(upstream_t *up, dff_time_t now);
+
+/** upstream_is_recorded() - its record was written after the last failure to
+ *	reach it */
+bool upstream_is_recorded(const upstream_t *up);
+
 /** upstream_doubt_process() - its process may have ended */
 void upstream_doubt_process(upstream_t *up, dff_time_t now);
 
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -129,6 +129,7 @@
 	up->backoff_until = 0;
 	up->doubted_at = 0;
 	up->proved_from = 0;
+	up->failed_at = 0;
 	up->answered_at = 0;
 	up->probe_failed = false;
 	up->silent = false;
@@ -203,6 +204,7 @@
 	g_strlcpy(up->record.software, software, sizeof(up->record.software));
 	up->record.leaving = record->leaving || was_leaving;
 	up->gone_at = DFF_TIME_NEVER;
+	up->recorded_at = now;
 	if (was_gone)
 		upstream_doubt_process(up, now - RECORD_DELAY_MAX);
 	note_sign_of_process(up, now);
@@ -439,6 +441,20 @@
 	up->proved_from = 0;
 }
 
+void
+upstream_note_peer_failure(upstream_t *up, dff_time_t now)
+{
+	up->failed_at = now;
+}
+
+bool
+upstream_is_recorded(const upstream_t *up)
+{
+	return up->failed_at == 0 ||
+	    up->recorded_at - up->failed_at >= RECORD_DELAY_MAX ||
+	    DFF_FAULT(RELAY_RECORD_OUTLASTS_FAILURE);
+}
+
 void
 upstream_note_unreachable(upstream_t *up, dff_time_t now)
 {
@@ -446,6 +462,7 @@
 
 	if (up->connect_failures++ == 0)
 		up->failing_since = now;
+	up->failed_at = now;
 	up->backoff_until = now + MIN(backoff, BACKOFF_MAX);
 	up->silent = false;
 }
--- a/test/test_relay_stream_software.c
+++ b/test/test_relay_stream_software.c
@@ -352,7 +352,7 @@
 	uint64_t send;
 
 	load_engine(bench, "d1", "v1");
-	(void)begin_stream("one");
+	relay_bench_end(bench, begin_stream("one"), DFF_SEND_DONE, NULL);
 	(void)relay_bench_open_stream(bench, "/resume/x", "other", "", -1);
 	send = relay_bench_send(bench);
 	relay_bench_end(bench, send, DFF_SEND_UNSENT, NULL);
