--- a/test/test_relay_stream_software.c
+++ b/test/test_relay_stream_software.c
@@ -4,6 +4,7 @@
  */
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "fake/relay_bench.h"
 
@@ -231,6 +232,158 @@
 }
 END_TEST
 
+/* The send waits in the event loop for its moment. */
+START_TEST(resumed_send_does_not_leave_for_an_engine_in_doubt)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_BEFORE_SEND};
+	uint64_t first;
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	first = begin_stream("one");
+	send = resume_stream("two");
+	ck_assert_uint_ne(send, 0);
+	relay_bench_end(bench, first, DFF_SEND_BROKEN, NULL);
+	end_probe(DFF_PROBE_REFUSED);
+	event.before_send = send;
+	relay_bench_step(bench, &event);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_CANCEL), 1);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+}
+END_TEST
+
+/* The engine's statement for a send, or none at all if it does not answer. */
+static void
+identify(uint64_t send, bool answered, bool said, uint64_t started_ms)
+{
+	dff_relay_event_t event = {.type = DFF_RELAY_IDENTIFIED};
+
+	event.identified.send = send;
+	event.identified.answered = answered;
+	event.identified.said = said;
+	event.identified.started_ms = started_ms;
+	relay_bench_step(bench, &event);
+}
+
+/* Resumes the stream "one" at d1, whose record is of the start 1; the answer has
+ * an event and ends. */
+static uint64_t
+resume_with_one_event(void)
+{
+	const dff_relay_effect_t *fx;
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	send = begin_stream("one");
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_IDENTIFY), 0);
+	relay_bench_end(bench, send, DFF_SEND_BROKEN, NULL);
+	relay_bench_wait(bench, DFF_SEC);
+	send = resume_stream("two");
+	ck_assert_uint_ne(send, 0);
+	relay_bench_head(bench, send, 200, false);
+	fx = relay_bench_find(bench, DFF_RELAY_FX_IDENTIFY);
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_uint_eq(fx->identify.send, send);
+	ck_assert_str_eq(fx->identify.upstream, "d1");
+	relay_bench_data(bench, send, "id: 2\ndata: x\n\nid: 3\nda");
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 0);
+	relay_bench_data(bench, send, "ta: x\n\n");
+	relay_bench_end(bench, send, DFF_SEND_DONE, NULL);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 0);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_END), 0);
+	return send;
+}
+
+static void
+expect_answer(bool forwarded)
+{
+	const dff_relay_effect_t *fx =
+	    relay_bench_find(bench, DFF_RELAY_FX_FORWARD_DATA);
+
+	ck_assert_int_eq(fx != NULL, forwarded);
+	if (forwarded)
+		ck_assert_uint_eq(fx->forward.len,
+		    strlen("id: 2\ndata: x\n\nid: 3\ndata: x\n\n"));
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_FORWARD_END),
+	    forwarded ? 1 : 0);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_ABORT), forwarded ? 0 : 1);
+}
+
+START_TEST(answer_of_the_recorded_process_goes_on_with_a_stream)
+{
+	identify(resume_with_one_event(), true, true, 1);
+	expect_answer(true);
+}
+END_TEST
+
+/* Nothing else tells that the record is of a process before. */
+START_TEST(answer_of_another_process_does_not_go_on_with_a_stream)
+{
+	identify(resume_with_one_event(), true, true, 2);
+	expect_answer(false);
+	ck_assert_uint_eq(resume_stream("three"), 0);
+	ck_assert_int_eq(relay_bench_answer(bench), 503);
+}
+END_TEST
+
+START_TEST(answer_of_a_process_that_cannot_be_asked_does_not_go_on)
+{
+	identify(resume_with_one_event(), false, false, 0);
+	expect_answer(false);
+}
+END_TEST
+
+START_TEST(record_counts_where_no_start_is_stated)
+{
+	identify(resume_with_one_event(), true, false, 0);
+	expect_answer(true);
+}
+END_TEST
+
+/* Another request finds no process at d1; then one answers there, and states
+ * no start. Returns the send that goes on with the stream "one". */
+static uint64_t
+resume_after_refused_send(uint64_t record_seq)
+{
+	uint64_t send;
+
+	load_engine(bench, "d1", "v1");
+	relay_bench_end(bench, begin_stream("one"), DFF_SEND_DONE, NULL);
+	(void)relay_bench_open_stream(bench, "/resume/x", "other", "", -1);
+	send = relay_bench_send(bench);
+	relay_bench_end(bench, send, DFF_SEND_UNSENT, NULL);
+	relay_bench_wait(bench, 2 * DFF_SEC);
+	if (record_seq != 0)
+		load_record("v1", 1, record_seq, false);
+	send = resume_stream("two");
+	ck_assert_uint_ne(send, 0);
+	relay_bench_head(bench, send, 200, false);
+	relay_bench_data(bench, send, "id: 2\ndata: x\n\n");
+	identify(send, true, false, 0);
+	return send;
+}
+
+START_TEST(record_of_before_a_refused_send_does_not_count)
+{
+	(void)resume_after_refused_send(0);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 0);
+	ck_assert_uint_eq(relay_bench_count(bench, DFF_RELAY_FX_ABORT), 1);
+}
+END_TEST
+
+START_TEST(record_of_after_a_refused_send_counts)
+{
+	(void)resume_after_refused_send(2);
+	ck_assert_uint_eq(
+	    relay_bench_count(bench, DFF_RELAY_FX_FORWARD_DATA), 1);
+}
+END_TEST
+
 START_TEST(engine_listed_again_resumes_no_stream_before_its_next_record)
 {
 	dff_upstream_record_t removed = {.id = "d1", .removed = true};
@@ -474,6 +627,17 @@
 	tcase_add_test(tcase, records_of_before_an_outage_prove_no_software);
 	tcase_add_test(tcase,
 	    engine_without_a_probe_result_resumes_no_stream_before_its_next_record);
+	tcase_add_test(
+	    tcase, resumed_send_does_not_leave_for_an_engine_in_doubt);
+	tcase_add_test(
+	    tcase, answer_of_the_recorded_process_goes_on_with_a_stream);
+	tcase_add_test(
+	    tcase, answer_of_another_process_does_not_go_on_with_a_stream);
+	tcase_add_test(
+	    tcase, answer_of_a_process_that_cannot_be_asked_does_not_go_on);
+	tcase_add_test(tcase, record_counts_where_no_start_is_stated);
+	tcase_add_test(tcase, record_of_before_a_refused_send_does_not_count);
+	tcase_add_test(tcase, record_of_after_a_refused_send_counts);
 	tcase_add_test(tcase,
 	    engine_listed_again_resumes_no_stream_before_its_next_record);
 	tcase_add_test(tcase,
