net: asking an upstream for its start never ends inside an effect

Cause: a request that could not be begun fed its end from inside the effect that asked, which dff_relay_host_feed() now refuses. It was begun for a send to the same, valid address, so it cannot happen; it is asserted.

--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -382,9 +382,12 @@
 	    .answer_time = IDENTIFY_TIME};
 	background_t *background = new_background(host, fx->upstream);
 
+	dff_h1c_req_t *req;
+
 	background->send = fx->send;
-	if (dff_h1c_start(host->client, &http, &handlers, background) == NULL)
-		on_identity_end(background, DFF_H1C_UNSENT);
+	req = dff_h1c_start(host->client, &http, &handlers, background);
+	/* The send that it is about was made to the same address. */
+	g_assert(req != NULL);
 }
 
 /* ---- probes ---- */
