Keys of organisations are checked on arrival

Cause: a configuration's organisations were not read; any request ran, with its caller's key and whatever organisation the caller named.

Change: dff_organisations_t keeps the digests of all keys, looked up in constant time. relay_call_open() checks a request once; call_t has the organisation and its priority. The wire drops the caller's fields about keys where the routing has organisations, names the organisation to upstreams, and to peers in a field of its own, which no caller can pass through. How old the configuration is does not count yet.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "dragonflyfall/event.h"
+#include "dragonflyfall/organisation.h"
 #include "dragonflyfall/table.h"
 
 /* ---- routing ---- */
@@ -122,6 +123,7 @@
  * @version: higher is newer
  * @routes: GPtrArray of dff_route_t, owned
  * @pools: GArray of dff_pool_t
+ * @organisations: who may call, owned; NULL if requests need no key
  * @head_max: most bytes of a request's head
  * @body_max: most bytes of a request's body
  * @idle_time: how long a caller's connection may stay idle
@@ -130,6 +132,7 @@
 	uint64_t version;
 	GPtrArray *routes;
 	GArray *pools;
+	dff_organisations_t *organisations;
 	size_t head_max;
 	size_t body_max;
 	dff_time_t idle_time;
@@ -443,6 +446,7 @@
 	DFF_RELAY_WAKE, /* timers are due; all events that arrived before
 			 * that time have been delivered */
 	DFF_RELAY_ROUTING, /* a version of the routing was read */
+	DFF_RELAY_ROUTING_CONFIRMED, /* the source named its newest version */
 	DFF_RELAY_UPSTREAM, /* a record of an upstream was read */
 	DFF_RELAY_SOURCE_ANSWERED, /* the source of records answered */
 	DFF_RELAY_OPEN, /* a caller's request arrived */
@@ -484,11 +488,23 @@
 	size_t count;
 } dff_relay_cache_list_t;
 
+/**
+ * struct dff_relay_confirmed - an answer of the record source, whose records
+ *	have been delivered
+ * @asked_at: when it was asked
+ * @version: newest version of the routing that it has
+ */
+typedef struct dff_relay_confirmed {
+	dff_time_t asked_at;
+	uint64_t version;
+} dff_relay_confirmed_t;
+
 /** struct dff_relay_event - one event; pointers are borrowed for the step */
 typedef struct dff_relay_event {
 	dff_relay_event_type_t type;
 	union {
 		dff_routing_t *routing; /* borrowed; retained if it is newer */
+		dff_relay_confirmed_t confirmed;
 		dff_upstream_record_t upstream;
 		dff_relay_open_t open;
 		uint64_t caller_gone; /* call */
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -2,6 +2,7 @@
 
 #include "base/fault.h"
 #include "relay/forward.h"
+#include "relay/key_check.h"
 #include "relay/origin.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
@@ -10,6 +11,10 @@
 /* Retry time while there is no routing: it is read within seconds of a start.
  */
 #define RETRY_NO_ROUTING (500 * DFF_MSEC)
+/* The same while the configuration is not confirmed, and the time over which
+ * such retries are spread: they mostly reach another node. */
+#define RETRY_UNCONFIRMED	 (300 * DFF_MSEC)
+#define RETRY_UNCONFIRMED_SPREAD (200 * DFF_MSEC)
 /* Shortest retry time sent to a caller. */
 #define RETRY_MIN (100 * DFF_MSEC)
 /* New requests are refused from this time after a stop: the end of the process
@@ -51,6 +56,81 @@
 	    open->host, open->target, open->content_hash);
 }
 
+/* ---- keys ---- */
+
+/* The configuration of another node may be newer than that of this one. */
+static key_verdict_t
+check_key(step_t *step, const dff_relay_open_t *open, const dff_route_t *route,
+    const dff_organisation_t **organisation)
+{
+	const dff_relay_t *relay = step->relay;
+	const dff_organisations_t *all = relay->routing->organisations;
+	const key_rules_t rules = {
+	    .age = relay_configuration_age(relay, step->now),
+	    .strict = relay->config.revoke_strictly,
+	    .revoke_time = relay->config.revoke_time,
+	    .config_time = relay->config.config_time};
+	key_verdict_t verdict;
+
+	*organisation = NULL;
+	if (all == NULL || route->is_public)
+		return KEY_ACCEPTED;
+	if (open->from_peer && open->organisation[0] != '\0') {
+		*organisation =
+		    dff_organisations_find_name(all, open->organisation);
+		return KEY_ACCEPTED;
+	}
+	verdict = key_check(all, open->credential, &rules, organisation);
+	if (open->from_peer && verdict != KEY_ACCEPTED)
+		return KEY_UNCONFIRMED;
+	return verdict;
+}
+
+/* Answers a request that its key does not allow. */
+static void
+refuse_key(step_t *step, const dff_relay_open_t *open, key_verdict_t verdict)
+{
+	dff_relay_t *relay = step->relay;
+
+	switch (verdict) {
+	case KEY_ACCEPTED:
+		return;
+	case KEY_MISSING:
+		relay->counts[COUNT_REFUSED_NO_KEY]++;
+		answer_without_call(step, open, 401, 0, "no_key");
+		return;
+	case KEY_UNKNOWN:
+		relay->counts[COUNT_REFUSED_UNKNOWN_KEY]++;
+		answer_without_call(step, open, 401, 0, "unknown_key");
+		return;
+	case KEY_UNCONFIRMED:
+		relay->counts[COUNT_REFUSED_UNCONFIRMED]++;
+		answer_without_call(step, open, 503,
+		    RETRY_UNCONFIRMED +
+			(dff_time_t)(dff_rand_unit(step->ctx) *
+			    (double)RETRY_UNCONFIRMED_SPREAD),
+		    "configuration_unconfirmed");
+		return;
+	}
+}
+
+static void
+set_organisation(call_t *call, const dff_relay_open_t *open,
+    const dff_organisation_t *organisation)
+{
+	if (organisation != NULL)
+		g_strlcpy(call->organisation, organisation->name,
+		    sizeof(call->organisation));
+	else if (open->from_peer)
+		g_strlcpy(call->organisation, open->organisation,
+		    sizeof(call->organisation));
+	call->priority = organisation != NULL && organisation->has_priority ?
+	    organisation->priority :
+	    call->route->priority;
+}
+
+/* ---- new requests ---- */
+
 static call_t *
 new_call(step_t *step, const dff_relay_open_t *open, const dff_route_t *route)
 {
@@ -95,6 +175,8 @@
 {
 	dff_relay_t *relay = step->relay;
 	const dff_route_t *route;
+	const dff_organisation_t *organisation;
+	key_verdict_t verdict;
 	dff_time_t refused_for;
 	uint64_t key = 0;
 	call_t *call;
@@ -116,6 +198,11 @@
 		answer_without_call(step, open, 404, 0, "no_route");
 		return;
 	}
+	verdict = check_key(step, open, route, &organisation);
+	if (verdict != KEY_ACCEPTED) {
+		refuse_key(step, open, verdict);
+		return;
+	}
 	refused_for = suspect_refusal_time(
 	    relay, open->content_hash, &open->prompt, step->now, &key);
 	if (refused_for > 0) {
@@ -125,6 +212,7 @@
 		return;
 	}
 	call = new_call(step, open, route);
+	set_organisation(call, open, organisation);
 	if (open->from_peer) {
 		relay->counts[COUNT_FROM_PEERS]++;
 		dff_log(step->ctx, DFF_LOG_INFO, "call",
--- a/source/relay/forward.c
+++ b/source/relay/forward.c
@@ -99,7 +99,11 @@
 	fx->send.to_peer = true;
 	fx->send.time_left = call->deadline - step->now - TRANSFER_TIME;
 	fx->send.after_event = call->after_event;
-	fx->send.priority = call->route->priority;
+	fx->send.priority = call->priority;
+	g_strlcpy(fx->send.organisation, call->organisation,
+	    sizeof(fx->send.organisation));
+	fx->send.checks_keys = call->routing->organisations != NULL ||
+	    call->organisation[0] != '\0';
 	fx->send.connect_time = CONNECT_TIME;
 	dff_log(step->ctx, DFF_LOG_INFO, "place",
 	    "request forwarded to a peer id=%s route=%s peer=%s send=%u "
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -33,6 +33,9 @@
 	COUNT_BROKEN,
 	COUNT_UNREACHABLE,
 	COUNT_BUDGET_EMPTY,
+	COUNT_REFUSED_NO_KEY,
+	COUNT_REFUSED_UNKNOWN_KEY,
+	COUNT_REFUSED_UNCONFIRMED,
 	COUNT_REFUSED_POISON,
 	COUNT_REFUSED_PARTS,
 	COUNT_PROBES,
@@ -141,6 +144,8 @@
 	char id[DFF_NAME_MAX];
 	dff_routing_t *routing;
 	const dff_route_t *route;
+	char organisation[DFF_NAME_MAX]; /* whose request it is; "" for none */
+	uint32_t priority; /* the organisation's, else the route's */
 	char pool[DFF_NAME_MAX];
 	const dff_pool_t *pool_config;
 	uint64_t content_hash;
@@ -261,6 +266,10 @@
  *	or a peer at @at; a long silence before that was an outage */
 void relay_note_source_answer(step_t *step, dff_time_t at);
 
+/** relay_configuration_age() - time since the moment up to which the routing in
+ *	force is confirmed as the newest; DFF_TIME_NEVER if it never was */
+dff_time_t relay_configuration_age(const dff_relay_t *relay, dff_time_t now);
+
 /* ---- call.c: requests ---- */
 
 void relay_call_open(step_t *step, const dff_relay_open_t *open);
--- a/source/relay/permit.c
+++ b/source/relay/permit.c
@@ -180,8 +180,7 @@
 		    upstreams_get(
 			step->relay->upstreams, call->awaited_permit) != up)
 			continue;
-		if (first == NULL ||
-		    call->route->priority < first->route->priority)
+		if (first == NULL || call->priority < first->priority)
 			first = call;
 	}
 	if (first != NULL)
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -251,6 +251,14 @@
 	relay->source_answered_at = at;
 }
 
+dff_time_t
+relay_configuration_age(const dff_relay_t *relay, dff_time_t now)
+{
+	(void)relay;
+	(void)now;
+	return 0;
+}
+
 /* ---- time ---- */
 
 static void
@@ -332,6 +340,8 @@
 	case DFF_RELAY_ROUTING:
 		load_routing(&step, event->routing);
 		break;
+	case DFF_RELAY_ROUTING_CONFIRMED:
+		break;
 	case DFF_RELAY_UPSTREAM:
 		load_upstream(&step, &event->upstream);
 		break;
--- a/source/relay/routing.c
+++ b/source/relay/routing.c
@@ -50,6 +50,7 @@
 		return;
 	g_ptr_array_unref(routing->routes);
 	g_array_unref(routing->pools);
+	dff_organisations_drop(routing->organisations);
 	g_free(routing);
 }
 
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -233,7 +233,11 @@
 	fx->send.time_left = call->deadline - step->now - ANSWER_TRANSFER_TIME;
 	fx->send.after_event =
 	    DFF_FAULT(RELAY_RESUME_FROM_START) ? -1 : call->after_event;
-	fx->send.priority = call->route->priority;
+	fx->send.priority = call->priority;
+	g_strlcpy(fx->send.organisation, call->organisation,
+	    sizeof(fx->send.organisation));
+	fx->send.checks_keys = call->routing->organisations != NULL ||
+	    call->organisation[0] != '\0';
 	fx->send.connect_time = CONNECT_TIME;
 	fx->send.fresh_connection =
 	    up->connect_failures > 0 || has_answered(call, place->upstream);
--- a/test/fake/relay_bench.c
+++ b/test/fake/relay_bench.c
@@ -89,6 +89,8 @@
 	kept->host = keep_text(bench, open->host);
 	kept->target = keep_text(bench, open->target);
 	kept->resumes = keep_text(bench, open->resumes);
+	kept->credential = keep_text(bench, open->credential);
+	kept->organisation = keep_text(bench, open->organisation);
 	g_hash_table_replace(bench->opens, &kept->call, kept);
 }
 
@@ -222,6 +224,8 @@
 	event.open.timeout = 3 * DFF_SEC;
 	event.open.after_event = -1;
 	event.open.resumes = "";
+	event.open.credential = "";
+	event.open.organisation = "";
 	if (prompt != NULL)
 		event.open.prompt = *prompt;
 	relay_bench_step(bench, &event);
@@ -267,6 +271,8 @@
 	event.open.timeout = 3 * DFF_SEC;
 	event.open.after_event = after_event;
 	event.open.resumes = resumes;
+	event.open.credential = "";
+	event.open.organisation = "";
 	relay_bench_step(bench, &event);
 	return event.open.call;
 }
--- a/test/fake/relay_net.c
+++ b/test/fake/relay_net.c
@@ -67,6 +67,9 @@
 	event.open = *open;
 	event.open.call = ++net->nodes[to]->next_call;
 	event.open.from_peer = true;
+	event.open.organisation = send->organisation;
+	if (send->checks_keys)
+		event.open.credential = "";
 	event.open.timeout = send->time_left;
 	event.open.after_event = send->after_event;
 	link.call = event.open.call;
--- a/test/test_relay_send.c
+++ b/test/test_relay_send.c
@@ -71,6 +71,8 @@
 	event.open.content_hash = ++part;
 	event.open.after_event = after_event;
 	event.open.resumes = resumes;
+	event.open.credential = "";
+	event.open.organisation = "";
 	event.open.prompt = (dff_prompt_t){.parts = {{part, 2000}},
 	    .count = 1,
 	    .tokens = 2000,
