Age of a node's configuration counts for keys

Cause: a node that is cut off ran requests with keys that had been removed, and refused keys that it did not know yet with a 401.

Change: relay/freshness.h keeps the moment up to which the configuration is confirmed. An answer of the store counts from the moment at which it was asked, and not while records of an older copy may be missing. Nodes that do not read the store ask a peer by a small datagram, relay/confirm.c; the reply repeats the asker's time and may wait for a later moment. With revoke_strictly a known key is refused with a 503 from about revoke_time on; an unknown one gets a 401 only while the configuration is younger than config_time. Without organisations nothing is sent.

--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -760,6 +760,15 @@
  */
 bool dff_relay_reads_source(const dff_relay_t *relay, dff_time_t now);
 
+/**
+ * dff_relay_needs_confirmation() - whether this node is to ask the record source
+ *	at once for the newest routing
+ *
+ * Requests need keys, and no node that reads the source has confirmed the
+ * routing in force for long.
+ */
+bool dff_relay_needs_confirmation(const dff_relay_t *relay, dff_time_t now);
+
 /** dff_relay_sends_summaries() - whether this node represents its failure
  *	domain */
 bool dff_relay_sends_summaries(const dff_relay_t *relay, dff_time_t now);
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &dff__relay_permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_confirm__init
+                     (Dff__RelayConfirm         *message)
+{
+  static const Dff__RelayConfirm init_value = DFF__RELAY_CONFIRM__INIT;
+  *message = init_value;
+}
+size_t dff__relay_confirm__get_packed_size
+                     (const Dff__RelayConfirm *message)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_confirm__pack
+                     (const Dff__RelayConfirm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_confirm__pack_to_buffer
+                     (const Dff__RelayConfirm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayConfirm *
+       dff__relay_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayConfirm *)
+     protobuf_c_message_unpack (&dff__relay_confirm__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_confirm__free_unpacked
+                     (Dff__RelayConfirm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4765,7 +4810,97 @@
   (ProtobufCMessageInit) dff__relay_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dff__relay_confirm__field_descriptors[5] =
+{
+  {
+    "asked_at",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, asked_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, records),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_confirm__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = asked_at */
+  4,   /* field[4] = records */
+  1,   /* field[1] = reply */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange dff__relay_confirm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dff__relay_confirm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayConfirm",
+  "RelayConfirm",
+  "Dff__RelayConfirm",
+  "dff",
+  sizeof(Dff__RelayConfirm),
+  5,
+  dff__relay_confirm__field_descriptors,
+  dff__relay_confirm__field_indices_by_name,
+  1,  dff__relay_confirm__number_ranges,
+  (ProtobufCMessageInit) dff__relay_confirm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[23] =
 {
   {
     "node",
@@ -5031,10 +5166,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirms",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_confirms),
+    offsetof(Dff__RelayBeat, confirms),
+    &dff__relay_confirm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
   14,   /* field[14] = changes */
+  22,   /* field[22] = confirms */
   6,   /* field[6] = crashes */
   21,   /* field[21] = cut_off */
   7,   /* field[7] = domain */
@@ -5056,11 +5204,12 @@
   3,   /* field[3] = version */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 22 }
+  { 26, 22 },
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5070,10 +5219,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  22,
+  23,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  2,  dff__relay_beat__number_ranges,
+  3,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Dff__RelayWord Dff__RelayWord;
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
+typedef struct Dff__RelayConfirm Dff__RelayConfirm;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -758,6 +759,37 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A question up to which moment the receiver's configuration is confirmed as
+ * the newest, or the reply, which may wait until there is a later moment.
+ */
+struct  Dff__RelayConfirm
+{
+  ProtobufCMessage base;
+  /*
+   * by the asker's clock; the reply repeats it
+   */
+  uint64_t asked_at;
+  protobuf_c_boolean reply;
+  /*
+   * of the routing in force
+   */
+  uint64_t version;
+  /*
+   * Of a question: age of what the asker knows. Of a reply: from the confirmed
+   * moment to the question's receipt, less than 0 for a later one.
+   */
+  int32_t age_ms;
+  /*
+   * of a reply with a newer version: where to fetch it
+   */
+  char *records;
+};
+#define DFF__RELAY_CONFIRM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_confirm__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -830,10 +862,15 @@
    * it reaches no upstream
    */
   protobuf_c_boolean cut_off;
+  /*
+   * a frame with these has nothing else
+   */
+  size_t n_confirms;
+  Dff__RelayConfirm **confirms;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1482,6 +1519,25 @@
 void   dff__relay_permit__free_unpacked
                      (Dff__RelayPermit *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayConfirm methods */
+void   dff__relay_confirm__init
+                     (Dff__RelayConfirm         *message);
+size_t dff__relay_confirm__get_packed_size
+                     (const Dff__RelayConfirm   *message);
+size_t dff__relay_confirm__pack
+                     (const Dff__RelayConfirm   *message,
+                      uint8_t             *out);
+size_t dff__relay_confirm__pack_to_buffer
+                     (const Dff__RelayConfirm   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayConfirm *
+       dff__relay_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_confirm__free_unpacked
+                     (Dff__RelayConfirm *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1605,6 +1661,9 @@
 typedef void (*Dff__RelayPermit_Closure)
                  (const Dff__RelayPermit *message,
                   void *closure_data);
+typedef void (*Dff__RelayConfirm_Closure)
+                 (const Dff__RelayConfirm *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1648,6 +1707,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_confirm__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/confirm.h"
 #include "relay/forward.h"
 #include "relay/key_check.h"
 #include "relay/origin.h"
@@ -65,8 +66,7 @@
 {
 	const dff_relay_t *relay = step->relay;
 	const dff_organisations_t *all = relay->routing->organisations;
-	const key_rules_t rules = {
-	    .age = relay_configuration_age(relay, step->now),
+	const key_rules_t rules = {.age = confirm_age(relay, step->now),
 	    .strict = relay->config.revoke_strictly,
 	    .revoke_time = relay->config.revoke_time,
 	    .config_time = relay->config.config_time};
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/confirm.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/permit.h"
@@ -237,6 +238,8 @@
 	}
 	if (frame->n_permits > 0)
 		permit_receive(step, datagram, frame);
+	else if (frame->n_confirms > 0)
+		confirm_receive(step, datagram, frame);
 	else if (!frame->summary ||
 	    strcmp(frame->domain, relay->config.domain) != 0)
 		apply_frame(step, datagram, frame);
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -8,6 +8,7 @@
 #include "dragonflyfall/timer.h"
 #include "relay/budget.h"
 #include "relay/events.h"
+#include "relay/freshness.h"
 #include "relay/place.h"
 
 /** enum relay_count - counters of a relay */
@@ -51,6 +52,9 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_CONFIRM_QUESTIONS,
+	COUNT_CONFIRM_REPLIES,
+	COUNT_CONFIRM_BYTES_OUT,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -113,6 +117,9 @@
 /** typedef origins_t - origins of resumable streams: origin.h */
 typedef struct origins origins_t;
 
+/** typedef confirm_t - how old the configuration may be: confirm.h */
+typedef struct confirm confirm_t;
+
 /** struct send - a request in flight at an upstream */
 typedef struct send {
 	uint64_t number; /* 0 for none */
@@ -215,6 +222,7 @@
 	suspects_t *suspects;
 	reach_t *reach;
 	origins_t *origins;
+	confirm_t *confirm;
 	GPtrArray *frames; /* GByteArray, those made in this step */
 	GPtrArray *batches; /* GArray of origins, likewise */
 	GByteArray *forward_buffer; /* of the last DFF_RELAY_FX_FORWARD_DATA */
@@ -266,10 +274,6 @@
  *	or a peer at @at; a long silence before that was an outage */
 void relay_note_source_answer(step_t *step, dff_time_t at);
 
-/** relay_configuration_age() - time since the moment up to which the routing in
- *	force is confirmed as the newest; DFF_TIME_NEVER if it never was */
-dff_time_t relay_configuration_age(const dff_relay_t *relay, dff_time_t now);
-
 /* ---- call.c: requests ---- */
 
 void relay_call_open(step_t *step, const dff_relay_open_t *open);
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,4 @@
-#include "relay/internal.h"
+#include "relay/confirm.h"
 
 static const char *const count_names[COUNT_COUNT] = {
     [COUNT_REQUESTS] = "requests",
@@ -40,6 +40,9 @@
     [COUNT_PERMITS_DENIED] = "permits_denied",
     [COUNT_PERMITS_UNANSWERED] = "permits_unanswered",
     [COUNT_REFUSED_LIMITED] = "refused_limited",
+    [COUNT_CONFIRM_QUESTIONS] = "confirmations_asked",
+    [COUNT_CONFIRM_REPLIES] = "confirmations_received",
+    [COUNT_CONFIRM_BYTES_OUT] = "confirmation_bytes_out",
     [COUNT_HEARTBEATS_IN] = "beats_in",
     [COUNT_HEARTBEATS_OUT] = "beats_out",
     [COUNT_HEARTBEATS_BAD] = "beats_bad",
@@ -62,6 +65,19 @@
 	    (guint64)dff_hist_count(hist));
 }
 
+static void
+add_key_state(GString *text, const dff_relay_t *relay, dff_time_t now)
+{
+	dff_time_t age = confirm_age(relay, now);
+
+	g_string_append_printf(text,
+	    "dff_relay_organisations %u\ndff_relay_organisation_keys %u\n"
+	    "dff_relay_configuration_age_seconds %.3f\n",
+	    dff_organisations_count(relay->routing->organisations),
+	    dff_organisations_keys(relay->routing->organisations),
+	    age != DFF_TIME_NEVER ? (double)age / DFF_SEC : -1.0);
+}
+
 char *
 dff_relay_metrics(const dff_relay_t *relay, dff_time_t now)
 {
@@ -84,5 +100,7 @@
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
+	if (relay->routing != NULL && relay->routing->organisations != NULL)
+		add_key_state(text, relay, now);
 	return g_string_free(text, FALSE);
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -2,6 +2,7 @@
 
 #include "base/fault.h"
 #include "relay/answer_end.h"
+#include "relay/confirm.h"
 #include "relay/coordinator.h"
 #include "relay/origin.h"
 #include "relay/reach.h"
@@ -72,6 +73,7 @@
 	relay->suspects = suspects_new();
 	relay->reach = reach_new();
 	relay->origins = origins_new();
+	relay->confirm = confirm_new();
 	relay->frames =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->batches =
@@ -105,6 +107,7 @@
 	suspects_drop(relay->suspects);
 	reach_drop(relay->reach);
 	origins_drop(relay->origins);
+	confirm_drop(relay->confirm);
 	g_ptr_array_unref(relay->frames);
 	g_ptr_array_unref(relay->batches);
 	g_byte_array_unref(relay->forward_buffer);
@@ -167,6 +170,25 @@
 
 /* ---- records ---- */
 
+static void
+note_organisations(step_t *step, const dff_routing_t *routing)
+{
+	const dff_organisations_t *all = routing->organisations;
+
+	if (all == NULL)
+		return;
+	dff_log(step->ctx, DFF_LOG_NOTICE, "routing",
+	    "requests need keys version=%" G_GUINT64_FORMAT
+	    " organisations=%u keys=%u",
+	    routing->version, dff_organisations_count(all),
+	    dff_organisations_keys(all));
+	if (dff_organisations_conflicts(all) > 0)
+		dff_log(step->ctx, DFF_LOG_WARNING, "routing",
+		    "keys of two organisations stay the first's "
+		    "version=%" G_GUINT64_FORMAT " keys=%u",
+		    routing->version, dff_organisations_conflicts(all));
+}
+
 static void
 load_routing(step_t *step, dff_routing_t *routing)
 {
@@ -184,6 +206,8 @@
 	    "routing in force version=%" G_GUINT64_FORMAT
 	    " before=%" G_GUINT64_FORMAT " routes=%u pools=%u",
 	    routing->version, old, routing->routes->len, routing->pools->len);
+	note_organisations(step, routing);
+	confirm_note_routing(step);
 }
 
 void
@@ -251,14 +275,6 @@
 	relay->source_answered_at = at;
 }
 
-dff_time_t
-relay_configuration_age(const dff_relay_t *relay, dff_time_t now)
-{
-	(void)relay;
-	(void)now;
-	return 0;
-}
-
 /* ---- time ---- */
 
 static void
@@ -307,6 +323,8 @@
 		case DFF_TIMER_FLEET_TICK:
 			if (due.subject == TICK_CACHE_QUERY)
 				cache_query_send_due(step);
+			else if (due.subject == TICK_CONFIRM)
+				confirm_run_timer(step);
 			else if (due.subject == TICK_ORIGINS)
 				origin_run_timer(step);
 			else
@@ -341,6 +359,7 @@
 		load_routing(&step, event->routing);
 		break;
 	case DFF_RELAY_ROUTING_CONFIRMED:
+		confirm_note_source(&step, &event->confirmed);
 		break;
 	case DFF_RELAY_UPSTREAM:
 		load_upstream(&step, &event->upstream);
