--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -8,6 +8,7 @@
 #include "dragonflyfall/timer.h"
 #include "relay/budget.h"
 #include "relay/events.h"
+#include "relay/freshness.h"
 #include "relay/place.h"
 
 /** enum relay_count - counters of a relay */
@@ -36,6 +37,9 @@
 	COUNT_BROKEN,
 	COUNT_UNREACHABLE,
 	COUNT_BUDGET_EMPTY,
+	COUNT_REFUSED_NO_KEY,
+	COUNT_REFUSED_UNKNOWN_KEY,
+	COUNT_REFUSED_UNCONFIRMED,
 	COUNT_REFUSED_POISON,
 	COUNT_REFUSED_PARTS,
 	COUNT_PROBES,
@@ -51,6 +55,9 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_CONFIRM_QUESTIONS,
+	COUNT_CONFIRM_REPLIES,
+	COUNT_CONFIRM_BYTES_OUT,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -113,6 +120,9 @@
 /** typedef origins_t - origins of resumable streams: origin.h */
 typedef struct origins origins_t;
 
+/** typedef confirm_t - how old the configuration may be: confirm.h */
+typedef struct confirm confirm_t;
+
 /** struct send - a request in flight at an upstream */
 typedef struct send {
 	uint64_t number; /* 0 for none */
@@ -148,6 +158,8 @@
 	char id[DFF_NAME_MAX];
 	dff_routing_t *routing;
 	const dff_route_t *route;
+	char organisation[DFF_NAME_MAX]; /* whose request it is; "" for none */
+	uint32_t priority; /* the organisation's, else the route's */
 	char pool[DFF_NAME_MAX];
 	const dff_pool_t *pool_config;
 	uint64_t content_hash;
@@ -217,6 +229,7 @@
 	suspects_t *suspects;
 	reach_t *reach;
 	origins_t *origins;
+	confirm_t *confirm;
 	GPtrArray *frames; /* GByteArray, those made in this step */
 	GPtrArray *batches; /* GArray of origins, likewise */
 	GByteArray *forward_buffer; /* of the last DFF_RELAY_FX_FORWARD_DATA */
