--- a/source/relay/duty.c
+++ b/source/relay/duty.c
@@ -16,7 +16,7 @@
 /* Without a frame about the holder for this time, candidates read the log. */
 #define SILENCE_TIME (1200 * DFF_MSEC)
 /* Distance of the candidates' turns. */
-#define TURN_TIME (250 * DFF_MSEC)
+#define TURN_TIME (120 * DFF_MSEC)
 /* Time until the next call after one that failed. */
 #define HOLDER_RETRY	(250 * DFF_MSEC)
 #define CANDIDATE_RETRY DFF_SEC
@@ -325,9 +325,13 @@
 static bool
 next_at_stop(duties_t *duties, dff_time_t now, dff_duty_request_t *request)
 {
-	if (duties->own_token == 0 || !may_renew(duties) || duties->must_read ||
+	if (duties->own_token == 0 || !may_renew(duties) ||
 	    now < duties->retry_at)
 		return false;
+	if (duties->must_read) {
+		prepare_read(duties, request);
+		return true;
+	}
 	prepare_append(duties, DFF_DUTY_RELEASE, request);
 	if (duties->open_calls > 0)
 		request->record.quiet = MAX(duties->late_until - now, 0);
@@ -423,6 +427,16 @@
 	duties->quiet = record->quiet;
 }
 
+/* Whether records after the known end have expired: among them may be another
+ * node's claim. */
+static bool
+lacks_records(const duties_t *duties, const dff_duty_read_t *read)
+{
+	return read->end > duties->end &&
+	    (read->count == 0 || read->records[0].position != duties->end) &&
+	    !DFF_FAULT(RELAY_DUTY_GAP_UNSEEN);
+}
+
 void
 duties_apply_read(dff_ctx_t *ctx, duties_t *duties, const dff_duty_read_t *read,
     dff_time_t now)
@@ -437,9 +451,11 @@
 	}
 	duties->read_at = now;
 	duties->must_read = false;
-	set_end(duties, read->end, known_at);
 	if (read->end < duties->end)
 		return;
+	if (duties->own_token != 0 && lacks_records(duties, read))
+		lose(ctx, duties, now, "records_expired");
+	set_end(duties, read->end, known_at);
 	for (size_t i = 0; i < read->count; i++)
 		apply_record(ctx, duties, &read->records[i], now);
 }
