Usage is counted and reported by the holder of the duty

Nodes count requests that began by organisation and window of true time, the median of the nodes' clocks; frames inside a domain carry counts that changed. The holder asks two nodes a domain, stores the report under a condition and then sends it; a later holder repeats what is stored. Acts only where the settings name duties.

--- a/include/dragonflyfall/organisation.h
+++ b/include/dragonflyfall/organisation.h
@@ -50,6 +50,10 @@
 const dff_organisation_t *dff_organisations_find_name(
     const dff_organisations_t *organisations, const char *name);
 
+/** dff_organisations_get() - the organisation at an index */
+const dff_organisation_t *dff_organisations_get(
+    const dff_organisations_t *organisations, uint32_t index);
+
 /** dff_organisations_count() - number of organisations */
 uint32_t dff_organisations_count(const dff_organisations_t *organisations);
 
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -14,9 +14,11 @@
 
 #include <glib.h>
 
+#include "dragonflyfall/duty.h"
 #include "dragonflyfall/event.h"
 #include "dragonflyfall/organisation.h"
 #include "dragonflyfall/table.h"
+#include "dragonflyfall/usage.h"
 
 /* ---- routing ---- */
 
@@ -464,6 +466,9 @@
 	DFF_RELAY_ORIGINS_LOST, /* the store may have lost origins and does not
 				 * return those that it had before */
 	DFF_RELAY_ORIGINS_STORED, /* DFF_RELAY_FX_STORE_ORIGINS has ended */
+	DFF_RELAY_DUTY_READ, /* DFF_RELAY_FX_DUTY_LOG, a read, has ended */
+	DFF_RELAY_DUTY_APPENDED, /* the same, an append */
+	DFF_RELAY_USAGE, /* DFF_RELAY_FX_USAGE has ended */
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
 
@@ -519,6 +524,9 @@
 		dff_crash_report_t crash_report;
 		dff_relay_origins_t origins;
 		dff_relay_stored_t stored;
+		dff_duty_read_t duty_read;
+		dff_duty_appended_t duty_appended;
+		dff_usage_result_t usage;
 	};
 } dff_relay_event_t;
 
@@ -658,6 +666,8 @@
 	DFF_RELAY_FX_CLOSE_IDLE, /* close idle connections to an upstream */
 	DFF_RELAY_FX_FRAME,
 	DFF_RELAY_FX_FETCH, /* fetch a feed's records from a peer */
+	DFF_RELAY_FX_DUTY_LOG, /* read the log of duties or append to it */
+	DFF_RELAY_FX_USAGE, /* a call for usage reports */
 } dff_relay_effect_type_t;
 
 /** struct dff_relay_effect - one effect */
@@ -679,6 +689,8 @@
 		dff_relay_fetch_t fetch;
 		dff_relay_origins_t origins; /* DFF_RELAY_FX_STORE_ORIGINS,
 					      * until the next step */
+		dff_duty_request_t duty_request;
+		dff_usage_call_t usage;
 	};
 } dff_relay_effect_t;
 
@@ -764,6 +776,19 @@
  *	domain */
 bool dff_relay_sends_summaries(const dff_relay_t *relay, dff_time_t now);
 
+/** dff_relay_set_duties() - set the duties of the fleet and the windows of its
+ *	usage reports */
+void dff_relay_set_duties(dff_relay_t *relay, const dff_duty_config_t *duties,
+    const dff_usage_config_t *usage, dff_time_t now);
+
+/** dff_relay_set_wall() - time of day of this node's clock, which may be off
+ *	and may jump; needed only where usage is counted */
+void dff_relay_set_wall(dff_relay_t *relay, uint64_t wall_ms, dff_time_t now);
+
+/** dff_relay_usage() - counts of a window at this node and at those that it
+ *	hears; a GArray of dff_usage_count_t, which the caller drops */
+GArray *dff_relay_usage(const dff_relay_t *relay, uint64_t window);
+
 /** dff_relay_report_feed() - the next offset of a feed is sent to peers, whether
  *	or not one of its records changed something */
 void dff_relay_report_feed(dff_relay_t *relay, dff_feed_t feed);
--- a/include/dragonflyfall/relay_host.h
+++ b/include/dragonflyfall/relay_host.h
@@ -103,6 +103,18 @@
 void dff_relay_host_on_origins(dff_relay_host_t *host,
     const dff_relay_host_origins_t *handlers, void *arg);
 
+/** struct dff_relay_host_duties - handlers for duties: calls to the store, which
+ *	are followed by DFF_RELAY_DUTY_READ or DFF_RELAY_DUTY_APPENDED, and those
+ *	for usage reports, which are followed by DFF_RELAY_USAGE */
+typedef struct dff_relay_host_duties {
+	void (*log)(void *arg, const dff_duty_request_t *request);
+	void (*usage)(void *arg, const dff_usage_call_t *call);
+} dff_relay_host_duties_t;
+
+/** dff_relay_host_on_duties() - set the handlers of duties */
+void dff_relay_host_on_duties(
+    dff_relay_host_t *host, const dff_relay_host_duties_t *handlers, void *arg);
+
 /** dff_relay_host_drop() - close all connections and free the relay */
 void dff_relay_host_drop(dff_relay_host_t *host);
 
--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -272,6 +272,14 @@
 		if (host->fetch != NULL)
 			host->fetch(host->fetch_arg, &fx->fetch);
 		break;
+	case DFF_RELAY_FX_DUTY_LOG:
+		if (host->duties.log != NULL)
+			host->duties.log(host->duties_arg, &fx->duty_request);
+		break;
+	case DFF_RELAY_FX_USAGE:
+		if (host->duties.usage != NULL)
+			host->duties.usage(host->duties_arg, &fx->usage);
+		break;
 	}
 }
 
@@ -312,6 +320,9 @@
 {
 	GArray *fx = g_array_new(FALSE, FALSE, sizeof(dff_relay_effect_t));
 
+	if (event->type == DFF_RELAY_WAKE && host->duties.usage != NULL)
+		dff_relay_set_wall(
+		    host->relay, dff_program_wall_ms(), dff_program_now());
 	dff_relay_step(host->ctx, host->relay, event, dff_program_now(), fx);
 	for (guint i = 0; i < fx->len; i++)
 		execute_effect(host, &g_array_index(fx, dff_relay_effect_t, i));
@@ -456,6 +467,14 @@
 	host->origins_arg = arg;
 }
 
+void
+dff_relay_host_on_duties(
+    dff_relay_host_t *host, const dff_relay_host_duties_t *handlers, void *arg)
+{
+	host->duties = *handlers;
+	host->duties_arg = arg;
+}
+
 dff_relay_t *
 dff_relay_host_relay(dff_relay_host_t *host)
 {
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -37,6 +37,8 @@
 	void *store_crashes_arg;
 	dff_relay_host_origins_t origins;
 	void *origins_arg;
+	dff_relay_host_duties_t duties;
+	void *duties_arg;
 	bool ready; /* as last answered */
 	char frame[65536];
 };
--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1537,6 +1537,96 @@
   assert(message->base.descriptor == &dff__relay_permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_duty__init
+                     (Dff__RelayDuty         *message)
+{
+  static const Dff__RelayDuty init_value = DFF__RELAY_DUTY__INIT;
+  *message = init_value;
+}
+size_t dff__relay_duty__get_packed_size
+                     (const Dff__RelayDuty *message)
+{
+  assert(message->base.descriptor == &dff__relay_duty__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_duty__pack
+                     (const Dff__RelayDuty *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_duty__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_duty__pack_to_buffer
+                     (const Dff__RelayDuty *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_duty__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayDuty *
+       dff__relay_duty__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayDuty *)
+     protobuf_c_message_unpack (&dff__relay_duty__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_duty__free_unpacked
+                     (Dff__RelayDuty *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_duty__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   dff__relay_usage__init
+                     (Dff__RelayUsage         *message)
+{
+  static const Dff__RelayUsage init_value = DFF__RELAY_USAGE__INIT;
+  *message = init_value;
+}
+size_t dff__relay_usage__get_packed_size
+                     (const Dff__RelayUsage *message)
+{
+  assert(message->base.descriptor == &dff__relay_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_usage__pack
+                     (const Dff__RelayUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_usage__pack_to_buffer
+                     (const Dff__RelayUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayUsage *
+       dff__relay_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayUsage *)
+     protobuf_c_message_unpack (&dff__relay_usage__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_usage__free_unpacked
+                     (Dff__RelayUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4765,7 +4855,122 @@
   (ProtobufCMessageInit) dff__relay_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dff__relay_duty__field_descriptors[2] =
+{
+  {
+    "token",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayDuty, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayDuty, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_duty__field_indices_by_name[] = {
+  1,   /* field[1] = end */
+  0,   /* field[0] = token */
+};
+static const ProtobufCIntRange dff__relay_duty__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dff__relay_duty__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayDuty",
+  "RelayDuty",
+  "Dff__RelayDuty",
+  "dff",
+  sizeof(Dff__RelayDuty),
+  2,
+  dff__relay_duty__field_descriptors,
+  dff__relay_duty__field_indices_by_name,
+  1,  dff__relay_duty__number_ranges,
+  (ProtobufCMessageInit) dff__relay_duty__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_usage__field_descriptors[3] =
+{
+  {
+    "window",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayUsage, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "organisation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayUsage, organisation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayUsage, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_usage__field_indices_by_name[] = {
+  2,   /* field[2] = count */
+  1,   /* field[1] = organisation */
+  0,   /* field[0] = window */
+};
+static const ProtobufCIntRange dff__relay_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor dff__relay_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayUsage",
+  "RelayUsage",
+  "Dff__RelayUsage",
+  "dff",
+  sizeof(Dff__RelayUsage),
+  3,
+  dff__relay_usage__field_descriptors,
+  dff__relay_usage__field_indices_by_name,
+  1,  dff__relay_usage__number_ranges,
+  (ProtobufCMessageInit) dff__relay_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[25] =
 {
   {
     "node",
@@ -5031,6 +5236,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "duty",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, duty),
+    &dff__relay_duty__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_usage),
+    offsetof(Dff__RelayBeat, usage),
+    &dff__relay_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayBeat, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -5038,6 +5279,7 @@
   6,   /* field[6] = crashes */
   21,   /* field[21] = cut_off */
   7,   /* field[7] = domain */
+  22,   /* field[22] = duty */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kept */
   19,   /* field[19] = leader */
@@ -5053,14 +5295,17 @@
   8,   /* field[8] = source_age_ms */
   11,   /* field[11] = summary */
   13,   /* field[13] = unreachable */
+  23,   /* field[23] = usage */
   3,   /* field[3] = version */
+  24,   /* field[24] = wall_ms */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 22 }
+  { 28, 22 },
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5070,10 +5315,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  22,
+  25,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  2,  dff__relay_beat__number_ranges,
+  3,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -49,6 +49,8 @@
 typedef struct Dff__RelayWord Dff__RelayWord;
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
+typedef struct Dff__RelayDuty Dff__RelayDuty;
+typedef struct Dff__RelayUsage Dff__RelayUsage;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -758,6 +760,44 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The holder of the fleet's duties, as far as the sender knows.
+ */
+struct  Dff__RelayDuty
+{
+  ProtobufCMessage base;
+  /*
+   * of the holder's claim
+   */
+  uint64_t token;
+  /*
+   * position at which the log of duties ends
+   */
+  uint64_t end;
+};
+#define DFF__RELAY_DUTY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_duty__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Requests of an organisation that the sender saw begin in a window.
+ */
+struct  Dff__RelayUsage
+{
+  ProtobufCMessage base;
+  /*
+   * its number modulo 4096
+   */
+  uint32_t window;
+  uint32_t organisation;
+  uint32_t count;
+};
+#define DFF__RELAY_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_usage__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -830,10 +870,23 @@
    * it reaches no upstream
    */
   protobuf_c_boolean cut_off;
+  /*
+   * while duties are held
+   */
+  Dff__RelayDuty *duty;
+  /*
+   * counts that changed of late
+   */
+  size_t n_usage;
+  Dff__RelayUsage **usage;
+  /*
+   * time of day of the sender, where usage is counted
+   */
+  uint64_t wall_ms;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, NULL, 0,NULL, 0 }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1482,6 +1535,44 @@
 void   dff__relay_permit__free_unpacked
                      (Dff__RelayPermit *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayDuty methods */
+void   dff__relay_duty__init
+                     (Dff__RelayDuty         *message);
+size_t dff__relay_duty__get_packed_size
+                     (const Dff__RelayDuty   *message);
+size_t dff__relay_duty__pack
+                     (const Dff__RelayDuty   *message,
+                      uint8_t             *out);
+size_t dff__relay_duty__pack_to_buffer
+                     (const Dff__RelayDuty   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayDuty *
+       dff__relay_duty__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_duty__free_unpacked
+                     (Dff__RelayDuty *message,
+                      ProtobufCAllocator *allocator);
+/* Dff__RelayUsage methods */
+void   dff__relay_usage__init
+                     (Dff__RelayUsage         *message);
+size_t dff__relay_usage__get_packed_size
+                     (const Dff__RelayUsage   *message);
+size_t dff__relay_usage__pack
+                     (const Dff__RelayUsage   *message,
+                      uint8_t             *out);
+size_t dff__relay_usage__pack_to_buffer
+                     (const Dff__RelayUsage   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayUsage *
+       dff__relay_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_usage__free_unpacked
+                     (Dff__RelayUsage *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1605,6 +1696,12 @@
 typedef void (*Dff__RelayPermit_Closure)
                  (const Dff__RelayPermit *message,
                   void *closure_data);
+typedef void (*Dff__RelayDuty_Closure)
+                 (const Dff__RelayDuty *message,
+                  void *closure_data);
+typedef void (*Dff__RelayUsage_Closure)
+                 (const Dff__RelayUsage *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1648,6 +1745,8 @@
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_duty__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_usage__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/duty.h
+++ b/source/relay/duty.h
@@ -20,14 +20,13 @@
 
 #include "dragonflyfall/base.h"
 #include "dragonflyfall/duty.h"
+#include "proto/dragonflyfall.pb-c.h"
+#include "relay/internal.h"
 
 /* Longest time that a call under a token may take. duty_token() returns one
  * only if the lease lasts longer. */
 #define DUTY_CALL_TIME (1000 * DFF_MSEC)
 
-/** typedef duties_t - the duties of a fleet as one node knows them */
-typedef struct duties duties_t;
-
 /**
  * struct duty_view - what a node knows of the fleet
  * @is_candidate: it may claim duties that have no holder
@@ -119,4 +118,20 @@
 /** duties_counter() - value of a counter */
 uint64_t duties_counter(const duties_t *duties, duty_count_t counter);
 
+/* ---- duty_relay.c: duties of a relay ---- */
+
+/** duty_run() - with each frame and answer: make the call that is due */
+void duty_run(step_t *step);
+
+/** duty_metrics() - state and counters as text */
+void duty_metrics(const dff_relay_t *relay, dff_time_t now, GString *text);
+
+/** duty_receive_frame() - what a peer's frame says of the holder */
+void duty_receive_frame(
+    step_t *step, peer_t *peer, const Dff__RelayBeat *frame);
+
+/** duty_fill_frame() - add what this node, or its domain, knows of the holder;
+ *	@row has to last until the frame is packed */
+void duty_fill_frame(step_t *step, Dff__RelayBeat *frame, Dff__RelayDuty *row);
+
 #endif
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -9,10 +9,12 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/duty.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/permit.h"
 #include "relay/suspect.h"
+#include "relay/usage.h"
 
 /* Shortest time between fetches of one feed: an answer takes several round
  * trips. */
@@ -212,6 +214,8 @@
 	if (!frame->brief) {
 		peer->nodes = frame->nodes;
 		peer->cut_off = frame->cut_off;
+		duty_receive_frame(step, peer, frame);
+		usage_receive_frame(step, peer, frame);
 		apply_marks(step, peer, frame);
 	}
 	if (!frame->summary) {
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -7,10 +7,12 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "relay/duty.h"
 #include "relay/reach.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/suspect.h"
+#include "relay/usage.h"
 
 /* Sends that start within this time are reported in one frame. */
 #define UPDATE_DELAY (3 * DFF_MSEC)
@@ -62,6 +64,9 @@
 	Dff__RelayLimit limits[LIMIT_ROWS_MAX];
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
 	char node[2 * DFF_NAME_MAX];
+	Dff__RelayDuty duty;
+	Dff__RelayUsage usage[USAGE_ROWS_MAX];
+	Dff__RelayUsage *usage_rows[USAGE_ROWS_MAX];
 } draft_t;
 
 /* A part that is queued already is not added again. */
@@ -231,6 +236,8 @@
 	    notice_list(relay, NOTICE_ORIGIN_SELF, draft->notices, step->now);
 	draft->frame.n_limits =
 	    limit_list(relay, false, full, draft->limits, step->now);
+	duty_fill_frame(step, &draft->frame, &draft->duty);
+	usage_fill_frame(step, &draft->frame, draft->usage, draft->usage_rows);
 	draft->frame.unreachable = draft->unreachable;
 	draft->frame.n_unreachable =
 	    unreachable_list(relay, draft->unreachable, step->now);
@@ -294,6 +301,7 @@
 	draft->frame.n_words =
 	    notice_list(relay, NOTICE_ORIGIN_PEER, draft->notices, step->now);
 	draft->frame.leader = relay->config.addr;
+	duty_fill_frame(step, &draft->frame, &draft->duty);
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
 	if (all_limits)
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -88,6 +88,11 @@
 	GArray *loads; /* peer_load_t, from its last frame */
 	GArray *unreachable; /* uint32_t, hashes of upstreams, likewise */
 	bool cut_off; /* it reaches no upstream */
+	uint64_t duty_token; /* of a holder in its frames; 0 for none */
+	uint64_t duty_end;
+	/* Its time of day less this node's time, of its last frame. */
+	int64_t clock_offset;
+	bool clock_known;
 } peer_t;
 
 /** struct peer_load - a peer's requests in flight at one upstream */
@@ -113,6 +118,12 @@
 /** typedef origins_t - origins of resumable streams: origin.h */
 typedef struct origins origins_t;
 
+/** typedef duties_t - duties with one holder: duty.h */
+typedef struct duties duties_t;
+
+/** typedef usage_t - requests by organisation and window: usage.h */
+typedef struct usage usage_t;
+
 /** struct send - a request in flight at an upstream */
 typedef struct send {
 	uint64_t number; /* 0 for none */
@@ -197,6 +208,7 @@
 	dff_time_t first_byte_at; /* first byte forwarded */
 	dff_time_t last_bytes_at; /* last bytes of a stream */
 	bool had_long_gap; /* a pause exceeded the route's target_gap */
+	bool begun; /* it counts as usage of its organisation */
 } call_t;
 
 struct dff_relay {
@@ -215,6 +227,8 @@
 	suspects_t *suspects;
 	reach_t *reach;
 	origins_t *origins;
+	duties_t *duties;
+	usage_t *usage;
 	GPtrArray *frames; /* GByteArray, those made in this step */
 	GPtrArray *batches; /* GArray of origins, likewise */
 	GByteArray *forward_buffer; /* of the last DFF_RELAY_FX_FORWARD_DATA */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,5 @@
-#include "relay/internal.h"
+#include "relay/duty.h"
+#include "relay/usage.h"
 
 static const char *const count_names[COUNT_COUNT] = {
     [COUNT_REQUESTS] = "requests",
@@ -84,5 +85,7 @@
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
+	duty_metrics(relay, now, text);
+	usage_metrics(relay, text);
 	return g_string_free(text, FALSE);
 }
--- a/source/relay/organisation.c
+++ b/source/relay/organisation.c
@@ -141,6 +141,12 @@
 	    NULL;
 }
 
+const dff_organisation_t *
+dff_organisations_get(const dff_organisations_t *organisations, uint32_t index)
+{
+	return &g_array_index(organisations->rows, dff_organisation_t, index);
+}
+
 uint32_t
 dff_organisations_count(const dff_organisations_t *organisations)
 {
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -3,9 +3,11 @@
 #include "base/fault.h"
 #include "relay/answer_end.h"
 #include "relay/coordinator.h"
+#include "relay/duty.h"
 #include "relay/origin.h"
 #include "relay/reach.h"
 #include "relay/suspect.h"
+#include "relay/usage.h"
 
 /* Defaults for a small fleet. */
 #define HEARTBEAT_DEFAULT	     (100 * DFF_MSEC)
@@ -72,6 +74,8 @@
 	relay->suspects = suspects_new();
 	relay->reach = reach_new();
 	relay->origins = origins_new();
+	relay->duties = duties_new();
+	relay->usage = usage_new();
 	relay->frames =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->batches =
@@ -105,6 +109,8 @@
 	suspects_drop(relay->suspects);
 	reach_drop(relay->reach);
 	origins_drop(relay->origins);
+	duties_drop(relay->duties);
+	usage_drop(relay->usage);
 	g_ptr_array_unref(relay->frames);
 	g_ptr_array_unref(relay->batches);
 	g_byte_array_unref(relay->forward_buffer);
@@ -136,6 +142,15 @@
 	peers_add(relay, addr, domain, link_mbps, now);
 }
 
+void
+dff_relay_set_duties(dff_relay_t *relay, const dff_duty_config_t *duties,
+    const dff_usage_config_t *usage, dff_time_t now)
+{
+	duties_set_config(relay->duties, relay->config.id,
+	    relay->config.incarnation, duties, now);
+	usage_set_config(relay, usage);
+}
+
 void
 dff_relay_report_feed(dff_relay_t *relay, dff_feed_t feed)
 {
@@ -267,6 +282,8 @@
 	dff_relay_t *relay = step->relay;
 
 	coordinator_update_all(step);
+	usage_sweep(step);
+	duty_run(step);
 	frame_send_periodic(step);
 	share_budget(relay);
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_HEARTBEAT, 0,
@@ -394,8 +411,21 @@
 	case DFF_RELAY_ORIGINS_STORED:
 		origin_apply_stored(&step, &event->stored);
 		break;
+	case DFF_RELAY_DUTY_READ:
+		duties_apply_read(ctx, relay->duties, &event->duty_read, now);
+		duty_run(&step);
+		break;
+	case DFF_RELAY_DUTY_APPENDED:
+		duties_apply_append(
+		    ctx, relay->duties, &event->duty_appended, now);
+		duty_run(&step);
+		break;
+	case DFF_RELAY_USAGE:
+		usage_report_result(&step, &event->usage);
+		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
+		duty_run(&step);
 		break;
 	}
 }
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -13,6 +13,7 @@
 #include "relay/result.h"
 #include "relay/send.h"
 #include "relay/suspect.h"
+#include "relay/usage.h"
 
 /* Largest answer that is buffered until it is complete. */
 #define BUFFERED_MAX (1u << 20)
@@ -114,6 +115,9 @@
 	send_release_backlog(step, send);
 	if (send->stage == DFF_STAGE_PREFILL)
 		return;
+	/* Of a prompt, the first token counts. */
+	if (!head->not_run && call->prompt.count == 0)
+		usage_note_begin(step, call);
 	dff_timers_cancel(
 	    step->relay->timers, DFF_TIMER_ATTEMPT, call->table_handle);
 	if (result_is_good(send) && send->stage == DFF_STAGE_DECODE)
@@ -338,6 +342,8 @@
 	}
 	if (call->send.stage == DFF_STAGE_PREFILL)
 		return;
+	if (call->send.status == 200 && !call->send.not_run)
+		usage_note_begin(step, call);
 	note_gap(step, call);
 	if (call->progress == DFF_PROGRESS_ANSWERING) {
 		receive_stream(step, call, up, data);
--- a/test/fake/relay_sim.c
+++ b/test/fake/relay_sim.c
@@ -392,6 +392,8 @@
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
 	case DFF_RELAY_FX_FETCH:
+	case DFF_RELAY_FX_DUTY_LOG:
+	case DFF_RELAY_FX_USAGE:
 	case DFF_RELAY_FX_STORE_CRASHES:
 		break;
 	}
