A report without an answer holds no other up; a late holder still asks

Repeats of one report wait for longer and longer and no longer keep the next window from being stored.

--- a/source/relay/usage_parts.h
+++ b/source/relay/usage_parts.h
@@ -13,6 +13,7 @@
 	GArray *rows; /* dff_usage_row_t */
 	bool sent;
 	uint32_t tries;
+	dff_time_t retry_at;
 } kept_t;
 
 /* A node that was asked for its counts. */
@@ -31,6 +32,7 @@
 	bool busy; /* a call other than DFF_USAGE_ASK is under way */
 	dff_time_t retry_at;
 	uint64_t collecting; /* window; 0 for none */
+	dff_time_t collect_until; /* the report is stored then at the latest */
 	GArray *asked; /* asked_t */
 	GArray *rows; /* of the report that is being stored */
 	uint64_t sent;
--- a/source/relay/usage_report.c
+++ b/source/relay/usage_report.c
@@ -21,8 +21,15 @@
 /* Time after a window's end at which its report is stored although not all
  * nodes that were asked have answered. */
 #define COLLECT_TIME (4 * DFF_SEC)
+/* Time for the nodes' answers, and what is left of a report's time after
+ * them. */
+#define ASK_TIME     (1400 * DFF_MSEC)
+#define STORE_MARGIN (1500 * DFF_MSEC)
 /* Time until the next call after a failed one. */
 #define RETRY_TIME (400 * DFF_MSEC)
+/* A report without an answer is repeated after longer and longer times, up to
+ * this many of it. */
+#define RETRY_FACTOR_MAX 4
 /* A report is not sent this close to the end of its time. */
 #define SEND_MARGIN (300 * DFF_MSEC)
 
@@ -290,13 +297,15 @@
 		reports->unanswered++;
 		break;
 	}
-	reports->retry_at = step->now + RETRY_TIME;
+	if (kept != NULL)
+		kept->retry_at =
+		    step->now + RETRY_TIME * MIN(kept->tries, RETRY_FACTOR_MAX);
 }
 
 /* ---- the holder ---- */
 
-/* The oldest stored report that is to be sent, or NULL; those that are due no
- * more are forgotten. */
+/* The stored report that is to be sent next, the one with the fewest tries, or
+ * NULL; those that are due no more are forgotten. */
 static kept_t *
 find_unsent(step_t *step, dff_time_t true_now)
 {
@@ -309,8 +318,8 @@
 
 		if (kept->window < due)
 			g_ptr_array_remove_index_fast(reports->kept, i);
-		else if (!kept->sent &&
-		    (found == NULL || kept->window < found->window))
+		else if (!kept->sent && step->now >= kept->retry_at &&
+		    (found == NULL || kept->tries < found->tries))
 			found = kept;
 	}
 	return found;
@@ -328,6 +337,23 @@
 	g_ptr_array_set_size(reports->kept, 0);
 }
 
+/* A holder that comes late to a window asks the nodes all the same. */
+static dff_time_t
+collect_deadline(step_t *step, uint64_t window)
+{
+	const dff_relay_t *relay = step->relay;
+	dff_time_t since_end =
+	    usage_true_time(relay, step->now) - window_end(relay, window);
+	dff_time_t left = COLLECT_TIME - since_end;
+
+	if (DFF_FAULT(RELAY_USAGE_UNASKED))
+		return step->now + left;
+	return step->now +
+	    MAX(left,
+		MIN(ASK_TIME,
+		    usage_config(relay)->late - since_end - STORE_MARGIN));
+}
+
 static void
 report_next(step_t *step, dff_time_t true_now)
 {
@@ -340,10 +366,11 @@
 		return;
 	if (window != reports->collecting) {
 		reports->collecting = window;
+		reports->collect_until = collect_deadline(step, window);
 		g_array_set_size(reports->asked, 0);
 	}
 	complete = usage_collect(step);
-	if (complete || true_now > window_end(relay, window) + COLLECT_TIME)
+	if (complete || step->now >= reports->collect_until)
 		keep_report(step, window, complete);
 }
 
@@ -368,11 +395,10 @@
 		(void)usage_add_call(step, DFF_USAGE_LIST);
 		return;
 	}
+	report_next(step, true_now);
 	unsent = find_unsent(step, true_now);
-	if (unsent != NULL)
+	if (unsent != NULL && !reports->busy)
 		send_report(step, unsent);
-	else
-		report_next(step, true_now);
 }
 
 void
