--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 PLATFORM_FAKES = $(filter-out platform/test/test_%.c \
 	platform/test/edge_bench.c,$(wildcard platform/test/*.c))
 TESTS = $(patsubst test/%.c,%,$(wildcard test/test_*.c))
+RELAY_TESTS = $(filter test_relay%,$(TESTS))
 # Benchmarks and tests share the simulated fleet.
 FAKES = $(wildcard test/fake/*.c) \
 	$(filter-out bench/bench_%.c,$(wildcard bench/*.c))
@@ -157,16 +158,10 @@
 faults:
 	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios \
 	    build/fault/test_node build/fault/test_history \
-	    build/fault/test_relay build/fault/test_relay_upstreams \
-	    build/fault/test_relay_budget build/fault/test_relay_frame_receive \
-	    build/fault/test_relay_load build/fault/test_relay_place \
-	    build/fault/test_relay_events build/fault/test_relay_answer_end \
-	    build/fault/test_relay_unreachable build/fault/test_relay_frame_send build/fault/test_relay_send_timing \
-	    build/fault/test_relay_notice build/fault/test_relay_limit \
-	    build/fault/test_rate_limit build/fault/test_relay_suspect build/fault/test_relay_suspect_parts build/fault/test_relay_readers build/fault/test_relay_stream_gaps \
-	    build/fault/test_relay_stream_software build/fault/test_relay_send build/fault/test_relay_continuation build/fault/test_relay_origin build/fault/test_relay_origin_tell build/fault/test_relay_stream_fleet build/fault/test_relay_reach \
+	    build/fault/test_rate_limit $(RELAY_TESTS:%=build/fault/%) \
 	    build/fault/test_process_h1 build/fault/test_platform_wire \
-	    build/fault/test_process_platform_store build/fault/test_process_stream_software \
+	    build/fault/test_process_platform_store \
+	    build/fault/test_process_stream_software \
 	    build/fault/test_process_edge build/fault/test_process_held \
 	    build/fault/dff-edge
 	test/faults build/fault
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -38,6 +38,8 @@
 	dff_relay_host_origins_t origins;
 	void *origins_arg;
 	bool stepping; /* the effects of an event are being executed */
+	dff_relay_host_duties_t duties;
+	void *duties_arg;
 	bool ready; /* as last answered */
 	char frame[65536];
 };
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -10,11 +10,13 @@
 
 #include "base/fault.h"
 #include "relay/confirm.h"
+#include "relay/duty.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/origin_tell.h"
 #include "relay/permit.h"
 #include "relay/suspect.h"
+#include "relay/usage.h"
 
 /* Shortest time between fetches of one feed: an answer takes several round
  * trips. */
@@ -214,6 +216,8 @@
 	if (!frame->brief) {
 		peer->nodes = frame->nodes;
 		peer->cut_off = frame->cut_off;
+		duty_receive_frame(step, peer, frame);
+		usage_receive_frame(step, peer, frame);
 		apply_marks(step, peer, frame);
 	}
 	if (!frame->summary) {
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,6 @@
 #include "relay/confirm.h"
+#include "relay/duty.h"
+#include "relay/usage.h"
 
 static const char *const count_names[COUNT_COUNT] = {
     [COUNT_REQUESTS] = "requests",
@@ -105,5 +107,7 @@
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
 	if (relay->routing != NULL && relay->routing->organisations != NULL)
 		add_key_state(text, relay, now);
+	duty_metrics(relay, now, text);
+	usage_metrics(relay, text);
 	return g_string_free(text, FALSE);
 }
