--- a/test/test_relay_freshness.c
+++ b/test/test_relay_freshness.c
@@ -23,6 +23,10 @@
 #define POLL_LIMIT  (1900 * DFF_MSEC)
 #define SEEDS	    40
 #define SEEDS_CALM  6
+/* Bytes a second for confirmations: of the node that answers a domain, and of
+ * all nodes on average. */
+#define NODE_RATE_MAX 1500
+#define MEAN_RATE_MAX 120
 
 typedef enum kind {
 	FRAME,
@@ -613,6 +617,41 @@
 }
 END_TEST
 
+static uint64_t
+read_counter(const relay_bench_t *bench, const char *name)
+{
+	char *text = dff_relay_metrics(bench->relay, bench->now);
+	const char *at = strstr(text, name);
+	uint64_t value;
+
+	ck_assert_ptr_nonnull(at);
+	value = g_ascii_strtoull(at + strlen(name), NULL, 10);
+	g_free(text);
+	return value;
+}
+
+/* Bytes a second that a node spends on confirmations, without headers of
+ * datagrams. */
+static double
+confirmation_rate(int i)
+{
+	return (double)read_counter(
+		   nodes[i].bench, "dff_relay_confirmation_bytes_out_total ") /
+	    (double)(DAY / DFF_SEC);
+}
+
+static void
+expect_cheap(void)
+{
+	double sum = 0;
+
+	for (int i = 0; i < count; i++) {
+		sum += confirmation_rate(i);
+		ck_assert_double_le(confirmation_rate(i), NODE_RATE_MAX);
+	}
+	ck_assert_double_le(sum / count, MEAN_RATE_MAX);
+}
+
 /* No request of the newest version or the one before it is refused. */
 static void
 play_calm(int size, int domains, dff_time_t pause)
@@ -626,6 +665,7 @@
 		ck_assert_int_eq(refused, 0);
 		ck_assert_int_gt(unknown, 0);
 		ck_assert_int_le(oldest, 2500 * DFF_MSEC);
+		expect_cheap();
 		stop_fleet();
 	}
 }
