--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -79,6 +79,7 @@
 	relay->confirm = confirm_new();
 	relay->duties = duties_new();
 	relay->usage = usage_new();
+	relay->organisation_counts = organisation_counts_new();
 	relay->frames =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->batches =
@@ -115,6 +116,7 @@
 	confirm_drop(relay->confirm);
 	duties_drop(relay->duties);
 	usage_drop(relay->usage);
+	organisation_counts_drop(relay->organisation_counts);
 	g_ptr_array_unref(relay->frames);
 	g_ptr_array_unref(relay->batches);
 	g_byte_array_unref(relay->forward_buffer);
