Learn how much each upstream takes: times, statements, reports

Placement took all upstreams of a pool for equally fast. Times are averaged over a second for each upstream and reported to peers; what upstreams say of their pace is used while it is fresh.

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &dff__relay_permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_pace__init
+                     (Dff__RelayPace         *message)
+{
+  static const Dff__RelayPace init_value = DFF__RELAY_PACE__INIT;
+  *message = init_value;
+}
+size_t dff__relay_pace__get_packed_size
+                     (const Dff__RelayPace *message)
+{
+  assert(message->base.descriptor == &dff__relay_pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_pace__pack
+                     (const Dff__RelayPace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_pace__pack_to_buffer
+                     (const Dff__RelayPace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayPace *
+       dff__relay_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayPace *)
+     protobuf_c_message_unpack (&dff__relay_pace__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_pace__free_unpacked
+                     (Dff__RelayPace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4765,7 +4810,97 @@
   (ProtobufCMessageInit) dff__relay_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor dff__relay_pace__field_descriptors[5] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPace, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_time",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPace, log_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPace, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPace, pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayPace, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_pace__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = count */
+  1,   /* field[1] = log_time */
+  3,   /* field[3] = pace */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange dff__relay_pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dff__relay_pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayPace",
+  "RelayPace",
+  "Dff__RelayPace",
+  "dff",
+  sizeof(Dff__RelayPace),
+  5,
+  dff__relay_pace__field_descriptors,
+  dff__relay_pace__field_indices_by_name,
+  1,  dff__relay_pace__number_ranges,
+  (ProtobufCMessageInit) dff__relay_pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[23] =
 {
   {
     "node",
@@ -5031,6 +5166,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paces",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_paces),
+    offsetof(Dff__RelayBeat, paces),
+    &dff__relay_pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -5047,6 +5194,7 @@
   9,   /* field[9] = marks */
   0,   /* field[0] = node */
   20,   /* field[20] = nodes */
+  22,   /* field[22] = paces */
   18,   /* field[18] = permits */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
@@ -5056,11 +5204,12 @@
   3,   /* field[3] = version */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 22 }
+  { 31, 22 },
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5070,10 +5219,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  22,
+  23,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  2,  dff__relay_beat__number_ranges,
+  3,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Dff__RelayWord Dff__RelayWord;
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
+typedef struct Dff__RelayPace Dff__RelayPace;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -758,6 +759,39 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Times measured at one upstream since the last report, and its own newest
+ * statement of how long work takes there.
+ */
+struct  Dff__RelayPace
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint32_t upstream;
+  /*
+   * mean logarithm of the times, in hundredths
+   */
+  int32_t log_time;
+  /*
+   * of times, in tenths
+   */
+  uint32_t count;
+  /*
+   * its statement, in hundredths; 0 for none
+   */
+  uint32_t pace;
+  /*
+   * of that
+   */
+  uint32_t age_ms;
+};
+#define DFF__RELAY_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_pace__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -830,10 +864,12 @@
    * it reaches no upstream
    */
   protobuf_c_boolean cut_off;
+  size_t n_paces;
+  Dff__RelayPace **paces;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1482,6 +1518,25 @@
 void   dff__relay_permit__free_unpacked
                      (Dff__RelayPermit *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayPace methods */
+void   dff__relay_pace__init
+                     (Dff__RelayPace         *message);
+size_t dff__relay_pace__get_packed_size
+                     (const Dff__RelayPace   *message);
+size_t dff__relay_pace__pack
+                     (const Dff__RelayPace   *message,
+                      uint8_t             *out);
+size_t dff__relay_pace__pack_to_buffer
+                     (const Dff__RelayPace   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayPace *
+       dff__relay_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_pace__free_unpacked
+                     (Dff__RelayPace *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1605,6 +1660,9 @@
 typedef void (*Dff__RelayPermit_Closure)
                  (const Dff__RelayPermit *message,
                   void *closure_data);
+typedef void (*Dff__RelayPace_Closure)
+                 (const Dff__RelayPace *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1648,6 +1706,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_pace__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -11,6 +11,7 @@
 #include "base/fault.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
+#include "relay/pace.h"
 #include "relay/permit.h"
 #include "relay/suspect.h"
 
@@ -206,6 +207,7 @@
 		    step, peer, frame->unreachable, frame->n_unreachable);
 	notice_apply_frame(step, peer, frame);
 	limit_apply_frame(step, peer, frame);
+	pace_apply_frame(step, frame);
 	apply_parts(step, frame);
 	for (size_t i = 0; i < frame->n_crashes; i++)
 		suspect_apply_peer_crash(step, peer, frame->crashes[i]);
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -9,6 +9,7 @@
 #include "base/fault.h"
 #include "relay/reach.h"
 #include "relay/limit.h"
+#include "relay/pace.h"
 #include "relay/notice.h"
 #include "relay/suspect.h"
 
@@ -61,6 +62,8 @@
 	Dff__RelayWord *notice_rows[NOTICE_ROWS_MAX];
 	Dff__RelayLimit limits[LIMIT_ROWS_MAX];
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
+	Dff__RelayPace paces[PACE_ROWS_MAX];
+	Dff__RelayPace *pace_rows[PACE_ROWS_MAX];
 	char node[2 * DFF_NAME_MAX];
 } draft_t;
 
@@ -120,6 +123,9 @@
 		draft->notice_rows[i] = &draft->notices[i];
 	for (size_t i = 0; i < LIMIT_ROWS_MAX; i++)
 		draft->limit_rows[i] = &draft->limits[i];
+	for (size_t i = 0; i < PACE_ROWS_MAX; i++)
+		draft->pace_rows[i] = &draft->paces[i];
+	draft->frame.paces = draft->pace_rows;
 	draft->frame.words = draft->notice_rows;
 	draft->frame.limits = draft->limit_rows;
 	draft->frame.loads = draft->load_rows;
@@ -263,6 +269,7 @@
 	draft.frame.n_crashes = suspect_list(relay, draft.crashes,
 	    extent == EXTENT_FULL ? EVIDENCE_OWN_AND_REFUSED : EVIDENCE_OWN,
 	    step->now);
+	draft.frame.n_paces = pace_list(relay, false, draft.paces, step->now);
 	relay->broadcast_at = step->now;
 	return frame_pack(relay, &draft.frame);
 }
@@ -296,6 +303,7 @@
 	draft->frame.leader = relay->config.addr;
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
+	draft->frame.n_paces = pace_list(relay, true, draft->paces, step->now);
 	if (all_limits)
 		relay->limits_summarized_at = step->now;
 }
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -19,6 +19,7 @@
 	COUNT_CALLERS_GONE,
 	COUNT_SENDS,
 	COUNT_EXTRA_SENDS,
+	COUNT_EXPLORED,
 	COUNT_PREFILLS,
 	COUNT_RESUMES,
 	COUNT_CUTS,
@@ -123,6 +124,7 @@
 	uint64_t upstream_started_ms; /* start time of that upstream */
 	dff_time_t sent_at;
 	dff_time_t predicted_wait;
+	uint32_t in_flight; /* sends there then, itself included */
 	uint32_t backlog_ahead; /* tokens queued there before it */
 	uint32_t uncached; /* prompt tokens that the engine had to read */
 	uint32_t backlog; /* tokens, counted there until its answer's head */
@@ -199,6 +201,7 @@
 	dff_routing_t *routing;
 	upstreams_t *upstreams;
 	pool_stats_t pool_stats;
+	double explore_credit; /* sends that may explore now */
 	budget_t *budget;
 	dff_table_t *calls;
 	GHashTable *by_number; /* number of a call to call_t */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -8,6 +8,7 @@
     [COUNT_CALLERS_GONE] = "callers_left",
     [COUNT_SENDS] = "sends",
     [COUNT_EXTRA_SENDS] = "sends_extra",
+    [COUNT_EXPLORED] = "sends_explored",
     [COUNT_PREFILLS] = "prefills",
     [COUNT_RESUMES] = "resumes",
     [COUNT_CUTS] = "cuts",
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -37,6 +37,11 @@
 /* Upper bound of the share of streams with a long gap: in an overload all
  * streams are late. */
 #define LONG_GAP_SHARE_MAX 0.25
+/* Advantage of an upstream about which too little is known. */
+#define EXPLORE_BONUS (20 * DFF_MSEC)
+/* Share of its slots below which the number of requests that an upstream takes
+ * well counts as its bound. */
+#define WELL_SHARE 0.9
 /* Reading fewer tokens than this takes less time than fetching them. */
 #define FETCH_TOKENS_MIN 150
 /* Set-up of a transfer between engines. */
@@ -53,11 +58,12 @@
 
 /* Wait for a slot and for memory, without the reading of queued prompts. */
 static dff_time_t
-capacity_wait(const upstream_t *up, const placement_request_t *request)
+capacity_wait(
+    const upstream_t *up, const placement_request_t *request, double factor)
 {
 	uint32_t running = up->running + up->peer_sends.running;
 	uint32_t slots = MAX(up->record.slots, 1);
-	dff_time_t wait = running * RUNNING_TIME;
+	dff_time_t wait = (dff_time_t)(running * factor * RUNNING_TIME);
 	double need;
 
 	/* An upstream resets connections beyond its limit. */
@@ -147,6 +153,7 @@
 	dff_handle_t donor;
 	uint64_t home_score;
 	bool recently_failed;
+	bool explored;
 } best_t;
 
 /* Software versions of a pool for which a donor is looked for. */
@@ -216,6 +223,35 @@
 	    is_eligible(search->request, up);
 }
 
+/* Wait for a slot at an upstream that runs plain requests. It may slow down
+ * long before its slots are taken. */
+static dff_time_t
+plain_wait(const upstream_t *up, double factor)
+{
+	uint32_t running = up->running + up->peer_sends.running;
+	uint32_t slots = MAX(up->record.slots, 1);
+	double well = capacity_takes_well(&up->capacity, slots);
+	double wait = running * factor * PLAIN_TIME / slots;
+
+	if (well < WELL_SHARE * slots && running + 1 > well)
+		wait += (running + 1 - well) * factor * PLAIN_TIME / well;
+	return (dff_time_t)wait;
+}
+
+/* An upstream that may be fast again counts as a usual one for a few requests,
+ * as far as its cost is concerned. */
+static void
+explore(const search_t *search, const upstream_t *up, double factor,
+    dff_time_t time, best_t *candidate)
+{
+	if (!search->request->explores || factor <= 1 ||
+	    !pool_stats_is_doubtful(search->stats, up, search->now))
+		return;
+	candidate->explored = true;
+	candidate->cost -=
+	    (dff_time_t)((double)time * (1 - 1 / factor)) + EXPLORE_BONUS;
+}
+
 static void
 place_plain(const search_t *search, best_t *best)
 {
@@ -225,17 +261,26 @@
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(search->upstreams, h, &up)) != 0;) {
 		best_t candidate = {.handle = h};
-		uint32_t running = up->running + up->peer_sends.running;
+		double factor;
+		dff_time_t more;
 
 		if (!is_candidate(search, up, h))
 			continue;
+		factor =
+		    pool_stats_plain_factor(search->stats, up, search->now);
+		/* Its own work, beside that of a usual upstream. */
+		more = (dff_time_t)((factor - 1) *
+		    (double)pool_stats_plain_time(search->stats, up));
 		candidate.recently_failed =
 		    !upstream_takes_work(up, search->now);
-		candidate.wait = network_time(up, request) +
-		    running * PLAIN_TIME / MAX(up->record.slots, 1);
+		candidate.wait =
+		    network_time(up, request) + plain_wait(up, factor);
 		if (request->sends_max > 0 && up->running >= request->sends_max)
 			candidate.wait += FULL_TIME;
-		candidate.cost = candidate.wait + penalty_time(up, request);
+		candidate.cost =
+		    candidate.wait + more + penalty_time(up, request);
+		candidate.wait += MAX(more, 0);
+		explore(search, up, factor, candidate.wait, &candidate);
 		candidate.home_score = home_score(up, search->shared);
 		consider(best, &candidate);
 	}
@@ -356,6 +401,7 @@
 	uint32_t tokens = request->prompt->tokens;
 	uint32_t cached =
 	    MIN(upstream_cached_tokens(up, request->prompt), tokens);
+	double factor = pool_stats_factor(stats, up, search->now);
 	dff_time_t fetch = 0;
 	dff_time_t own;
 
@@ -369,15 +415,16 @@
 		cached = MIN(donor->tokens, tokens);
 	}
 	candidate->uncached = tokens - cached;
-	candidate->queue_time = capacity_wait(up, request) +
-	    pool_stats_read_time(
-		stats, up, (double)(up->backlog + up->peer_sends.backlog));
-	own = pool_stats_read_time(stats, up, candidate->uncached);
+	candidate->queue_time = capacity_wait(up, request, factor) +
+	    pool_stats_read_time(stats, up,
+		(double)(up->backlog + up->peer_sends.backlog), search->now);
+	own = pool_stats_read_time(stats, up, candidate->uncached, search->now);
 	candidate->wait =
 	    network_time(up, request) + candidate->queue_time + own + fetch;
 	candidate->cost = candidate->wait + penalty_time(up, request) +
 	    (dff_time_t)(READ_WEIGHT * (double)own) + FETCH_WEIGHT * fetch;
 	candidate->cost += pause_cost(search, up, own);
+	explore(search, up, factor, candidate->queue_time + 2 * own, candidate);
 	candidate->home_score = home_score(up, search->shared);
 }
 
@@ -405,7 +452,7 @@
 		up = upstreams_get(search->upstreams, home.handle);
 		home.cost -= (dff_time_t)(HOME_SHARE *
 		    (double)pool_stats_read_time(search->stats, up,
-			shared_tokens(search->request->prompt)));
+			shared_tokens(search->request->prompt), search->now));
 		consider(best, &home);
 	}
 }
@@ -437,10 +484,13 @@
 		if (source_engine != NULL)
 			move = move_time(
 			    request, source_engine, up, candidate.uncached);
-		candidate.queue_time = capacity_wait(up, request) +
+		candidate.queue_time =
+		    capacity_wait(up, request,
+			pool_stats_factor(search->stats, up, search->now)) +
 		    (dff_time_t)(DECODE_QUEUE_SHARE *
 			(double)pool_stats_read_time(search->stats, up,
-			    (double)(up->backlog + up->peer_sends.backlog)));
+			    (double)(up->backlog + up->peer_sends.backlog),
+			    search->now));
 		candidate.wait =
 		    network_time(up, request) + candidate.queue_time + move;
 		candidate.cost = candidate.wait + penalty_time(up, request) +
@@ -460,6 +510,7 @@
 	place->uncached = best->uncached;
 	place->donor = best->donor;
 	place->recently_failed = best->recently_failed;
+	place->explored = best->explored;
 }
 
 static void
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -29,6 +29,8 @@
  * @whole_only: no separate prefill
  * @prefill_engine: engine that holds its KV memory, or 0: only the decode
  *	stage is placed
+ * @explores: an upstream that is believed to be slow, without a recent
+ *	measurement, counts as a usual one
  */
 typedef struct placement_request {
 	const char *pool;
@@ -45,6 +47,7 @@
 	bool permit_at_hand;
 	bool whole_only;
 	dff_handle_t prefill_engine;
+	bool explores;
 } placement_request_t;
 
 /**
@@ -59,6 +62,7 @@
  * @retry: without an upstream, time until the first of them may accept
  *	requests again after a pause or under its rate limit; 0 if none will
  * @limited: that one has a rate limit
+ * @explored: it was chosen to find out whether it is still slow
  */
 typedef struct placement {
 	dff_stage_t stage;
@@ -70,32 +74,93 @@
 	bool recently_failed;
 	dff_time_t retry;
 	bool limited;
+	bool explored;
 } placement_t;
 
-/** struct pool_stats - measured performance of the engines */
+/* Times that the start of reading is taken from. */
+#define START_SAMPLES 16
+
+/**
+ * struct pool_stats - measured performance of the upstreams
+ * @learns: differences between upstreams are used
+ * @tokens_per_ms: prompt tokens read by a usual prefill engine
+ * @start_time: time until an engine begins to read, whatever the prompt
+ * @starts: newest times that it is taken from
+ * @start_count: their number so far
+ * @long_gap_share: streams with a pause beyond target_gap
+ * @means: usual times by pool and role
+ */
 typedef struct pool_stats {
-	double tokens_per_ms; /* prompt tokens read by a prefill engine */
-	double long_gap_share; /* streams with a pause beyond target_gap */
+	bool learns;
+	double tokens_per_ms;
+	dff_time_t start_time;
+	dff_time_t starts[START_SAMPLES];
+	uint32_t start_count;
+	double long_gap_share;
+	capacity_mean_t means[CAPACITY_POOLS_MAX];
 } pool_stats_t;
 
 /** pool_stats_init() - set the values before any measurement */
 void pool_stats_init(pool_stats_t *stats);
 
+/** pool_stats_mean() - usual time of the upstreams of a pool and role; NULL for
+ *	too many pools */
+capacity_mean_t *pool_stats_mean(pool_stats_t *stats, const upstream_t *up);
+
+/** pool_stats_add_reported() - add @count times that a peer measured, with a mean
+ *	logarithm of @log_time */
+void pool_stats_add_reported(pool_stats_t *stats, upstream_t *up,
+    double log_time, double count, dff_time_t now);
+
 /**
  * pool_stats_add_prefill() - add the time in which an engine read a prompt
- * @tokens: tokens that it had to read, including those queued before it
+ * @ahead: tokens queued before it
+ * @uncached: tokens of it that had to be read
+ * @took: time that it took, without the network round trip
+ */
+void pool_stats_add_prefill(pool_stats_t *stats, upstream_t *up, uint32_t ahead,
+    uint32_t uncached, dff_time_t took, dff_time_t now);
+
+/**
+ * pool_stats_add_plain() - add the time of an answer to a plain request
+ * @in_flight: requests in flight there when it was sent, itself included
  * @took: time that it took, without the network round trip
  */
-void pool_stats_add_prefill(
-    pool_stats_t *stats, upstream_t *up, uint32_t tokens, dff_time_t took);
+void pool_stats_add_plain(pool_stats_t *stats, upstream_t *up,
+    uint32_t in_flight, dff_time_t took, dff_time_t now);
+
+/** pool_stats_factor() - how long work takes at an engine now, 1 for as usual
+ *	in its pool */
+double pool_stats_factor(
+    const pool_stats_t *stats, const upstream_t *up, dff_time_t now);
+
+/** pool_stats_mean_factor() - the same without the upstream's own statement of
+ *	its pace */
+double pool_stats_mean_factor(
+    const pool_stats_t *stats, const upstream_t *up, dff_time_t now);
+
+/** pool_stats_plain_factor() - the same for plain requests */
+double pool_stats_plain_factor(
+    const pool_stats_t *stats, const upstream_t *up, dff_time_t now);
+
+/** pool_stats_plain_time() - usual time of an answer in an upstream's pool of
+ *	plain requests; 0 before it is known */
+dff_time_t pool_stats_plain_time(
+    const pool_stats_t *stats, const upstream_t *up);
+
+/** pool_stats_is_doubtful() - it is believed to be slow, and nobody has measured
+ *	it for a while */
+bool pool_stats_is_doubtful(
+    const pool_stats_t *stats, const upstream_t *up, dff_time_t now);
 
 /** pool_stats_add_stream() - add a finished stream; @long_gap: it had a pause
  *	beyond its target_gap */
 void pool_stats_add_stream(pool_stats_t *stats, bool long_gap);
 
-/** pool_stats_read_time() - time in which an engine reads @tokens of prompts */
-dff_time_t pool_stats_read_time(
-    const pool_stats_t *stats, const upstream_t *up, double tokens);
+/** pool_stats_read_time() - time in which an engine reads @tokens of prompts,
+ *	without the start */
+dff_time_t pool_stats_read_time(const pool_stats_t *stats, const upstream_t *up,
+    double tokens, dff_time_t now);
 
 /** place_request() - choose an upstream; @place->upstream is 0 if none fits */
 void place_request(const upstreams_t *upstreams, const pool_stats_t *stats,
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -8,6 +8,7 @@
 #include "relay/answer_end.h"
 #include "relay/forward.h"
 #include "relay/origin.h"
+#include "relay/pace.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
 #include "relay/result.h"
@@ -58,17 +59,22 @@
 	note_first_byte(step, call);
 }
 
+/* Add the time that the upstream took for the head of its answer. */
 static void
-add_prefill_time(step_t *step, const call_t *call, upstream_t *up)
+add_answer_time(step_t *step, const call_t *call, upstream_t *up)
 {
 	const send_t *send = &call->send;
+	pool_stats_t *stats = &step->relay->pool_stats;
 	dff_time_t took = step->now - send->sent_at;
 
 	if (strcmp(up->record.domain, step->relay->config.domain) != 0)
 		took -= 2 * step->relay->config.cross_domain_latency;
-	if (call->prompt.count > 0 && send->stage != DFF_STAGE_DECODE)
-		pool_stats_add_prefill(&step->relay->pool_stats, up,
-		    send->backlog_ahead + send->uncached, took);
+	if (call->prompt.count == 0)
+		pool_stats_add_plain(
+		    stats, up, send->in_flight, took, step->now);
+	else if (send->stage != DFF_STAGE_DECODE)
+		pool_stats_add_prefill(stats, up, send->backlog_ahead,
+		    send->uncached, took, step->now);
 }
 
 bool
@@ -106,9 +112,11 @@
 		notice_receive(step, send->upstream, send->upstream_started_ms,
 		    send->sent_at, &head->notice);
 	}
+	if (up != NULL && up->record.started_ms == send->upstream_started_ms)
+		pace_note_head(step, up, head);
 	if (up != NULL && !head->not_run && head->status == 200) {
 		upstream_note_answer(up, step->now);
-		add_prefill_time(step, call, up);
+		add_answer_time(step, call, up);
 		upstream_note_prompt_read(up, &call->prompt, step->now);
 	}
 	send_release_backlog(step, send);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -43,6 +43,10 @@
 /* Retries of callers refused at the same time are spread over this time plus
  * the time that the queue takes to drain. */
 #define RETRY_SPREAD (500 * DFF_MSEC)
+/* Share of requests that may find out whether an upstream is still slow, and
+ * how many of them may come together. */
+#define EXPLORE_SHARE (1.0 / 128)
+#define EXPLORE_MAX   1.0
 /* In a large fleet the load of other failure domains is known with delay:
  * their upstreams must look better by this much. */
 #define CROSS_DOMAIN_PENALTY (80 * DFF_MSEC)
@@ -55,6 +59,7 @@
 	send_t *send = &call->send;
 
 	up->running++;
+	send->in_flight = up->running + up->peer_sends.running;
 	send->backlog_ahead = (uint32_t)MIN(
 	    up->backlog + up->peer_sends.backlog, (uint64_t)UINT32_MAX / 2);
 	send->uncached = uncached;
@@ -214,6 +219,10 @@
 		call->counted_sends++;
 		call->runs++;
 	}
+	if (place->explored) {
+		relay->counts[COUNT_EXPLORED]++;
+		relay->explore_credit -= 1;
+	}
 	origin_note_send(step, call);
 	fx->send.call = call->number;
 	fx->send.send = send->number;
@@ -242,13 +251,15 @@
 	    "request sent id=%s route=%s version=%" G_GUINT64_FORMAT
 	    " upstream=%s software=%s step=%d send=%u wait_ms=%" G_GINT64_FORMAT
 	    " uncached=%u tokens=%u donor=%s ahead=%u running=%u peers=%u "
-	    "errors=%.2f limit=%.2f",
+	    "errors=%.2f limit=%.2f speed=%.2f pace=%.2f explored=%d",
 	    call->id, call->route->name, call->routing->version, up->record.id,
 	    up->record.software, (int)place->stage, call->sends,
 	    place->wait / DFF_MSEC, place->uncached, call->prompt.tokens,
 	    donor != NULL ? donor->record.id : "-", send->backlog_ahead,
 	    up->running, up->peer_sends.running, up->error_rate,
-	    rate_limit_newest(&up->limit)->rate);
+	    rate_limit_newest(&up->limit)->rate,
+	    1 / pool_stats_mean_factor(&relay->pool_stats, up, step->now),
+	    capacity_pace(&up->capacity, step->now), place->explored);
 }
 
 /* Time after arrival until which a first byte is useful. */
@@ -487,6 +498,10 @@
 	if (forward_to_peer(step, call))
 		return;
 	fill_placement_request(step, call, &request);
+	if (call->sends == 0)
+		relay->explore_credit =
+		    MIN(relay->explore_credit + EXPLORE_SHARE, EXPLORE_MAX);
+	request.explores = call->sends == 0 && relay->explore_credit >= 1;
 	for (;;) {
 		place_request(relay->upstreams, &relay->pool_stats, &request,
 		    step->now, &place);
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -7,6 +7,7 @@
 #define DFF_RELAY_UPSTREAM_H
 
 #include "dragonflyfall/relay.h"
+#include "relay/capacity.h"
 #include "relay/rate_limit.h"
 
 /** struct in_flight - sends in flight at an upstream, as frames report them */
@@ -36,8 +37,7 @@
  * @domain_sends: the part of @peer_sends from summaries of other domains
  * @reported: own sends as last reported in a frame
  * @domain_reported: this domain's sends as last reported in a summary
- * @prefill_slowdown: measured over predicted time of prefills; 1 is as
- *	predicted
+ * @capacity: how much it takes well
  * @error_rate: share of own sends that failed, weighted towards recent ones
  * @connect_failures: consecutive failures to connect
  * @failing_since: first of them
@@ -79,7 +79,7 @@
 	in_flight_t domain_sends;
 	in_flight_t reported;
 	in_flight_t domain_reported;
-	double prefill_slowdown;
+	capacity_t capacity;
 	double error_rate;
 	uint32_t connect_failures;
 	dff_time_t failing_since;
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -99,6 +99,24 @@
 	return (uint32_t)dff_hash(id, strlen(id), 0);
 }
 
+/* A process that follows another at its address runs on the same VM. */
+static void
+take_over_capacity(const upstreams_t *ups, upstream_t *up)
+{
+	upstream_t *other;
+
+	for (dff_handle_t h = 0; (h = upstreams_next(ups, h, &other)) != 0;) {
+		if (other == up ||
+		    strcmp(other->record.addr, up->record.addr) != 0 ||
+		    strcmp(other->record.pool, up->record.pool) != 0 ||
+		    other->record.role != up->record.role ||
+		    other->capacity.measured_at <= up->capacity.measured_at)
+			continue;
+		up->capacity = other->capacity;
+	}
+	capacity_restart(&up->capacity);
+}
+
 static dff_handle_t
 add_upstream(upstreams_t *ups, const dff_upstream_record_t *record)
 {
@@ -108,12 +126,12 @@
 	up->record = *record;
 	up->hash = upstream_hash(record->id);
 	up->gone_at = DFF_TIME_NEVER;
-	up->prefill_slowdown = 1.0;
 	up->cached_parts =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	g_hash_table_insert(ups->by_id, g_strdup(record->id),
 	    g_memdup2(&handle, sizeof(handle)));
 	g_hash_table_insert(ups->by_hash, GUINT_TO_POINTER(up->hash), up);
+	take_over_capacity(ups, up);
 	return handle;
 }
 
@@ -123,7 +141,7 @@
 {
 	up->record = *record;
 	up->gone_at = DFF_TIME_NEVER;
-	up->prefill_slowdown = 1.0;
+	capacity_restart(&up->capacity);
 	up->error_rate = 0;
 	up->connect_failures = 0;
 	up->backoff_until = 0;
--- a/test/test_relay_place.c
+++ b/test/test_relay_place.c
@@ -205,7 +205,8 @@
 	(void)add_engine("fast", DFF_ROLE_PREFILL);
 	(void)add_engine("decoder", DFF_ROLE_DECODE);
 	for (int i = 0; i < 10; i++)
-		pool_stats_add_prefill(&stats, slow, 6000, 600 * DFF_MSEC);
+		pool_stats_add_prefill(
+		    &stats, slow, 0, 6000, 600 * DFF_MSEC, 0);
 	id = place_prompt(&prompt, 0);
 	ck_assert_str_eq(id, "fast");
 }
