Speed and start of reading fitted to measured times

A first token takes a while whatever the prompt; counted as reading time, it made engines with short prompts look slow. The time for each token is now the median over pairs of prompts, the start what is left.

--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -77,16 +77,29 @@
 	bool explored;
 } placement_t;
 
-/* Times that the start of reading is taken from. */
-#define START_SAMPLES 16
+/* Times that the usual speed of reading is taken from. */
+#define FIT_SAMPLES 32
+
+/**
+ * struct read_time - time in which an engine read a prompt
+ * @length: tokens read
+ * @tokens: tokens that a usual engine reads in that time
+ * @time: in milliseconds
+ */
+typedef struct read_time {
+	uint32_t length;
+	double tokens;
+	double time;
+} read_time_t;
 
 /**
  * struct pool_stats - measured performance of the upstreams
  * @learns: differences between upstreams are used
  * @tokens_per_ms: prompt tokens read by a usual prefill engine
  * @start_time: time until an engine begins to read, whatever the prompt
- * @starts: newest times that it is taken from
- * @start_count: their number so far
+ * @start_known: it was measured
+ * @fits: newest times that speed and start are taken from
+ * @fit_count: their number so far
  * @long_gap_share: streams with a pause beyond target_gap
  * @means: usual times by pool and role
  */
@@ -94,8 +107,9 @@
 	bool learns;
 	double tokens_per_ms;
 	dff_time_t start_time;
-	dff_time_t starts[START_SAMPLES];
-	uint32_t start_count;
+	bool start_known;
+	read_time_t fits[FIT_SAMPLES];
+	uint32_t fit_count;
 	double long_gap_share;
 	capacity_mean_t means[CAPACITY_POOLS_MAX];
 } pool_stats_t;
--- a/source/relay/pool_stats.c
+++ b/source/relay/pool_stats.c
@@ -11,19 +11,27 @@
 
 /* Speed before any is learned, in tokens a millisecond. */
 #define SPEED_START 50.0
-/* The start has a share in the time of shorter prompts that hides the time for
- * each token. */
+/* The start hides the time for each token of shorter prompts. */
 #define LEARN_TOKENS_MIN 1000
-/* The start is taken from the times of prompts below this length that found no
- * others there. */
-#define START_TOKENS_MAX 2500
-/* Share of these times that were shorter: others did have to wait. */
-#define START_QUANTILE 0.1
-/* Before this number of times the start counts as 0. */
-#define START_SAMPLES_MIN 3
+/* The same while the start is not known. */
+#define LEARN_TOKENS_FIRST 4000
+/* Times from which start and speed are computed. */
+#define FIT_SAMPLES_MIN 8
+/* Difference in tokens of two prompts that are compared, and pairs of them that
+ * it takes. */
+#define FIT_TOKENS_MIN 1500.0
+#define FIT_PAIRS_MIN  12
+/* Share of the times that would have been shorter without other requests. */
+#define START_QUANTILE 0.3
+/* Bounds of the speed. */
+#define SPEED_MIN 1.0
+#define SPEED_MAX 10000.0
 /* Before any is measured, an engine that decodes reads prompts at half the
  * speed, and its decoding steps take half of the time. */
 #define DECODE_READ_SHARE 0.25
+/* Longest measured times beside those of engines with few requests: prompts of
+ * which this node does not know yet are ahead of others. */
+#define QUEUE_FACTOR_MAX 2.0
 /* Times for which the assumed speeds count. */
 #define ASSUMED_COUNT 10.0
 /* Weight of the newest stream, and the share before the first one. */
@@ -93,8 +101,15 @@
 static double
 usual_token_time(const pool_stats_t *stats, const upstream_t *up)
 {
-	return 1 /
-	    (stats->tokens_per_ms * (decodes(up) ? DECODE_READ_SHARE : 1));
+	const capacity_mean_t *mean = find_mean(stats, mean_key(up));
+	double token_time = 1 / stats->tokens_per_ms;
+
+	if (decodes(up))
+		token_time /= DECODE_READ_SHARE;
+	if (mean == NULL || mean->samples <= 0)
+		return token_time;
+	return CLAMP(
+	    exp(mean->log_time), token_time, token_time * QUEUE_FACTOR_MAX);
 }
 
 /* The usual time of engines begins with an assumed one. */
@@ -111,27 +126,72 @@
 }
 
 static int
-compare_times(const void *a, const void *b)
+compare(const void *a, const void *b)
 {
-	dff_time_t left = *(const dff_time_t *)a;
-	dff_time_t right = *(const dff_time_t *)b;
+	double left = *(const double *)a;
+	double right = *(const double *)b;
 
 	return (left > right) - (left < right);
 }
 
-/* The times of prompts of any length contain the start. */
+/* Time for each token by two prompts, if they differ enough in length. */
+static bool
+slope(const read_time_t *one, const read_time_t *other, double *value)
+{
+	double tokens = one->tokens - other->tokens;
+
+	if (fabs((double)one->length - other->length) < FIT_TOKENS_MIN ||
+	    fabs(tokens) < FIT_TOKENS_MIN)
+		return false;
+	*value = (one->time - other->time) / tokens;
+	return true;
+}
+
+/* The time for each token is the median over pairs of prompts of different
+ * length, the start what is left of the shorter times: requests that the
+ * engine had from elsewhere do not change them much. */
 static void
-note_start(pool_stats_t *stats, dff_time_t rest)
+fit(pool_stats_t *stats)
 {
-	dff_time_t sorted[START_SAMPLES];
-	uint32_t count = MIN(stats->start_count + 1, START_SAMPLES);
+	double values[FIT_SAMPLES * FIT_SAMPLES / 2];
+	uint32_t count = MIN(stats->fit_count, FIT_SAMPLES);
+	uint32_t pairs = 0;
+	double token_time;
 
-	stats->starts[stats->start_count++ % START_SAMPLES] = MAX(rest, 0);
-	if (count < START_SAMPLES_MIN || DFF_FAULT(RELAY_NO_START))
+	for (uint32_t i = 0; i < count; i++) {
+		for (uint32_t k = 0; k < i; k++) {
+			if (slope(&stats->fits[i], &stats->fits[k],
+				&values[pairs]))
+				pairs++;
+		}
+	}
+	if (pairs < FIT_PAIRS_MIN)
 		return;
-	memcpy(sorted, stats->starts, count * sizeof(*sorted));
-	qsort(sorted, count, sizeof(*sorted), compare_times);
-	stats->start_time = sorted[(uint32_t)(START_QUANTILE * count)];
+	qsort(values, pairs, sizeof(*values), compare);
+	token_time = CLAMP(values[pairs / 2], 1 / SPEED_MAX, 1 / SPEED_MIN);
+	for (uint32_t i = 0; i < count; i++)
+		values[i] =
+		    stats->fits[i].time - stats->fits[i].tokens * token_time;
+	qsort(values, count, sizeof(*values), compare);
+	stats->tokens_per_ms = 1 / token_time;
+	stats->start_known = true;
+	stats->start_time =
+	    (dff_time_t)(MAX(values[(uint32_t)(START_QUANTILE * count)], 0) *
+		(double)DFF_MSEC);
+}
+
+/* Note the time of a prompt that found few others. */
+static void
+note_for_fit(
+    pool_stats_t *stats, uint32_t length, double factor, dff_time_t took)
+{
+	read_time_t *sample = &stats->fits[stats->fit_count++ % FIT_SAMPLES];
+
+	sample->length = length;
+	sample->tokens = length * factor;
+	sample->time = (double)took / (double)DFF_MSEC;
+	if (stats->fit_count >= FIT_SAMPLES_MIN)
+		fit(stats);
 }
 
 /* How much a time says of the engine, beside the start. */
@@ -146,14 +206,6 @@
 	return CLAMP(share * share, 0, 1);
 }
 
-static void
-apply_mean(
-    pool_stats_t *stats, const upstream_t *up, const capacity_mean_t *mean)
-{
-	if (!decodes(up))
-		stats->tokens_per_ms = exp(-mean->log_time);
-}
-
 void
 pool_stats_add_reported(pool_stats_t *stats, upstream_t *up, double log_time,
     double count, dff_time_t now)
@@ -167,8 +219,6 @@
 		return;
 	capacity_note_mean(mean, log_time, count);
 	capacity_add(&up->capacity, log_time, count, now);
-	if (reads)
-		apply_mean(stats, up, mean);
 }
 
 void
@@ -178,19 +228,21 @@
 	uint32_t tokens = ahead + uncached;
 	capacity_mean_t *mean = read_mean(stats, up);
 	dff_time_t predicted = pool_stats_read_time(stats, up, tokens, now);
+	uint32_t shortest =
+	    stats->start_known ? LEARN_TOKENS_MIN : LEARN_TOKENS_FIRST;
 	double token_time;
 
 	if (took <= 0 || mean == NULL)
 		return;
-	if (ahead == 0 && tokens < START_TOKENS_MAX)
-		note_start(stats, took - predicted);
-	if (tokens < LEARN_TOKENS_MIN)
+	if (ahead <= uncached && !decodes(up))
+		note_for_fit(
+		    stats, tokens, pool_stats_factor(stats, up, now), took);
+	if (tokens < shortest)
 		return;
 	token_time = (double)MAX(took - stats->start_time, took / 8) /
 	    (double)DFF_MSEC / tokens;
 	capacity_add_own(&up->capacity, mean, token_time,
 	    sample_count(stats, (double)predicted), now);
-	apply_mean(stats, up, mean);
 }
 
 void
