--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -692,6 +692,8 @@
  *	nodes that are cut off
  * @revoke_time: time from the store's answer to a configuration after which
  *	the keys that it removes do not count
+ * @learn_capacity: find out how fast each upstream is and place accordingly;
+ *	otherwise all of a pool count as equally fast
  */
 typedef struct dff_relay_config {
 	char id[DFF_NAME_MAX];
@@ -711,6 +713,7 @@
 	dff_time_t config_time;
 	bool revoke_strictly;
 	dff_time_t revoke_time;
+	bool learn_capacity;
 } dff_relay_config_t;
 
 /** dff_relay_defaults() - set the defaults, which suit a small fleet */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -76,11 +76,15 @@
 	g_string_append_printf(text,
 	    "dff_relay_ready %d\ndff_relay_calls %zu\ndff_relay_peers %u\n"
 	    "dff_relay_upstreams %zu\ndff_relay_routing_version %" G_GUINT64_FORMAT
-	    "\ndff_relay_source_age_seconds %.3f\n",
+	    "\ndff_relay_source_age_seconds %.3f\n"
+	    "dff_relay_speed_spread %.3f\n"
+	    "dff_relay_read_start_seconds %.6f\n",
 	    dff_relay_ready(relay, now, &why), dff_relay_calls(relay),
 	    peers_count_alive(relay, now),
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
-	    (double)(now - relay->source_answered_at) / DFF_SEC);
+	    (double)(now - relay->source_answered_at) / DFF_SEC,
+	    pool_stats_spread(&relay->pool_stats),
+	    (double)relay->pool_stats.start_time / DFF_SEC);
 	return g_string_free(text, FALSE);
 }
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -162,6 +162,11 @@
 dff_time_t pool_stats_plain_time(
     const pool_stats_t *stats, const upstream_t *up);
 
+/** pool_stats_spread() - largest ratio, over all pools, between an upstream one
+ *	standard deviation slower than usual and a usual one; 1 without
+ *	differences */
+double pool_stats_spread(const pool_stats_t *stats);
+
 /** pool_stats_is_doubtful() - it is believed to be slow, and nobody has measured
  *	it for a while */
 bool pool_stats_is_doubtful(
--- a/source/relay/pool_stats.c
+++ b/source/relay/pool_stats.c
@@ -307,6 +307,16 @@
 	return (dff_time_t)(exp(mean->log_time) * (double)DFF_MSEC);
 }
 
+double
+pool_stats_spread(const pool_stats_t *stats)
+{
+	double spread = 0;
+
+	for (size_t i = 0; i < CAPACITY_POOLS_MAX; i++)
+		spread = MAX(spread, stats->means[i].spread);
+	return exp(sqrt(spread));
+}
+
 bool
 pool_stats_is_doubtful(
     const pool_stats_t *stats, const upstream_t *up, dff_time_t now)
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -41,6 +41,7 @@
 	config->cross_domain_latency = CROSS_DOMAIN_LATENCY_DEFAULT;
 	config->config_time = CONFIG_TIME_DEFAULT;
 	config->revoke_time = REVOKE_TIME_DEFAULT;
+	config->learn_capacity = true;
 }
 
 /* Give each node of the fleet an equal part of the slack. */
@@ -61,6 +62,7 @@
 	relay->config = *config;
 	relay->upstreams = upstreams_new();
 	pool_stats_init(&relay->pool_stats);
+	relay->pool_stats.learns = config->learn_capacity;
 	relay->budget = budget_new();
 	relay->calls = dff_table_new(sizeof(call_t));
 	relay->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -127,6 +129,8 @@
 	relay->config.config_time = config->config_time;
 	relay->config.revoke_strictly = config->revoke_strictly;
 	relay->config.revoke_time = config->revoke_time;
+	relay->config.learn_capacity = config->learn_capacity;
+	relay->pool_stats.learns = config->learn_capacity;
 }
 
 void
