--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -53,6 +53,7 @@
 typedef struct Dff__RelayConfirm Dff__RelayConfirm;
 typedef struct Dff__RelayDuty Dff__RelayDuty;
 typedef struct Dff__RelayUsage Dff__RelayUsage;
+typedef struct Dff__RelayPace Dff__RelayPace;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -848,6 +849,39 @@
     , 0, 0, 0 }
 
 
+/*
+ * Times measured at one upstream since the last report, and its own newest
+ * statement of how long work takes there.
+ */
+struct  Dff__RelayPace
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint32_t upstream;
+  /*
+   * mean logarithm of the times, in hundredths
+   */
+  int32_t log_time;
+  /*
+   * of times, in tenths
+   */
+  uint32_t count;
+  /*
+   * its statement, in hundredths; 0 for none
+   */
+  uint32_t pace;
+  /*
+   * of that
+   */
+  uint32_t age_ms;
+};
+#define DFF__RELAY_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_pace__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -943,10 +977,12 @@
    * time of day of the sender, where usage is counted
    */
   uint64_t wall_ms;
+  size_t n_paces;
+  Dff__RelayPace **paces;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1671,6 +1707,25 @@
 void   dff__relay_usage__free_unpacked
                      (Dff__RelayUsage *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayPace methods */
+void   dff__relay_pace__init
+                     (Dff__RelayPace         *message);
+size_t dff__relay_pace__get_packed_size
+                     (const Dff__RelayPace   *message);
+size_t dff__relay_pace__pack
+                     (const Dff__RelayPace   *message,
+                      uint8_t             *out);
+size_t dff__relay_pace__pack_to_buffer
+                     (const Dff__RelayPace   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayPace *
+       dff__relay_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_pace__free_unpacked
+                     (Dff__RelayPace *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1806,6 +1861,9 @@
 typedef void (*Dff__RelayUsage_Closure)
                  (const Dff__RelayUsage *message,
                   void *closure_data);
+typedef void (*Dff__RelayPace_Closure)
+                 (const Dff__RelayPace *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1853,6 +1911,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_confirm__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_duty__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_usage__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_pace__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -10,6 +10,7 @@
 #include "relay/duty.h"
 #include "relay/reach.h"
 #include "relay/limit.h"
+#include "relay/pace.h"
 #include "relay/notice.h"
 #include "relay/suspect.h"
 #include "relay/usage.h"
@@ -63,6 +64,8 @@
 	Dff__RelayWord *notice_rows[NOTICE_ROWS_MAX];
 	Dff__RelayLimit limits[LIMIT_ROWS_MAX];
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
+	Dff__RelayPace paces[PACE_ROWS_MAX];
+	Dff__RelayPace *pace_rows[PACE_ROWS_MAX];
 	char node[2 * DFF_NAME_MAX];
 	Dff__RelayDuty duty;
 	Dff__RelayUsage usage[USAGE_ROWS_MAX];
@@ -125,6 +128,9 @@
 		draft->notice_rows[i] = &draft->notices[i];
 	for (size_t i = 0; i < LIMIT_ROWS_MAX; i++)
 		draft->limit_rows[i] = &draft->limits[i];
+	for (size_t i = 0; i < PACE_ROWS_MAX; i++)
+		draft->pace_rows[i] = &draft->paces[i];
+	draft->frame.paces = draft->pace_rows;
 	draft->frame.words = draft->notice_rows;
 	draft->frame.limits = draft->limit_rows;
 	draft->frame.loads = draft->load_rows;
@@ -270,6 +276,7 @@
 	draft.frame.n_crashes = suspect_list(relay, draft.crashes,
 	    extent == EXTENT_FULL ? EVIDENCE_OWN_AND_REFUSED : EVIDENCE_OWN,
 	    step->now);
+	draft.frame.n_paces = pace_list(relay, false, draft.paces, step->now);
 	relay->broadcast_at = step->now;
 	return frame_pack(relay, &draft.frame);
 }
@@ -304,6 +311,7 @@
 	duty_fill_frame(step, &draft->frame, &draft->duty);
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
+	draft->frame.n_paces = pace_list(relay, true, draft->paces, step->now);
 	if (all_limits)
 		relay->limits_summarized_at = step->now;
 }
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -10,6 +10,7 @@
     [COUNT_CALLERS_GONE] = "callers_left",
     [COUNT_SENDS] = "sends",
     [COUNT_EXTRA_SENDS] = "sends_extra",
+    [COUNT_EXPLORED] = "sends_explored",
     [COUNT_PREFILLS] = "prefills",
     [COUNT_RESUMES] = "resumes",
     [COUNT_CUTS] = "cuts",
@@ -100,7 +101,9 @@
 	g_string_append_printf(text,
 	    "dff_relay_ready %d\ndff_relay_calls %zu\ndff_relay_peers %u\n"
 	    "dff_relay_upstreams %zu\ndff_relay_routing_version %" G_GUINT64_FORMAT
-	    "\ndff_relay_source_age_seconds %.3f\n",
+	    "\ndff_relay_source_age_seconds %.3f\n"
+	    "dff_relay_speed_spread %.3f\n"
+	    "dff_relay_read_start_seconds %.6f\n",
 	    dff_relay_ready(relay, now, &why), dff_relay_calls(relay),
 	    peers_count_alive(relay, now),
 	    upstreams_count_listed(relay->upstreams),
@@ -110,5 +113,8 @@
 		add_key_state(text, relay, now);
 	duty_metrics(relay, now, text);
 	usage_metrics(relay, text);
-	return g_string_free(text, FALSE);
+	    (double)(now - relay->source_answered_at) / DFF_SEC,
+	    pool_stats_spread(&relay->pool_stats),
+	    (double)relay->pool_stats.start_time / DFF_SEC);
+	    return g_string_free(text, FALSE);
 }
