--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -108,13 +108,12 @@
 	    peers_count_alive(relay, now),
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
-	    (double)(now - relay->source_answered_at) / DFF_SEC);
+	    (double)(now - relay->source_answered_at) / DFF_SEC,
+	    pool_stats_spread(&relay->pool_stats),
+	    (double)relay->pool_stats.start_time / DFF_SEC);
 	if (relay->routing != NULL && relay->routing->organisations != NULL)
 		add_key_state(text, relay, now);
 	duty_metrics(relay, now, text);
 	usage_metrics(relay, text);
-	    (double)(now - relay->source_answered_at) / DFF_SEC,
-	    pool_stats_spread(&relay->pool_stats),
-	    (double)relay->pool_stats.start_time / DFF_SEC);
-	    return g_string_free(text, FALSE);
+	return g_string_free(text, FALSE);
 }
