--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Dff__RelayWord Dff__RelayWord;
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
+typedef struct Dff__RelayConfirm Dff__RelayConfirm;
 typedef struct Dff__RelayDuty Dff__RelayDuty;
 typedef struct Dff__RelayUsage Dff__RelayUsage;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
@@ -760,6 +761,37 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A question up to which moment the receiver's configuration is confirmed as
+ * the newest, or the reply, which may wait until there is a later moment.
+ */
+struct  Dff__RelayConfirm
+{
+  ProtobufCMessage base;
+  /*
+   * by the asker's clock; the reply repeats it
+   */
+  uint64_t asked_at;
+  protobuf_c_boolean reply;
+  /*
+   * of the routing in force
+   */
+  uint64_t version;
+  /*
+   * Of a question: age of what the asker knows. Of a reply: from the confirmed
+   * moment to the question's receipt, less than 0 for a later one.
+   */
+  int32_t age_ms;
+  /*
+   * of a reply with a newer version: where to fetch it
+   */
+  char *records;
+};
+#define DFF__RELAY_CONFIRM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_confirm__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * The holder of the fleet's duties, as far as the sender knows.
  */
@@ -870,6 +902,11 @@
    * it reaches no upstream
    */
   protobuf_c_boolean cut_off;
+  /*
+   * a frame with these has nothing else
+   */
+  size_t n_confirms;
+  Dff__RelayConfirm **confirms;
   /*
    * while duties are held
    */
@@ -886,7 +923,7 @@
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1535,6 +1572,25 @@
 void   dff__relay_permit__free_unpacked
                      (Dff__RelayPermit *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayConfirm methods */
+void   dff__relay_confirm__init
+                     (Dff__RelayConfirm         *message);
+size_t dff__relay_confirm__get_packed_size
+                     (const Dff__RelayConfirm   *message);
+size_t dff__relay_confirm__pack
+                     (const Dff__RelayConfirm   *message,
+                      uint8_t             *out);
+size_t dff__relay_confirm__pack_to_buffer
+                     (const Dff__RelayConfirm   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayConfirm *
+       dff__relay_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_confirm__free_unpacked
+                     (Dff__RelayConfirm *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayDuty methods */
 void   dff__relay_duty__init
                      (Dff__RelayDuty         *message);
@@ -1696,6 +1752,9 @@
 typedef void (*Dff__RelayPermit_Closure)
                  (const Dff__RelayPermit *message,
                   void *closure_data);
+typedef void (*Dff__RelayConfirm_Closure)
+                 (const Dff__RelayConfirm *message,
+                  void *closure_data);
 typedef void (*Dff__RelayDuty_Closure)
                  (const Dff__RelayDuty *message,
                   void *closure_data);
@@ -1745,6 +1804,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_word__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_confirm__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_duty__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_usage__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
