--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -402,6 +402,7 @@
 	uint32_t cached =
 	    MIN(upstream_cached_tokens(up, request->prompt), tokens);
 	double factor = pool_stats_factor(stats, up, search->now);
+	double token_time;
 	dff_time_t fetch = 0;
 	dff_time_t own;
 
@@ -415,10 +416,11 @@
 		cached = MIN(donor->tokens, tokens);
 	}
 	candidate->uncached = tokens - cached;
+	token_time = pool_stats_token_time(stats, up) * factor;
 	candidate->queue_time = capacity_wait(up, request, factor) +
-	    pool_stats_read_time(stats, up,
-		(double)(up->backlog + up->peer_sends.backlog), search->now);
-	own = pool_stats_read_time(stats, up, candidate->uncached, search->now);
+	    (dff_time_t)((double)(up->backlog + up->peer_sends.backlog) *
+		token_time);
+	own = (dff_time_t)(candidate->uncached * token_time);
 	candidate->wait =
 	    network_time(up, request) + candidate->queue_time + own + fetch;
 	candidate->cost = candidate->wait + penalty_time(up, request) +
@@ -470,6 +472,7 @@
 	     (h = upstreams_next(search->upstreams, h, &up)) != 0;) {
 		best_t candidate = {.handle = h};
 		dff_time_t move = 0;
+		double factor;
 
 		if (!is_candidate(search, up, h) ||
 		    up->record.role == DFF_ROLE_PREFILL ||
@@ -484,13 +487,11 @@
 		if (source_engine != NULL)
 			move = move_time(
 			    request, source_engine, up, candidate.uncached);
-		candidate.queue_time =
-		    capacity_wait(up, request,
-			pool_stats_factor(search->stats, up, search->now)) +
-		    (dff_time_t)(DECODE_QUEUE_SHARE *
-			(double)pool_stats_read_time(search->stats, up,
-			    (double)(up->backlog + up->peer_sends.backlog),
-			    search->now));
+		factor = pool_stats_factor(search->stats, up, search->now);
+		candidate.queue_time = capacity_wait(up, request, factor) +
+		    (dff_time_t)(DECODE_QUEUE_SHARE * factor *
+			pool_stats_token_time(search->stats, up) *
+			(double)(up->backlog + up->peer_sends.backlog));
 		candidate.wait =
 		    network_time(up, request) + candidate.queue_time + move;
 		candidate.cost = candidate.wait + penalty_time(up, request) +
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -176,6 +176,10 @@
  *	beyond its target_gap */
 void pool_stats_add_stream(pool_stats_t *stats, bool long_gap);
 
+/** pool_stats_token_time() - time for each token at a usual engine of its pool
+ *	and role, in units of dff_time_t */
+double pool_stats_token_time(const pool_stats_t *stats, const upstream_t *up);
+
 /** pool_stats_read_time() - time in which an engine reads @tokens of prompts,
  *	without the start */
 dff_time_t pool_stats_read_time(const pool_stats_t *stats, const upstream_t *up,
--- a/source/relay/pool_stats.c
+++ b/source/relay/pool_stats.c
@@ -326,10 +326,16 @@
 		&up->capacity, find_mean(stats, mean_key(up)), now);
 }
 
+double
+pool_stats_token_time(const pool_stats_t *stats, const upstream_t *up)
+{
+	return usual_token_time(stats, up) * (double)DFF_MSEC;
+}
+
 dff_time_t
 pool_stats_read_time(const pool_stats_t *stats, const upstream_t *up,
     double tokens, dff_time_t now)
 {
-	return (dff_time_t)(tokens * usual_token_time(stats, up) *
-	    pool_stats_factor(stats, up, now) * (double)DFF_MSEC);
+	return (dff_time_t)(tokens * pool_stats_token_time(stats, up) *
+	    pool_stats_factor(stats, up, now));
 }
