--- a/source/relay/shares.c
+++ b/source/relay/shares.c
@@ -15,8 +15,10 @@
 #define USE_MIN 0.01
 /* The shares of a pool are computed again after this time. */
 #define LEVEL_INTERVAL (200 * DFF_MSEC)
-/* A report counts for this time. */
-#define REPORT_AGE_MAX (6 * DFF_SEC)
+/* A report tells for this time what organisations ask for. It tells only for
+ * the shorter time whether room is short, as it is the last one then. */
+#define REPORT_AGE_MAX (15 * DFF_SEC)
+#define SHORT_AGE_MAX  (4 * DFF_SEC)
 /* Room is short if this part of what was asked for was not admitted. */
 #define SHORT_PART 0.02
 /* Standard errors of a sample by which a demand must exceed its share. */
@@ -299,6 +301,27 @@
 	return offered - admitted > SHORT_PART * offered;
 }
 
+/* Whether room is short, by what this node or all that it hears refused. */
+static bool
+is_short(pool_t *pool, dff_time_t now)
+{
+	double offered = share_sum_rate(&pool->offered, false, now);
+	double admitted = share_sum_rate(&pool->admitted, false, now);
+
+	if (lacks_room(offered, admitted))
+		return true;
+	for (guint i = 0; i < pool->sources->len; i++) {
+		const source_t *source =
+		    &g_array_index(pool->sources, source_t, i);
+
+		if (now - source->heard_at > SHORT_AGE_MAX)
+			continue;
+		offered += source->report.offered;
+		admitted += source->report.admitted;
+	}
+	return lacks_room(offered, admitted);
+}
+
 /* Whether this node hears only a small part of the fleet. */
 static bool
 hears_few(const shares_t *shares, const pool_t *pool)
@@ -326,9 +349,7 @@
 	drop_old_sources(pool, now);
 	alone = hears_few(shares, pool);
 	sum_up(pool, false, alone, pool->demands, &totals, now);
-	own = share_sum_rate(&pool->offered, false, now);
-	pool->is_short = lacks_room(totals.offered, totals.admitted) ||
-	    lacks_room(own, share_sum_rate(&pool->admitted, false, now));
+	pool->is_short = is_short(pool, now);
 	pool->scale = MAX((double)shares->nodes / (double)totals.nodes, 1);
 	own = share_sum_rate(&pool->offered, alone, now);
 	pool->unit =
