Requests beyond their organisation's share of scarce room wait less

Cause: the relay refused whoever came while a queue was long. Change: at its first placement a call of an organisation is counted and gets the longest wait that its organisation's share allows; frames with all loads and summaries report use of pools where room is short (RelayBeat field 35). Refusals are logged with why=share, after a line with the organisation's use and level; counters beyond_share and refused_share, gauge pools_short. Without organisations in the configuration nothing changes. Measured: test_relay, _load, _place, _frame_send, _frame_receive, _log_lines and _shares pass.

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1582,6 +1582,51 @@
   assert(message->base.descriptor == &dff__relay_confirm__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_share__init
+                     (Dff__RelayShare         *message)
+{
+  static const Dff__RelayShare init_value = DFF__RELAY_SHARE__INIT;
+  *message = init_value;
+}
+size_t dff__relay_share__get_packed_size
+                     (const Dff__RelayShare *message)
+{
+  assert(message->base.descriptor == &dff__relay_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_share__pack
+                     (const Dff__RelayShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_share__pack_to_buffer
+                     (const Dff__RelayShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayShare *
+       dff__relay_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayShare *)
+     protobuf_c_message_unpack (&dff__relay_share__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_share__free_unpacked
+                     (Dff__RelayShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4900,7 +4945,123 @@
   (ProtobufCMessageInit) dff__relay_confirm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[23] =
+static const ProtobufCFieldDescriptor dff__relay_share__field_descriptors[7] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayShare, pool),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayShare, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offered",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayShare, offered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayShare, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "organisations",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Dff__RelayShare, n_organisations),
+    offsetof(Dff__RelayShare, organisations),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dff__RelayShare, n_uses),
+    offsetof(Dff__RelayShare, uses),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranks",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Dff__RelayShare, n_ranks),
+    offsetof(Dff__RelayShare, ranks),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_share__field_indices_by_name[] = {
+  3,   /* field[3] = admitted */
+  1,   /* field[1] = nodes */
+  2,   /* field[2] = offered */
+  4,   /* field[4] = organisations */
+  0,   /* field[0] = pool */
+  6,   /* field[6] = ranks */
+  5,   /* field[5] = uses */
+};
+static const ProtobufCIntRange dff__relay_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor dff__relay_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayShare",
+  "RelayShare",
+  "Dff__RelayShare",
+  "dff",
+  sizeof(Dff__RelayShare),
+  7,
+  dff__relay_share__field_descriptors,
+  dff__relay_share__field_indices_by_name,
+  1,  dff__relay_share__number_ranges,
+  (ProtobufCMessageInit) dff__relay_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[24] =
 {
   {
     "node",
@@ -5178,6 +5339,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shares",
+    35,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_shares),
+    offsetof(Dff__RelayBeat, shares),
+    &dff__relay_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -5198,18 +5371,20 @@
   18,   /* field[18] = permits */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
+  23,   /* field[23] = shares */
   8,   /* field[8] = source_age_ms */
   11,   /* field[11] = summary */
   13,   /* field[13] = unreachable */
   3,   /* field[3] = version */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[3 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
   { 26, 22 },
-  { 0, 23 }
+  { 35, 23 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5219,10 +5394,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  23,
+  24,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  3,  dff__relay_beat__number_ranges,
+  4,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -50,6 +50,7 @@
 typedef struct Dff__RelayLimit Dff__RelayLimit;
 typedef struct Dff__RelayPermit Dff__RelayPermit;
 typedef struct Dff__RelayConfirm Dff__RelayConfirm;
+typedef struct Dff__RelayShare Dff__RelayShare;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -790,6 +791,43 @@
     , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Use of a pool where room is short, by the organisations that ask for most.
+ */
+struct  Dff__RelayShare
+{
+  ProtobufCMessage base;
+  uint32_t pool;
+  /*
+   * that it covers
+   */
+  uint32_t nodes;
+  /*
+   * engine time asked for, in 0.1 ms a second
+   */
+  uint32_t offered;
+  /*
+   * the part of it that was sent to engines
+   */
+  uint32_t admitted;
+  size_t n_organisations;
+  uint32_t *organisations;
+  /*
+   * of each, like offered
+   */
+  size_t n_uses;
+  uint32_t *uses;
+  /*
+   * of each
+   */
+  size_t n_ranks;
+  uint32_t *ranks;
+};
+#define DFF__RELAY_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_share__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -867,10 +905,12 @@
    */
   size_t n_confirms;
   Dff__RelayConfirm **confirms;
+  size_t n_shares;
+  Dff__RelayShare **shares;
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1538,6 +1578,25 @@
 void   dff__relay_confirm__free_unpacked
                      (Dff__RelayConfirm *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayShare methods */
+void   dff__relay_share__init
+                     (Dff__RelayShare         *message);
+size_t dff__relay_share__get_packed_size
+                     (const Dff__RelayShare   *message);
+size_t dff__relay_share__pack
+                     (const Dff__RelayShare   *message,
+                      uint8_t             *out);
+size_t dff__relay_share__pack_to_buffer
+                     (const Dff__RelayShare   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayShare *
+       dff__relay_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_share__free_unpacked
+                     (Dff__RelayShare *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1664,6 +1723,9 @@
 typedef void (*Dff__RelayConfirm_Closure)
                  (const Dff__RelayConfirm *message,
                   void *closure_data);
+typedef void (*Dff__RelayShare_Closure)
+                 (const Dff__RelayShare *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1708,6 +1770,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_limit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_confirm__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_share__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -13,6 +13,7 @@
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/permit.h"
+#include "relay/share_calls.h"
 #include "relay/suspect.h"
 
 /* Shortest time between fetches of one feed: an answer takes several round
@@ -207,6 +208,7 @@
 		    step, peer, frame->unreachable, frame->n_unreachable);
 	notice_apply_frame(step, peer, frame);
 	limit_apply_frame(step, peer, frame);
+	share_apply_frame(step, peer, frame);
 	apply_parts(step, frame);
 	for (size_t i = 0; i < frame->n_crashes; i++)
 		suspect_apply_peer_crash(step, peer, frame->crashes[i]);
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -10,6 +10,7 @@
 #include "relay/reach.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
+#include "relay/share_calls.h"
 #include "relay/suspect.h"
 
 /* Sends that start within this time are reported in one frame. */
@@ -61,6 +62,7 @@
 	Dff__RelayWord *notice_rows[NOTICE_ROWS_MAX];
 	Dff__RelayLimit limits[LIMIT_ROWS_MAX];
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
+	share_rows_t shares;
 	char node[2 * DFF_NAME_MAX];
 } draft_t;
 
@@ -122,6 +124,7 @@
 		draft->limit_rows[i] = &draft->limits[i];
 	draft->frame.words = draft->notice_rows;
 	draft->frame.limits = draft->limit_rows;
+	draft->frame.shares = draft->shares.rows;
 	draft->frame.loads = draft->load_rows;
 	draft->frame.kept = draft->part_rows;
 	draft->frame.crashes = draft->crash_rows;
@@ -231,6 +234,9 @@
 	    notice_list(relay, NOTICE_ORIGIN_SELF, draft->notices, step->now);
 	draft->frame.n_limits =
 	    limit_list(relay, false, full, draft->limits, step->now);
+	if (full)
+		draft->frame.n_shares =
+		    share_list_frame(relay, false, &draft->shares, step->now);
 	draft->frame.unreachable = draft->unreachable;
 	draft->frame.n_unreachable =
 	    unreachable_list(relay, draft->unreachable, step->now);
@@ -296,8 +302,11 @@
 	draft->frame.leader = relay->config.addr;
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
-	if (all_limits)
-		relay->limits_summarized_at = step->now;
+	if (!all_limits)
+		return;
+	draft->frame.n_shares =
+	    share_list_frame(relay, true, &draft->shares, step->now);
+	relay->limits_summarized_at = step->now;
 }
 
 /*
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -10,6 +10,7 @@
 #include "relay/events.h"
 #include "relay/freshness.h"
 #include "relay/place.h"
+#include "relay/shares.h"
 
 /** enum relay_count - counters of a relay */
 typedef enum relay_count {
@@ -52,6 +53,8 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_BEYOND_SHARE,
+	COUNT_REFUSED_SHARE,
 	COUNT_CONFIRM_QUESTIONS,
 	COUNT_CONFIRM_REPLIES,
 	COUNT_CONFIRM_BYTES_OUT,
@@ -197,6 +200,10 @@
 	dff_handle_t awaited_probe; /* upstream being probed before a retry */
 	dff_handle_t awaited_permit; /* upstream for which a permit was asked */
 	uint32_t permit_requests; /* so far */
+	/* Whether room is short for its organisation: share_calls.h. */
+	bool share_decided;
+	share_request_t share;
+	share_verdict_t share_verdict;
 	bool budget_taken; /* its next send was taken from the retry budget */
 	bool has_events; /* the forwarded head is one of a stream of events */
 	event_scan_t events; /* of the send's stream */
@@ -212,6 +219,7 @@
 	upstreams_t *upstreams;
 	pool_stats_t pool_stats;
 	budget_t *budget;
+	shares_t *shares;
 	dff_table_t *calls;
 	GHashTable *by_number; /* number of a call to call_t */
 	GHashTable *by_send; /* number of a send to call_t */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -40,6 +40,8 @@
     [COUNT_PERMITS_DENIED] = "permits_denied",
     [COUNT_PERMITS_UNANSWERED] = "permits_unanswered",
     [COUNT_REFUSED_LIMITED] = "refused_limited",
+    [COUNT_BEYOND_SHARE] = "beyond_share",
+    [COUNT_REFUSED_SHARE] = "refused_share",
     [COUNT_CONFIRM_QUESTIONS] = "confirmations_asked",
     [COUNT_CONFIRM_REPLIES] = "confirmations_received",
     [COUNT_CONFIRM_BYTES_OUT] = "confirmation_bytes_out",
@@ -100,7 +102,10 @@
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
-	if (relay->routing != NULL && relay->routing->organisations != NULL)
+	if (relay->routing != NULL && relay->routing->organisations != NULL) {
 		add_key_state(text, relay, now);
+		g_string_append_printf(text, "dff_relay_pools_short %u\n",
+		    shares_count_short(relay->shares, now));
+	}
 	return g_string_free(text, FALSE);
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -63,6 +63,7 @@
 	relay->upstreams = upstreams_new();
 	pool_stats_init(&relay->pool_stats);
 	relay->budget = budget_new();
+	relay->shares = shares_new();
 	relay->calls = dff_table_new(sizeof(call_t));
 	relay->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
 	relay->by_send = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -98,6 +99,7 @@
 	dff_routing_drop(relay->routing);
 	upstreams_drop(relay->upstreams);
 	budget_drop(relay->budget);
+	shares_drop(relay->shares);
 	dff_table_drop(relay->calls);
 	g_hash_table_unref(relay->by_number);
 	g_hash_table_unref(relay->by_send);
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -6,6 +6,7 @@
 #include "relay/permit.h"
 #include "relay/reach.h"
 #include "relay/send.h"
+#include "relay/share_calls.h"
 #include "relay/suspect.h"
 
 /* Sends of one request that may fail for want of a connection. */
@@ -206,6 +207,7 @@
 	upstream_note_send(
 	    up, MAX(place->wait, call->route->target_latency), step->now);
 	g_hash_table_insert(relay->by_send, &send->number, call);
+	share_call_note_sent(step, call);
 	call->sends++;
 	relay->counts[COUNT_SENDS]++;
 	if (place->stage == DFF_STAGE_PREFILL)
@@ -283,6 +285,15 @@
 	return (dff_time_t)(QUEUE_SHARE * (double)call->route->target_latency);
 }
 
+/* Longest time that a call may wait for others: all of its time, if it has no
+ * prompt that delays those behind it. */
+static dff_time_t
+longest_wait(const call_t *call)
+{
+	return call->prompt.count > 0 ? queue_limit(call) :
+					first_byte_limit(call);
+}
+
 static void
 fill_placement_request(
     step_t *step, const call_t *call, placement_request_t *request)
@@ -408,6 +419,34 @@
 	    place->retry > 0 ? retry_time(step, place->retry) : DFF_SEC, why);
 }
 
+/* Gives up a call for which too much work is queued, by what its organisation
+ * may have of a scarce room. */
+static bool
+give_up_if_queued(step_t *step, call_t *call, const placement_t *place)
+{
+	dff_relay_t *relay = step->relay;
+	dff_time_t usual = longest_wait(call);
+	dff_time_t limit = share_call_limit(call, usual);
+	dff_time_t wait =
+	    call->prompt.count > 0 ? place->queue_time : place->wait;
+	dff_time_t retry;
+
+	/* A stream that has begun is not late by its wait. */
+	if (call->sends > 0 || call->stream_begun || wait <= limit ||
+	    DFF_FAULT(RELAY_ADMIT_ALL))
+		return false;
+	retry = retry_time(step, wait - limit);
+	share_call_note_refused(step, call);
+	if (limit < usual) {
+		relay->counts[COUNT_REFUSED_SHARE]++;
+		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
+		    share_call_retry_time(step, call, retry), "share");
+	} else
+		relay_call_give_up(
+		    step, call, DFF_FAILURE_BUSY, retry, "queue");
+	return true;
+}
+
 /* Gives up a call that its best upstream cannot serve in time, or that may not
  * be sent once more. */
 static bool
@@ -427,23 +466,16 @@
 		    step, call, DFF_FAILURE_BUSY, DFF_SEC, "unreachable");
 		return true;
 	}
+	share_call_decide(step, call, place, longest_wait(call));
 	if (call->progress != DFF_PROGRESS_ANSWERING &&
 	    call->progress != DFF_PROGRESS_PREFILLED &&
 	    waited + place->wait > limit) {
+		share_call_note_refused(step, call);
 		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
 		    retry_time(step, waited + place->wait - limit), "late");
 		return true;
 	}
-	/* A stream that has begun is not late by its wait. */
-	if (call->sends == 0 && !call->stream_begun && call->prompt.count > 0 &&
-	    place->queue_time > queue_limit(call) &&
-	    !DFF_FAULT(RELAY_ADMIT_ALL)) {
-		relay_call_give_up(step, call, DFF_FAILURE_BUSY,
-		    retry_time(step, place->queue_time - queue_limit(call)),
-		    "queue");
-		return true;
-	}
-	return false;
+	return give_up_if_queued(step, call, place);
 }
 
 /* An extra send is taken from the budget before the call waits for a permit:
--- a/source/relay/shares.c
+++ b/source/relay/shares.c
@@ -1,31 +1,14 @@
 #include "relay/shares.h"
 
-#include <glib.h>
 #include <math.h>
 #include <string.h>
 
 #include "base/fault.h"
-#include "relay/share_level.h"
-#include "relay/share_sum.h"
+#include "relay/share_parts.h"
 
-/* A node that hears less than this part of the fleet averages over the longer
- * time, as few requests come to it within the shorter one. */
-#define ALONE_PART 0.5
-/* Use below this is forgotten, in milliseconds. */
-#define USE_MIN 0.01
-/* The shares of a pool are computed again after this time. */
-#define LEVEL_INTERVAL (200 * DFF_MSEC)
-/* A report tells for this time what organisations ask for. It tells only for
- * the shorter time whether room is short, as it is the last one then. */
-#define REPORT_AGE_MAX (15 * DFF_SEC)
-#define SHORT_AGE_MAX  (4 * DFF_SEC)
-/* Room is short if this part of what was asked for was not admitted. */
-#define SHORT_PART 0.02
-/* Standard errors of a sample by which a demand must exceed its share. */
-#define SAMPLE_ERRORS 2
-/* Part of the room that is divided. The rest is lent, so that an error of the
- * estimate does not make requests within their shares wait in vain. */
-#define ROOM_PART 0.9
+/* Requests are kept in mind for this time, and up to twice as long, to find the
+ * kind that can wait least. */
+#define WAITS_TIME (10 * DFF_SEC)
 /* Part of the longest wait that the most and the least urgent requests beyond
  * their share may have. */
 #define LEND_FIRST 0.6
@@ -34,59 +17,16 @@
 #define LEND_REPEAT 0.1
 /* The least urgent priority. */
 #define PRIORITY_LAST 9
-/* Refused requests that are remembered, and for how long: callers return
- * within seconds. */
-#define REFUSED_SLOTS 1024
-#define REFUSED_TIME  (8 * DFF_SEC)
-
-/* Own use of a pool by one organisation. */
-typedef struct use {
-	uint32_t rank;
-	share_sum_t offered;
-} use_t;
-
-/* The last report of one source. */
-typedef struct source {
-	uint64_t id;
-	bool in_domain;
-	dff_time_t heard_at;
-	share_report_t report;
-} source_t;
-
-typedef struct pool {
-	uint32_t key;
-	GHashTable *uses; /* key of an organisation to use_t */
-	share_sum_t offered;
-	share_sum_t admitted;
-	share_sum_t squares; /* of the engine times offered */
-	GArray *sources; /* source_t */
-	/* Computed at @computed_at: */
-	dff_time_t computed_at;
-	bool is_short;
-	GHashTable *demands; /* key of an organisation to share_demand_t */
-	/* Variance of a demand as a sample, divided by the demand. */
-	double unit;
-	double scale; /* nodes of the fleet per node that reported */
-} pool_t;
-
-typedef struct refused {
-	uint64_t content;
-	dff_time_t at;
-} refused_t;
-
-struct shares {
-	GHashTable *pools; /* key to pool_t */
-	uint32_t nodes;
-	uint32_t organisations;
-	refused_t refused[REFUSED_SLOTS];
-};
+/* For this time refused requests are remembered: callers return within
+ * seconds. */
+#define REFUSED_TIME (8 * DFF_SEC)
 
 /* ---- table ---- */
 
 static void
 free_pool(void *data)
 {
-	pool_t *pool = data;
+	share_pool_t *pool = data;
 
 	g_hash_table_unref(pool->uses);
 	g_hash_table_unref(pool->demands);
@@ -124,20 +64,22 @@
 	shares->organisations = organisations;
 }
 
-static pool_t *
-get_pool(shares_t *shares, uint32_t key)
+share_pool_t *
+share_pool_get(shares_t *shares, uint32_t key)
 {
-	pool_t *pool =
+	share_pool_t *pool =
 	    g_hash_table_lookup(shares->pools, GUINT_TO_POINTER(key));
 
 	if (pool != NULL)
 		return pool;
-	pool = g_new0(pool_t, 1);
+	pool = g_new0(share_pool_t, 1);
 	pool->key = key;
 	pool->uses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	pool->demands = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	pool->sources = g_array_new(FALSE, FALSE, sizeof(source_t));
-	pool->computed_at = -LEVEL_INTERVAL;
+	pool->sources = g_array_new(FALSE, FALSE, sizeof(share_source_t));
+	pool->waits[0] = DFF_TIME_NEVER;
+	pool->waits[1] = DFF_TIME_NEVER;
+	pool->waits_at = -WAITS_TIME;
 	g_hash_table_insert(shares->pools, GUINT_TO_POINTER(key), pool);
 	return pool;
 }
@@ -148,230 +90,9 @@
 	return (double)time / (double)DFF_MSEC;
 }
 
-/* ---- shares ---- */
-
-/* Adds one organisation's use to a table of demands. */
-static void
-add_demand(
-    GHashTable *demands, uint32_t organisation, uint32_t rank, double offered)
-{
-	share_demand_t *demand =
-	    g_hash_table_lookup(demands, GUINT_TO_POINTER(organisation));
-
-	if (demand == NULL) {
-		demand = g_new0(share_demand_t, 1);
-		demand->organisation = organisation;
-		demand->members = 1;
-		g_hash_table_insert(
-		    demands, GUINT_TO_POINTER(organisation), demand);
-	}
-	demand->rank = rank;
-	demand->offered += offered;
-}
-
-/* Adds what this node counted, and forgets organisations without use. */
-static void
-add_own(pool_t *pool, bool alone, GHashTable *demands, dff_time_t now)
-{
-	GHashTableIter iter;
-	void *key;
-	void *value;
-
-	g_hash_table_iter_init(&iter, pool->uses);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		use_t *use = value;
-		double rate = share_sum_rate(&use->offered, alone, now);
-
-		if (use->offered.slow < USE_MIN)
-			g_hash_table_iter_remove(&iter);
-		else
-			add_demand(
-			    demands, GPOINTER_TO_UINT(key), use->rank, rate);
-	}
-}
-
-static void
-drop_old_sources(pool_t *pool, dff_time_t now)
-{
-	for (guint i = pool->sources->len; i-- > 0;) {
-		if (now - g_array_index(pool->sources, source_t, i).heard_at >
-		    REPORT_AGE_MAX)
-			g_array_remove_index_fast(pool->sources, i);
-	}
-}
-
-/* Sums of a pool over this node and others. */
-typedef struct totals {
-	uint32_t nodes;
-	double offered;
-	double admitted;
-	double listed; /* part of @offered by the organisations of @demands */
-} totals_t;
-
-/* Sums up what this node and its sources counted; @domain: without those of
- * other domains; @alone: over the longer time. */
-static void
-sum_up(pool_t *pool, bool domain, bool alone, GHashTable *demands,
-    totals_t *totals, dff_time_t now)
-{
-	GHashTableIter iter;
-	void *value;
-
-	add_own(pool, alone, demands, now);
-	*totals = (totals_t){.nodes = 1,
-	    .offered = share_sum_rate(&pool->offered, alone, now),
-	    .admitted = share_sum_rate(&pool->admitted, alone, now)};
-	for (guint i = 0; i < pool->sources->len; i++) {
-		const source_t *source =
-		    &g_array_index(pool->sources, source_t, i);
-		const share_report_t *report = &source->report;
-
-		if ((domain && !source->in_domain) ||
-		    DFF_FAULT(RELAY_SHARE_OWN_VIEW))
-			continue;
-		totals->nodes += report->nodes;
-		totals->offered += report->offered;
-		totals->admitted += report->admitted;
-		for (uint32_t k = 0; k < report->row_count; k++)
-			add_demand(demands, report->rows[k].organisation,
-			    report->rows[k].rank, report->rows[k].offered);
-	}
-	g_hash_table_iter_init(&iter, demands);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		totals->listed += ((share_demand_t *)value)->offered;
-}
-
-/*
- * Gives what no report names to the organisations that ask for less than the
- * average, as reports name the others: to those of @demands, and to as many as
- * the configuration has besides, which are appended as one.
- */
-static void
-spread_rest(const shares_t *shares, const totals_t *totals,
-    share_demand_t *demands, guint *count)
-{
-	double rest = MAX(totals->offered - totals->listed, 0);
-	uint32_t others = MAX(shares->organisations, *count) - *count;
-	double average = totals->offered / (*count + others);
-	uint32_t small = others;
-
-	for (guint i = 0; i < *count; i++)
-		small += demands[i].offered < average;
-	if (small == 0)
-		return;
-	for (guint i = 0; i < *count; i++) {
-		if (demands[i].offered < average)
-			demands[i].offered += rest / small;
-	}
-	if (others > 0)
-		demands[(*count)++] =
-		    (share_demand_t){.rank = SHARE_RANK_DEFAULT,
-			.members = others,
-			.offered = rest / small};
-}
-
-/* Divides the room among the organisations. */
-static void
-fill(const shares_t *shares, GHashTable *table, const totals_t *totals)
-{
-	guint count = g_hash_table_size(table);
-	share_demand_t *demands = g_new(share_demand_t, count + 1);
-	GHashTableIter iter;
-	void *value;
-	guint i = 0;
-
-	g_hash_table_iter_init(&iter, table);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		demands[i++] = *(share_demand_t *)value;
-	spread_rest(shares, totals, demands, &count);
-	share_level_fill(demands, count, ROOM_PART * totals->admitted);
-	for (i = 0; i < count; i++) {
-		share_demand_t *demand = g_hash_table_lookup(
-		    table, GUINT_TO_POINTER(demands[i].organisation));
-
-		if (demand != NULL)
-			*demand = demands[i];
-	}
-	g_free(demands);
-}
-
-static bool
-lacks_room(double offered, double admitted)
-{
-	return offered - admitted > SHORT_PART * offered;
-}
-
-/* Whether room is short, by what this node or all that it hears refused. */
-static bool
-is_short(pool_t *pool, dff_time_t now)
-{
-	double offered = share_sum_rate(&pool->offered, false, now);
-	double admitted = share_sum_rate(&pool->admitted, false, now);
-
-	if (lacks_room(offered, admitted))
-		return true;
-	for (guint i = 0; i < pool->sources->len; i++) {
-		const source_t *source =
-		    &g_array_index(pool->sources, source_t, i);
-
-		if (now - source->heard_at > SHORT_AGE_MAX)
-			continue;
-		offered += source->report.offered;
-		admitted += source->report.admitted;
-	}
-	return lacks_room(offered, admitted);
-}
-
-/* Whether this node hears only a small part of the fleet. */
-static bool
-hears_few(const shares_t *shares, const pool_t *pool)
-{
-	double heard = 1;
-
-	for (guint i = 0; i < pool->sources->len; i++)
-		heard += g_array_index(pool->sources, source_t, i).report.nodes;
-	return heard < ALONE_PART * shares->nodes;
-}
-
-/* Divides the room anew. The parts that organisations get are the same for any
- * sample of the nodes; only what is logged is scaled to the whole fleet. */
-static void
-compute(const shares_t *shares, pool_t *pool, dff_time_t now)
-{
-	bool alone;
-	totals_t totals;
-	double own;
-
-	if (now - pool->computed_at < LEVEL_INTERVAL)
-		return;
-	pool->computed_at = now;
-	g_hash_table_remove_all(pool->demands);
-	drop_old_sources(pool, now);
-	alone = hears_few(shares, pool);
-	sum_up(pool, false, alone, pool->demands, &totals, now);
-	pool->is_short = is_short(pool, now);
-	pool->scale = MAX((double)shares->nodes / (double)totals.nodes, 1);
-	own = share_sum_rate(&pool->offered, alone, now);
-	pool->unit =
-	    own > 0 ? share_sum_rate(&pool->squares, alone, now) / own : 0;
-	pool->unit =
-	    pool->unit * DFF_SEC / (alone ? SHARE_TIME_SLOW : SHARE_TIME);
-	if (pool->is_short)
-		fill(shares, pool->demands, &totals);
-}
-
-bool
-shares_is_short(shares_t *shares, const char *name, dff_time_t now)
-{
-	pool_t *pool = get_pool(shares, share_key(name));
-
-	compute(shares, pool, now);
-	return pool->is_short && !DFF_FAULT(RELAY_SHARE_NONE);
-}
-
 /* ---- refused requests ---- */
 
-static refused_t *
+static share_refused_t *
 refused_slot(shares_t *shares, uint64_t content)
 {
 	return &shares->refused[content % REFUSED_SLOTS];
@@ -380,7 +101,7 @@
 static bool
 is_repeat(shares_t *shares, const share_request_t *request, dff_time_t now)
 {
-	const refused_t *refused = refused_slot(shares, request->content);
+	const share_refused_t *refused = refused_slot(shares, request->content);
 
 	return request->content != 0 && refused->content == request->content &&
 	    now - refused->at < REFUSED_TIME;
@@ -391,20 +112,21 @@
     shares_t *shares, const share_request_t *request, dff_time_t now)
 {
 	*refused_slot(shares, request->content) =
-	    (refused_t){request->content, now};
+	    (share_refused_t){request->content, now};
 }
 
 /* ---- decisions ---- */
 
 static void
-count_request(pool_t *pool, const share_request_t *request, dff_time_t now)
+count_request(
+    share_pool_t *pool, const share_request_t *request, dff_time_t now)
 {
 	double cost = to_ms(request->cost);
-	use_t *use = g_hash_table_lookup(
+	share_use_t *use = g_hash_table_lookup(
 	    pool->uses, GUINT_TO_POINTER(request->organisation));
 
 	if (use == NULL) {
-		use = g_new0(use_t, 1);
+		use = g_new0(share_use_t, 1);
 		g_hash_table_insert(
 		    pool->uses, GUINT_TO_POINTER(request->organisation), use);
 	}
@@ -414,6 +136,18 @@
 	share_sum_add(&pool->squares, cost * cost, now);
 }
 
+/* Keeps the shortest of the waits of the last seconds. */
+static void
+note_wait(share_pool_t *pool, dff_time_t wait, dff_time_t now)
+{
+	if (now - pool->waits_at >= WAITS_TIME) {
+		pool->waits[1] = pool->waits[0];
+		pool->waits[0] = wait;
+		pool->waits_at = now;
+	}
+	pool->waits[0] = MIN(pool->waits[0], wait);
+}
+
 /* Part of the longest wait for a request beyond its organisation's share: by
  * its priority, then by its age. */
 static double
@@ -428,26 +162,17 @@
 	    (repeat ? LEND_REPEAT : 0);
 }
 
-/* Whether an organisation asks for more than its share, beyond what the error
- * of a small sample explains. */
-static bool
-is_over(const pool_t *pool, const share_demand_t *demand)
-{
-	double error = SAMPLE_ERRORS * sqrt(demand->offered * pool->unit);
-
-	return demand->offered - error > demand->granted;
-}
-
 void
 shares_decide(shares_t *shares, const share_request_t *request, double draw,
     dff_time_t now, share_verdict_t *verdict)
 {
-	pool_t *pool = get_pool(shares, share_key(request->pool));
+	share_pool_t *pool = share_pool_get(shares, share_key(request->pool));
 	bool repeat = is_repeat(shares, request, now);
 	const share_demand_t *demand;
 
-	*verdict = (share_verdict_t){.limit_part = 1};
-	compute(shares, pool, now);
+	*verdict = (share_verdict_t){.limit = request->wait};
+	share_pool_compute(shares, pool, now);
+	note_wait(pool, request->wait, now);
 	if (!repeat)
 		count_request(pool, request, now);
 	if (!pool->is_short || DFF_FAULT(RELAY_SHARE_NONE))
@@ -458,139 +183,22 @@
 		return;
 	verdict->use = demand->offered * pool->scale;
 	verdict->level = demand->granted * pool->scale;
-	if (!is_over(pool, demand))
+	if (!share_pool_is_over(pool, demand))
 		return;
 	verdict->retry = (dff_time_t)((double)SHARE_TIME *
 	    log(demand->offered / MAX(demand->granted, USE_MIN)));
 	if (draw * demand->offered < demand->granted)
 		return;
 	verdict->beyond = true;
-	verdict->limit_part = lend_part(request, repeat);
-}
-
-dff_time_t
-shares_wait_limit(
-    const share_verdict_t *verdict, dff_time_t own, dff_time_t shortest)
-{
-	if (!verdict->beyond)
-		return own;
-	return (dff_time_t)(verdict->limit_part * (double)MIN(own, shortest));
+	verdict->limit = (dff_time_t)(lend_part(request, repeat) *
+	    (double)MIN(pool->waits[0], pool->waits[1]));
 }
 
 void
 shares_note_admitted(
     shares_t *shares, const share_request_t *request, dff_time_t now)
 {
-	share_sum_add(&get_pool(shares, share_key(request->pool))->admitted,
+	share_sum_add(
+	    &share_pool_get(shares, share_key(request->pool))->admitted,
 	    to_ms(request->cost), now);
 }
-
-/* ---- reports ---- */
-
-/* Order of rows in a report: the organisations that are over their shares come
- * first, as all nodes have to know the whole of what these ask for. */
-static bool
-comes_before(const pool_t *pool, const share_row_t *a, const share_row_t *b)
-{
-	const share_demand_t *x = g_hash_table_lookup(
-	    pool->demands, GUINT_TO_POINTER(a->organisation));
-	const share_demand_t *y = g_hash_table_lookup(
-	    pool->demands, GUINT_TO_POINTER(b->organisation));
-	bool x_over = x != NULL && is_over(pool, x);
-	bool y_over = y != NULL && is_over(pool, y);
-
-	if (x_over != y_over)
-		return x_over;
-	return a->offered > b->offered;
-}
-
-/* Adds a row if it is among the first @max. */
-static void
-add_row(const pool_t *pool, share_report_t *report, uint32_t max,
-    const share_row_t *row)
-{
-	uint32_t i;
-
-	if (report->row_count == max &&
-	    !comes_before(pool, row, &report->rows[max - 1]))
-		return;
-	if (report->row_count < max)
-		report->row_count++;
-	for (i = report->row_count - 1;
-	     i > 0 && comes_before(pool, row, &report->rows[i - 1]); i--)
-		report->rows[i] = report->rows[i - 1];
-	report->rows[i] = *row;
-}
-
-static void
-make_report(pool_t *pool, bool domain, share_report_t *report, dff_time_t now)
-{
-	GHashTable *demands = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	GHashTableIter iter;
-	totals_t totals;
-	void *value;
-
-	memset(report, 0, sizeof(*report));
-	if (domain)
-		sum_up(pool, true, false, demands, &totals, now);
-	else {
-		add_own(pool, false, demands, now);
-		totals = (totals_t){.nodes = 1,
-		    .offered = share_sum_rate(&pool->offered, false, now),
-		    .admitted = share_sum_rate(&pool->admitted, false, now)};
-	}
-	report->pool = pool->key;
-	report->nodes = totals.nodes;
-	report->offered = totals.offered;
-	report->admitted = totals.admitted;
-	g_hash_table_iter_init(&iter, demands);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const share_demand_t *demand = value;
-		share_row_t row = {
-		    demand->organisation, demand->rank, demand->offered};
-
-		add_row(pool, report,
-		    domain ? SHARE_ROWS_MAX : SHARE_NODE_ROWS_MAX, &row);
-	}
-	g_hash_table_unref(demands);
-}
-
-size_t
-shares_list(shares_t *shares, bool domain, share_report_t *reports, size_t max,
-    dff_time_t now)
-{
-	GHashTableIter iter;
-	size_t count = 0;
-	void *value;
-
-	g_hash_table_iter_init(&iter, shares->pools);
-	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
-		pool_t *pool = value;
-
-		compute(shares, pool, now);
-		if (pool->is_short)
-			make_report(pool, domain, &reports[count++], now);
-	}
-	return count;
-}
-
-void
-shares_apply(shares_t *shares, uint64_t id, bool in_domain,
-    const share_report_t *report, dff_time_t now)
-{
-	pool_t *pool = get_pool(shares, report->pool);
-	source_t source = {.id = id,
-	    .in_domain = in_domain,
-	    .heard_at = now,
-	    .report = *report};
-
-	for (guint i = 0; i < pool->sources->len; i++) {
-		source_t *known = &g_array_index(pool->sources, source_t, i);
-
-		if (known->id == id) {
-			*known = source;
-			return;
-		}
-	}
-	g_array_append_val(pool->sources, source);
-}
--- a/source/relay/shares.h
+++ b/source/relay/shares.h
@@ -31,6 +31,7 @@
  * @priority: its own priority; 0 is the most urgent
  * @content: hash of its content, by which a repeat is recognised
  * @cost: engine time that it needs
+ * @wait: longest time that requests of its kind may wait for others
  */
 typedef struct share_request {
 	const char *pool;
@@ -39,6 +40,7 @@
 	uint32_t priority;
 	uint64_t content;
 	dff_time_t cost;
+	dff_time_t wait;
 } share_request_t;
 
 /* Rank of organisations without a priority of their own: the middle of 0 to
@@ -48,7 +50,7 @@
 /**
  * struct share_verdict - how long a request may wait for others
  * @beyond: room is short, and the request is beyond its organisation's share
- * @limit_part: part of the longest wait that it may have, 1 if not @beyond
+ * @limit: longest time that it may wait for others
  * @use: engine time per second that its organisation asks for
  * @level: engine time per second that is its share; 0 if room is not short
  * @retry: time until the organisation is within its share again if it asks for
@@ -56,7 +58,7 @@
  */
 typedef struct share_verdict {
 	bool beyond;
-	double limit_part;
+	dff_time_t limit;
 	double use;
 	double level;
 	dff_time_t retry;
@@ -100,28 +102,22 @@
  *	organisations in the configuration */
 void shares_set_fleet(shares_t *shares, uint32_t nodes, uint32_t organisations);
 
-/** shares_is_short() - whether a pool recently refused requests */
-bool shares_is_short(shares_t *shares, const char *pool, dff_time_t now);
+/** shares_count_short() - number of pools that recently refused requests */
+uint32_t shares_count_short(shares_t *shares, dff_time_t now);
 
 /**
  * shares_decide() - count a request and decide how long it may wait
  * @draw: random number in [0, 1), which decides which requests of an
  *	organisation are within its share
  *
- * A repeat of a request that this node refused is not counted again.
+ * A request beyond its organisation's share may wait for a part of the time
+ * that the least patient kind of requests in the pool may wait, so that it does
+ * not delay requests within their shares for too long. A repeat of a request
+ * that this node refused is not counted again.
  */
 void shares_decide(shares_t *shares, const share_request_t *request,
     double draw, dff_time_t now, share_verdict_t *verdict);
 
-/**
- * shares_wait_limit() - longest wait of a request
- * @own: longest wait of requests of its kind
- * @shortest: the same of the pool's kind that can wait least, which requests
- *	beyond their shares must leave room for
- */
-dff_time_t shares_wait_limit(
-    const share_verdict_t *verdict, dff_time_t own, dff_time_t shortest);
-
 /** shares_note_admitted() - the request was sent to an engine */
 void shares_note_admitted(
     shares_t *shares, const share_request_t *request, dff_time_t now);
--- a/test/test_relay_shares.c
+++ b/test/test_relay_shares.c
@@ -192,13 +192,12 @@
 	    .organisation = (uint32_t)caller->organisation + 1,
 	    .rank = SHARE_RANK_DEFAULT,
 	    .content = caller->content,
-	    .cost = caller->kind->cost};
+	    .cost = caller->kind->cost,
+	    .wait = caller->kind->wait};
 	share_verdict_t verdict;
-	dff_time_t limit;
 
 	shares_decide(node, &request, dff_rand_unit(ctx), now, &verdict);
-	limit = shares_wait_limit(&verdict, caller->kind->wait, kinds[0].wait);
-	if (queue_time(now) > limit) {
+	if (queue_time(now) > verdict.limit) {
 		shares_note_refused(node, &request, now);
 		come_back(caller,
 		    MIN(MAX(verdict.retry, 500 * DFF_MSEC), RETRY_MAX), now);
@@ -396,7 +395,8 @@
     .organisation = 1,
     .rank = SHARE_RANK_DEFAULT,
     .content = 1,
-    .cost = 50 * DFF_MSEC};
+    .cost = 50 * DFF_MSEC,
+    .wait = 400 * DFF_MSEC};
 
 START_TEST(nothing_is_beyond_a_share_while_nothing_is_refused)
 {
@@ -409,7 +409,7 @@
 		ck_assert(!verdict.beyond);
 		shares_note_admitted(nodes[0], &some_request, now);
 	}
-	ck_assert(!shares_is_short(nodes[0], "engines", 5 * DFF_SEC));
+	ck_assert_uint_eq(shares_count_short(nodes[0], 5 * DFF_SEC), 0);
 }
 END_TEST
 
@@ -447,12 +447,12 @@
 	ck_assert_int_gt(urgent.retry, 0);
 	request.priority = 9;
 	shares_decide(nodes[0], &request, 0.99, 2 * DFF_SEC, &patient);
-	ck_assert(patient.limit_part < urgent.limit_part);
-	ck_assert(patient.limit_part > 0);
+	ck_assert(patient.limit < urgent.limit);
+	ck_assert(patient.limit > 0);
 	/* A repeat is older. */
 	shares_note_refused(nodes[0], &request, 2 * DFF_SEC);
 	shares_decide(nodes[0], &request, 0.99, 3 * DFF_SEC, &again);
-	ck_assert(again.limit_part > patient.limit_part);
+	ck_assert(again.limit > patient.limit);
 	/* The share's part of the requests is within it. */
 	shares_decide(nodes[0], &request, 0, 3 * DFF_SEC, &again);
 	ck_assert(!again.beyond);
