--- a/source/relay/share_calls.c
+++ b/source/relay/share_calls.c
@@ -10,6 +10,10 @@
 #define RETRY_MAX (5 * DFF_SEC)
 /* Callers return spread over this time and half of the time that they wait. */
 #define RETRY_SPREAD (500 * DFF_MSEC)
+/* Shortest time between frames with own use, and the number of peers for each
+ * of which it is longer by as much. */
+#define LIST_INTERVAL (900 * DFF_MSEC)
+#define LIST_PEERS    32
 /* Units of use per millisecond in frames. */
 #define UNITS_PER_MS 10
 /* Nodes that one report may cover. */
@@ -125,14 +129,29 @@
 	return (uint32_t)MIN(ms * UNITS_PER_MS + 0.5, (double)UINT32_MAX);
 }
 
+/* Whether own use is due: in large domains it is reported less often. */
+static bool
+is_due(const dff_relay_t *relay, dff_time_t now)
+{
+	dff_time_t interval =
+	    LIST_INTERVAL * (1 + peers_count_direct(relay, now) / LIST_PEERS);
+
+	return now - relay->shares_listed_at >= interval;
+}
+
 size_t
 share_list_frame(
     dff_relay_t *relay, bool domain, share_rows_t *rows, dff_time_t now)
 {
 	share_report_t reports[SHARE_POOLS_MAX];
-	size_t count =
-	    shares_list(relay->shares, domain, reports, SHARE_POOLS_MAX, now);
+	size_t count;
 
+	if (!domain && !is_due(relay, now))
+		return 0;
+	if (!domain)
+		relay->shares_listed_at = now;
+	count =
+	    shares_list(relay->shares, domain, reports, SHARE_POOLS_MAX, now);
 	for (size_t i = 0; i < count; i++) {
 		const share_report_t *report = &reports[i];
 		Dff__RelayShare *row = &rows->reports[i];
--- a/source/relay/share_fleet.c
+++ b/source/relay/share_fleet.c
@@ -16,6 +16,10 @@
 #define SHORT_AGE_MAX  (4 * DFF_SEC)
 /* Room is short if this part of what was asked for was not admitted. */
 #define SHORT_PART 0.02
+/* Use is reported until this part of a refused request is left in the sums. */
+#define REPORT_PART 0.25
+/* Engine time of a request in milliseconds, where none was counted. */
+#define COST_DEFAULT 100.0
 /* Standard errors of a sample by which a demand must exceed its share. */
 #define SAMPLE_ERRORS 2
 /* Part of the room that is divided. The rest is lent, so that an error of the
@@ -177,25 +181,49 @@
 	return offered - admitted > SHORT_PART * offered;
 }
 
-/* Whether room is short, by what this node or all that it hears refused. */
-static bool
-is_short(share_pool_t *pool, dff_time_t now)
+/* Variance of a demand as a sample, divided by the demand. */
+static double
+sample_unit(share_pool_t *pool, bool alone, dff_time_t now)
+{
+	double offered = share_sum_rate(&pool->offered, alone, now);
+	double squares = share_sum_rate(&pool->squares, alone, now);
+	dff_time_t time = alone ? SHARE_TIME_SLOW : SHARE_TIME;
+
+	return (offered > USE_MIN ? squares / offered : COST_DEFAULT) *
+	    DFF_SEC / (double)time;
+}
+
+/*
+ * Finds whether room is short by what this node and those that it hears did not
+ * admit, beyond the error of a small sample: one long queue is no shortage. Use
+ * is reported as soon as any node refuses a part.
+ */
+static void
+find_shortage(share_pool_t *pool, dff_time_t now)
 {
 	double offered = share_sum_rate(&pool->offered, false, now);
 	double admitted = share_sum_rate(&pool->admitted, false, now);
+	double unit = sample_unit(pool, false, now);
+	double least = REPORT_PART * unit;
+	double error;
 
-	if (lacks_room(offered, admitted))
-		return true;
+	pool->is_reported = lacks_room(offered, admitted + least);
 	for (guint i = 0; i < pool->sources->len; i++) {
 		const share_source_t *source =
 		    &g_array_index(pool->sources, share_source_t, i);
+		const share_report_t *report = &source->report;
 
 		if (now - source->heard_at > SHORT_AGE_MAX)
 			continue;
-		offered += source->report.offered;
-		admitted += source->report.admitted;
+		offered += report->offered;
+		admitted += report->admitted;
+		pool->is_reported |=
+		    lacks_room(report->offered, report->admitted + least);
 	}
-	return lacks_room(offered, admitted);
+	error = SAMPLE_ERRORS * sqrt(MAX(offered - admitted, 0) * unit);
+	if (DFF_FAULT(RELAY_SHARE_ANY_REFUSAL))
+		error = 0;
+	pool->is_short = lacks_room(offered, admitted + error);
 }
 
 /* Whether this node hears only a small part of the fleet. */
@@ -217,7 +245,6 @@
 {
 	bool alone;
 	totals_t totals;
-	double own;
 
 	if (now < pool->compute_at)
 		return;
@@ -226,13 +253,9 @@
 	drop_old_sources(pool, now);
 	alone = hears_few(shares, pool);
 	sum_up(pool, false, alone, pool->demands, &totals, now);
-	pool->is_short = is_short(pool, now);
+	find_shortage(pool, now);
 	pool->scale = MAX((double)shares->nodes / (double)totals.nodes, 1);
-	own = share_sum_rate(&pool->offered, alone, now);
-	pool->unit =
-	    own > 0 ? share_sum_rate(&pool->squares, alone, now) / own : 0;
-	pool->unit =
-	    pool->unit * DFF_SEC / (alone ? SHARE_TIME_SLOW : SHARE_TIME);
+	pool->unit = sample_unit(pool, alone, now);
 	if (pool->is_short)
 		fill(shares, pool->demands, &totals);
 }
@@ -349,7 +372,7 @@
 		share_pool_t *pool = value;
 
 		share_pool_compute(shares, pool, now);
-		if (pool->is_short)
+		if (pool->is_reported)
 			make_report(pool, domain, &reports[count++], now);
 	}
 	return count;
--- a/source/relay/share_parts.h
+++ b/source/relay/share_parts.h
@@ -42,9 +42,9 @@
 	/* Computed before, and again at @compute_at: */
 	dff_time_t compute_at;
 	bool is_short;
+	bool is_reported; /* some node refuses a part */
 	GHashTable *demands; /* key of an organisation to share_demand_t */
-	/* Variance of a demand as a sample, divided by the demand. */
-	double unit;
+	double unit; /* variance of a demand, divided by the demand */
 	double scale; /* nodes of the fleet per node that reported */
 } share_pool_t;
 
--- a/source/relay/shares.h
+++ b/source/relay/shares.h
@@ -102,7 +102,7 @@
  *	organisations in the configuration */
 void shares_set_fleet(shares_t *shares, uint32_t nodes, uint32_t organisations);
 
-/** shares_count_short() - number of pools that recently refused requests */
+/** shares_count_short() - number of pools where room is short */
 uint32_t shares_count_short(shares_t *shares, dff_time_t now);
 
 /**
@@ -127,7 +127,7 @@
     shares_t *shares, const share_request_t *request, dff_time_t now);
 
 /**
- * shares_list() - reports on the pools where room is short
+ * shares_list() - reports on the pools where some node refuses requests
  * @domain: reports of this node and of all with a source of the domain, as one;
  *	else of this node only
  * @reports: room for @max reports
--- a/test/test_relay_shares.c
+++ b/test/test_relay_shares.c
@@ -413,6 +413,28 @@
 }
 END_TEST
 
+/* A node whose nearest engine has a long queue may refuse a few. */
+START_TEST(few_refusals_are_no_shortage)
+{
+	share_request_t request = some_request;
+	share_verdict_t verdict;
+
+	for (int i = 0; i < 15; i++) {
+		request.content = ++next_content;
+		shares_decide(
+		    nodes[0], &request, 0.99, i * 300 * DFF_MSEC, &verdict);
+		ck_assert(!verdict.beyond);
+		if (i % 5 == 4)
+			shares_note_refused(
+			    nodes[0], &request, i * 300 * DFF_MSEC);
+		else
+			shares_note_admitted(
+			    nodes[0], &request, i * 300 * DFF_MSEC);
+	}
+	ck_assert_uint_eq(shares_count_short(nodes[0], 5 * DFF_SEC), 0);
+}
+END_TEST
+
 /* Makes requests, of which all or none are admitted. */
 static void
 ask(uint32_t organisation, int count, bool admit, dff_time_t now)
@@ -525,6 +547,7 @@
 	tcase_add_test(
 	    tcase, nothing_is_beyond_a_share_while_nothing_is_refused);
 	tcase_add_test(tcase, urgent_request_beyond_its_share_may_wait_longer);
+	tcase_add_test(tcase, few_refusals_are_no_shortage);
 	tcase_add_test(tcase, repeat_is_not_counted_again);
 	tcase_add_test(tcase, room_is_divided_to_equal_shares);
 	tcase_add_test(
