--- a/test/test_relay_share_calls.c
+++ b/test/test_relay_share_calls.c
@@ -107,28 +107,26 @@
 	return found;
 }
 
-/* The engine has read the prompt of a send, so that its queue is shorter. */
+/* A caller closes its connection, so that the engine's queue is shorter. */
 static void
-answer(int node, uint64_t send)
+leave(int node, uint64_t call)
 {
-	ck_assert_uint_ne(send, 0);
-	relay_bench_head(net.nodes[node], send, 200, false);
+	dff_relay_event_t event = {.type = DFF_RELAY_CALLER_GONE};
+
+	event.caller_gone = call;
+	relay_bench_step(net.nodes[node], &event);
 	relay_net_deliver(&net, node);
 }
 
 /* Fills the engine's queue and has as many requests refused again. Returns the
- * first of the sends that wait. */
+ * first call, which waits. */
 static uint64_t
 flood(int node, const char *key)
 {
-	uint64_t first = 0;
-
-	for (int i = 0; i < 30; i++) {
-		uint64_t send = ask(node, key);
+	uint64_t first = net.nodes[node]->next_call + 1;
 
-		if (first == 0)
-			first = send;
-	}
+	for (int i = 0; i < 30; i++)
+		(void)ask(node, key);
 	return first;
 }
 
@@ -137,16 +135,16 @@
 	uint64_t first;
 
 	make_nodes(1, true);
-	answer(0, ask(0, "small"));
+	ck_assert_uint_ne(ask(0, "small"), 0);
+	leave(0, net.nodes[0]->next_call);
 	first = flood(0, "large");
 	ck_assert(metrics_have(0, "dff_relay_refused_share_total 0\n"));
 	relay_net_advance(&net, 300 * DFF_MSEC);
 	ck_assert(metrics_have(0, "dff_relay_pools_short 1\n"));
 	/* There is room for one more request, but not for any. */
-	answer(0, first);
-	answer(0, ++first);
-	while (ask(0, "large") != 0)
-		answer(0, ++first);
+	leave(0, first);
+	for (int i = 0; i < 20 && ask(0, "large") != 0; i++)
+		leave(0, net.nodes[0]->next_call);
 	ck_assert(!metrics_have(0, "dff_relay_refused_share_total 0\n"));
 	ck_assert_int_eq(status, 503);
 	ck_assert_int_ge(retry_after, DFF_SEC);
