--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -302,11 +302,10 @@
 	draft->frame.leader = relay->config.addr;
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
-	if (!all_limits)
-		return;
+	if (all_limits)
+		relay->limits_summarized_at = step->now;
 	draft->frame.n_shares =
 	    share_list_frame(relay, true, &draft->shares, step->now);
-	relay->limits_summarized_at = step->now;
 }
 
 /*
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -221,7 +221,8 @@
 	pool_stats_t pool_stats;
 	budget_t *budget;
 	shares_t *shares;
-	dff_time_t shares_listed_at; /* last own frame with use of pools */
+	/* Last own frame and last summary with use of pools. */
+	dff_time_t shares_listed_at[2];
 	dff_table_t *calls;
 	GHashTable *by_number; /* number of a call to call_t */
 	GHashTable *by_send; /* number of a send to call_t */
--- a/source/relay/share_calls.c
+++ b/source/relay/share_calls.c
@@ -10,10 +10,11 @@
 #define RETRY_MAX (5 * DFF_SEC)
 /* Callers return spread over this time and half of the time that they wait. */
 #define RETRY_SPREAD (500 * DFF_MSEC)
-/* Shortest time between frames with own use, and the number of peers for each
- * of which it is longer by as much. */
+/* Shortest time between frames with use of pools. It is longer by as much for
+ * each so many peers in the domain, for summaries in the fleet. */
 #define LIST_INTERVAL (900 * DFF_MSEC)
 #define LIST_PEERS    32
+#define LIST_FLEET    100
 /* Units of use per millisecond in frames. */
 #define UNITS_PER_MS 10
 /* Nodes that one report may cover. */
@@ -129,14 +130,16 @@
 	return (uint32_t)MIN(ms * UNITS_PER_MS + 0.5, (double)UINT32_MAX);
 }
 
-/* Whether own use is due: in large domains it is reported less often. */
+/* Whether use is due: it is reported less often in large domains, and to other
+ * domains in a large fleet. */
 static bool
-is_due(const dff_relay_t *relay, dff_time_t now)
+is_due(const dff_relay_t *relay, bool domain, dff_time_t now)
 {
-	dff_time_t interval =
-	    LIST_INTERVAL * (1 + peers_count_direct(relay, now) / LIST_PEERS);
+	uint32_t factor = 1 +
+	    (domain ? relay->peers->len / LIST_FLEET :
+		      peers_count_direct(relay, now) / LIST_PEERS);
 
-	return now - relay->shares_listed_at >= interval;
+	return now - relay->shares_listed_at[domain] >= LIST_INTERVAL * factor;
 }
 
 size_t
@@ -146,10 +149,9 @@
 	share_report_t reports[SHARE_POOLS_MAX];
 	size_t count;
 
-	if (!domain && !is_due(relay, now))
+	if (!is_due(relay, domain, now))
 		return 0;
-	if (!domain)
-		relay->shares_listed_at = now;
+	relay->shares_listed_at[domain] = now;
 	count =
 	    shares_list(relay->shares, domain, reports, SHARE_POOLS_MAX, now);
 	for (size_t i = 0; i < count; i++) {
--- a/source/relay/share_fleet.c
+++ b/source/relay/share_fleet.c
@@ -13,7 +13,7 @@
 /* A report tells for this time what organisations ask for. It tells only for
  * the shorter time whether room is short, as it is the last one then. */
 #define REPORT_AGE_MAX (15 * DFF_SEC)
-#define SHORT_AGE_MAX  (4 * DFF_SEC)
+#define SHORT_AGE_MAX  (8 * DFF_SEC)
 /* Room is short if this part of what was asked for was not admitted. */
 #define SHORT_PART 0.02
 /* Use is reported until this part of a refused request is left in the sums. */
--- a/source/relay/shares.h
+++ b/source/relay/shares.h
@@ -16,7 +16,7 @@
 #include "dragonflyfall/base.h"
 
 /* Most organisations in one report. */
-#define SHARE_ROWS_MAX 24
+#define SHARE_ROWS_MAX 12
 /* Most of them in a report of a single node. */
 #define SHARE_NODE_ROWS_MAX 8
 
--- a/test/test_relay_share_calls.c
+++ b/test/test_relay_share_calls.c
@@ -195,6 +195,39 @@
 }
 END_TEST
 
+/* With many organisations a report names only those that ask for most. */
+START_TEST(reports_stay_small_with_2500_organisations)
+{
+	share_request_t request = {.pool = "llm",
+	    .rank = SHARE_RANK_DEFAULT,
+	    .cost = 60 * DFF_MSEC,
+	    .wait = 240 * DFF_MSEC};
+	share_verdict_t verdict;
+	share_rows_t rows;
+	dff_relay_t *relay;
+
+	make_nodes(1, true);
+	relay = net.nodes[0]->relay;
+	for (uint32_t i = 1; i <= 2500; i++) {
+		request.organisation = dff_hash(&i, sizeof(i), 0) & UINT32_MAX;
+		shares_decide(
+		    relay->shares, &request, 0.5, net.nodes[0]->now, &verdict);
+	}
+	net.nodes[0]->now += 5 * DFF_SEC;
+	for (int domain = 0; domain < 2; domain++) {
+		size_t size;
+
+		ck_assert_uint_eq(
+		    share_list_frame(relay, domain, &rows, net.nodes[0]->now),
+		    1);
+		size = dff__relay_share__get_packed_size(&rows.reports[0]);
+		if (getenv("DFF_SHOW") != NULL)
+			g_print("domain %d: %zu bytes\n", domain, size);
+		ck_assert_uint_le(size, domain ? 128 : 96);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -208,6 +241,7 @@
 	    tcase, large_organisation_is_refused_where_small_one_is_served);
 	tcase_add_test(tcase, nodes_tell_each_other_where_room_is_short);
 	tcase_add_test(tcase, nothing_is_reported_without_organisations);
+	tcase_add_test(tcase, reports_stay_small_with_2500_organisations);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
