--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -12,6 +12,7 @@
 #include "relay/limit.h"
 #include "relay/pace.h"
 #include "relay/notice.h"
+#include "relay/share_calls.h"
 #include "relay/suspect.h"
 #include "relay/usage.h"
 
@@ -66,6 +67,7 @@
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
 	Dff__RelayPace paces[PACE_ROWS_MAX];
 	Dff__RelayPace *pace_rows[PACE_ROWS_MAX];
+	share_rows_t shares;
 	char node[2 * DFF_NAME_MAX];
 	Dff__RelayDuty duty;
 	Dff__RelayUsage usage[USAGE_ROWS_MAX];
@@ -133,6 +135,7 @@
 	draft->frame.paces = draft->pace_rows;
 	draft->frame.words = draft->notice_rows;
 	draft->frame.limits = draft->limit_rows;
+	draft->frame.shares = draft->shares.rows;
 	draft->frame.loads = draft->load_rows;
 	draft->frame.kept = draft->part_rows;
 	draft->frame.crashes = draft->crash_rows;
@@ -244,6 +247,9 @@
 	    limit_list(relay, false, full, draft->limits, step->now);
 	duty_fill_frame(step, &draft->frame, &draft->duty);
 	usage_fill_frame(step, &draft->frame, draft->usage, draft->usage_rows);
+	if (full)
+		draft->frame.n_shares =
+		    share_list_frame(relay, false, &draft->shares, step->now);
 	draft->frame.unreachable = draft->unreachable;
 	draft->frame.n_unreachable =
 	    unreachable_list(relay, draft->unreachable, step->now);
@@ -314,6 +320,8 @@
 	draft->frame.n_paces = pace_list(relay, true, draft->paces, step->now);
 	if (all_limits)
 		relay->limits_summarized_at = step->now;
+	draft->frame.n_shares =
+	    share_list_frame(relay, true, &draft->shares, step->now);
 }
 
 /*
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -11,6 +11,7 @@
 #include "relay/freshness.h"
 #include "relay/organisation_counts.h"
 #include "relay/place.h"
+#include "relay/shares.h"
 
 /** enum relay_count - counters of a relay */
 typedef enum relay_count {
@@ -57,6 +58,8 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_BEYOND_SHARE,
+	COUNT_REFUSED_SHARE,
 	COUNT_CONFIRM_QUESTIONS,
 	COUNT_CONFIRM_REPLIES,
 	COUNT_CONFIRM_BYTES_OUT,
@@ -217,6 +220,10 @@
 	dff_handle_t awaited_probe; /* upstream being probed before a retry */
 	dff_handle_t awaited_permit; /* upstream for which a permit was asked */
 	uint32_t permit_requests; /* so far */
+	/* Whether room is short for its organisation: share_calls.h. */
+	bool share_decided;
+	share_request_t share;
+	share_verdict_t share_verdict;
 	bool budget_taken; /* its next send was taken from the retry budget */
 	bool has_events; /* the forwarded head is one of a stream of events */
 	event_scan_t events; /* of the send's stream */
@@ -234,6 +241,9 @@
 	pool_stats_t pool_stats;
 	double explore_credit; /* sends that may explore now */
 	budget_t *budget;
+	shares_t *shares;
+	/* Last own frame and last summary with use of pools. */
+	dff_time_t shares_listed_at[2];
 	dff_table_t *calls;
 	GHashTable *by_number; /* number of a call to call_t */
 	GHashTable *by_send; /* number of a send to call_t */
