crowd: callers outside the limits, as a test that fails

Cause: what a node holds for callers has no bound for the node: bodies that are read, bodies that wait for their answers with the copies sent to upstreams, buffers of idle connections, small header fields, answers that a caller of pipelined requests does not read; nor has the number of connections.

Change: test_process_crowd plays 15 kinds of crowds of 40 to 160 connections against dff-edge with lowered limits (bodies of 2 MiB, a machine of 64 MiB and 128 sockets). With the crowd still connected it checks that the process lives, that the bytes resident or unread in its sockets and its sockets stay within the machine, that no more requests ran than were sent to their end, and that an ordinary request is answered. The stand-in worker sends long answers.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,8 @@
 PLATFORM_TESTS = $(patsubst platform/test/%.c,%,\
 	$(wildcard platform/test/test_*.c))
 PLATFORM_FAKES = $(filter-out platform/test/test_%.c \
-	platform/test/edge_bench.c,$(wildcard platform/test/*.c))
+	platform/test/edge_bench.c platform/test/crowd.c,\
+	$(wildcard platform/test/*.c))
 TESTS = $(patsubst test/%.c,%,$(wildcard test/test_*.c))
 # Benchmarks and tests share the simulated fleet.
 FAKES = $(wildcard test/fake/*.c) \
@@ -126,7 +127,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(PLATFORM_TESTS:%=$(OUT)/%): $(OUT)/%: $(OUT)/platform/test/%.o \
-	$(OUT)/platform/test/edge_bench.o \
+	$(OUT)/platform/test/edge_bench.o $(OUT)/platform/test/crowd.o \
 	$(PLATFORM_FAKE_OBJ) $(PLATFORM_OBJ) $(OUT)/libdfffakes.a \
 	$(OUT)/libdffshell.a \
 	$(OUT)/libdragonflyfall.a
