front: what a node holds for callers has limits

Change: requests that are read or wait for their answers, answers that are not whole or not read, and connections are counted in one account of the node, with limits from memory_mb and max_fds of the settings. Over the limit, unfinished requests get 503, longest idle first; a request that was passed on is not refused. headerTimeoutMs is read: a late head gets 408. The next request of a connection waits while its answers are unsent; buffers of idle connections are freed; bytes after the last answer are dropped. Health checks, control and metrics have accounts of their own.

--- a/include/dragonflyfall/account.h
+++ b/include/dragonflyfall/account.h
@@ -37,7 +37,6 @@
 	DFF_ACCOUNT_REFUSED_CONNECTIONS, /* a connection, for another one */
 	DFF_ACCOUNT_SLOW_HEADS, /* a head that took too long */
 	DFF_ACCOUNT_SLOW_READERS, /* an answer that was not read */
-	DFF_ACCOUNT_ANSWERS_DROPPED, /* an answer that did not fit */
 	DFF_ACCOUNT_COUNTS
 } dff_account_count_t;
 
@@ -66,8 +65,8 @@
  * @memory: of the machine in bytes, 0: no limit
  * @sockets: that its process may open, 0: no limit
  *
- * A third of the memory may be held; the rest is that of the process itself
- * and of what its sockets hold. Half of the sockets are callers'; the others
+ * A third of the memory may be held for requests and a sixth for answers; the
+ * rest is that of the process itself and of what its sockets hold. Half of the sockets are callers'; the others
  * carry their requests on, but for those that are kept for health checks,
  * peers and the store: dff_account_kept().
  */
@@ -126,6 +125,10 @@
  *	requests that were passed on */
 dff_holder_t *dff_account_surplus(const dff_account_t *account);
 
+/** dff_account_answers_press() - whether answers leave too little room for
+ *	others */
+bool dff_account_answers_press(const dff_account_t *account);
+
 /** dff_account_slow_reader() - the connection that holds most of the answers
  *	if there is too little room left for others, else NULL */
 dff_holder_t *dff_account_slow_reader(const dff_account_t *account);
--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <uv.h>
 
-#include "dragonflyfall/base.h"
+#include "dragonflyfall/account.h"
 
 /**
  * struct dff_h1_field - one header field
@@ -81,6 +81,18 @@
 	dff_time_t idle_time;
 } dff_h1d_limits_t;
 
+/**
+ * struct dff_h1d_guard - bounds that several servers of a node share
+ * @account: of what is held for their callers; must outlive the servers; NULL
+ *	for no bounds
+ * @head_time: longest time from the first byte of a head to its end; a later
+ *	one gets 408; 0 for no limit
+ */
+typedef struct dff_h1d_guard {
+	dff_account_t *account;
+	dff_time_t head_time;
+} dff_h1d_guard_t;
+
 /**
  * dff_h1d_new() - listen on "ip:port"
  *
@@ -94,6 +106,14 @@
 /** dff_h1d_set_limits() - change the limits of later input */
 void dff_h1d_set_limits(dff_h1d_t *h1d, const dff_h1d_limits_t *limits);
 
+/**
+ * dff_h1d_set_guard() - bound what is held for callers
+ *
+ * A request that is refused for it gets 503 and was not passed to the handler.
+ * Its connection is closed, and that of a caller that reads too slowly.
+ */
+void dff_h1d_set_guard(dff_h1d_t *h1d, const dff_h1d_guard_t *guard);
+
 /** dff_h1d_drain() - close each connection after its next answer */
 void dff_h1d_drain(dff_h1d_t *h1d);
 
@@ -244,6 +264,10 @@
 /** dff_h1c_close_idle() - close idle connections to one peer */
 void dff_h1c_close_idle(dff_h1c_t *h1c, const char *peer);
 
+/** dff_h1c_set_connections() - most connections, 0 for no limit: beyond it a
+ *	new one replaces the one that has been idle longest, if one is idle */
+void dff_h1c_set_connections(dff_h1c_t *h1c, int max);
+
 /** dff_h1c_ends_delivered() - whether the end handler of every ended
  *	request has been called */
 bool dff_h1c_ends_delivered(const dff_h1c_t *h1c);
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -91,6 +91,7 @@
  * @head_max: most bytes of a request's head
  * @body_max: most bytes of a request's body
  * @idle_time: how long a caller's connection may stay idle
+ * @head_time: longest time from the first byte of a request's head to its end
  */
 typedef struct dff_routing {
 	uint64_t version;
@@ -99,6 +100,7 @@
 	size_t head_max;
 	size_t body_max;
 	dff_time_t idle_time;
+	dff_time_t head_time;
 	int refs;
 } dff_routing_t;
 
@@ -416,11 +418,13 @@
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
 
-/** struct dff_relay_data - bytes of an answer's body, borrowed */
+/** struct dff_relay_data - bytes of an answer's body, borrowed; @no_room:
+ *	the node cannot keep them until the answer is whole */
 typedef struct dff_relay_data {
 	uint64_t send;
 	const char *bytes;
 	size_t len;
+	bool no_room;
 } dff_relay_data_t;
 
 /** struct dff_relay_heartbeat - a frame and the address of its sender */
--- a/include/dragonflyfall/relay_host.h
+++ b/include/dragonflyfall/relay_host.h
@@ -58,6 +58,8 @@
  *	new connections are directed to other nodes
  * @drain_max: longest time between a stop and the end of the process
  * @relay: settings of the relay
+ * @memory: memory of the machine in bytes, 0: what is held has no limit
+ * @sockets: sockets that the process may open, 0: no limit
  */
 typedef struct dff_relay_host_config {
 	const char *front;
@@ -66,6 +68,8 @@
 	dff_time_t drain_min;
 	dff_time_t drain_max;
 	dff_relay_config_t relay;
+	size_t memory;
+	int sockets;
 } dff_relay_host_config_t;
 
 /** typedef dff_relay_host_t - a relay with its connections and timers */
@@ -116,6 +120,9 @@
 /** dff_relay_host_client() - the client of its upstreams, borrowed */
 dff_h1c_t *dff_relay_host_client(dff_relay_host_t *host);
 
+/** dff_relay_host_account() - what is held for callers, borrowed */
+const dff_account_t *dff_relay_host_account(const dff_relay_host_t *host);
+
 /** dff_relay_host_stop() - stop gracefully, then call @done */
 void dff_relay_host_stop(
     dff_relay_host_t *host, void (*done)(void *arg), void *arg);
--- a/source/base/account.c
+++ b/source/base/account.c
@@ -8,8 +8,9 @@
  * part of the answers' limit that must stay free of slow readers. */
 #define SMALL_DIVISOR 4
 #define FREE_DIVISOR  4
-/* Part of the machine's memory that may be held for others. */
-#define HELD_DIVISOR 3
+/* Parts of the machine's memory that may be held for requests and answers. */
+#define REQUESTS_DIVISOR 3
+#define ANSWERS_DIVISOR	 6
 /* Sockets kept for health checks, peers and the store. */
 #define KEPT_MAX     64
 #define KEPT_DIVISOR 8
@@ -40,8 +41,8 @@
 {
 	dff_account_limits_t limits = {{0}, 0};
 
-	for (int i = 0; i < DFF_ACCOUNT_CLASSES; i++)
-		limits.bytes[i] = memory / HELD_DIVISOR / DFF_ACCOUNT_CLASSES;
+	limits.bytes[DFF_ACCOUNT_REQUESTS] = memory / REQUESTS_DIVISOR;
+	limits.bytes[DFF_ACCOUNT_ANSWERS] = memory / ANSWERS_DIVISOR;
 	limits.connections = (sockets - dff_account_kept(sockets)) / 2;
 	return limits;
 }
@@ -118,7 +119,9 @@
 static size_t
 large_part(size_t bytes)
 {
-	return bytes > SMALL_MAX ? bytes : 0;
+	return bytes > SMALL_MAX && !DFF_FAULT(ACCOUNT_NO_ROOM_FOR_SMALL) ?
+	    bytes :
+	    0;
 }
 
 void
@@ -176,10 +179,12 @@
 		dff_holder_t *holder = link->data;
 		size_t bytes = holder->held[DFF_ACCOUNT_REQUESTS];
 
-		if ((holder->passed_on && !DFF_FAULT(H1_REFUSES_PASSED_ON)) ||
+		if ((holder->passed_on &&
+			!DFF_FAULT(ACCOUNT_REFUSES_PASSED_ON)) ||
 		    bytes == 0 || (large && bytes <= SMALL_MAX))
 			continue;
-		if (holder->client->bytes > held / 2)
+		if (holder->client->bytes > held / 2 &&
+		    !DFF_FAULT(ACCOUNT_IGNORES_ADDRESSES))
 			return holder;
 		if (longest_idle == NULL)
 			longest_idle = holder;
@@ -210,14 +215,21 @@
 	return longest_idle;
 }
 
+bool
+dff_account_answers_press(const dff_account_t *account)
+{
+	size_t limit = account->limits.bytes[DFF_ACCOUNT_ANSWERS];
+
+	return is_over(
+	    account->held[DFF_ACCOUNT_ANSWERS], limit, limit / FREE_DIVISOR);
+}
+
 dff_holder_t *
 dff_account_slow_reader(const dff_account_t *account)
 {
-	size_t limit = account->limits.bytes[DFF_ACCOUNT_ANSWERS];
 	dff_holder_t *most = NULL;
 
-	if (!is_over(account->held[DFF_ACCOUNT_ANSWERS], limit,
-		limit / FREE_DIVISOR))
+	if (!dff_account_answers_press(account))
 		return NULL;
 	for (GList *link = account->holders.head; link != NULL;
 	     link = link->next) {
--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -35,12 +35,22 @@
 	return g_strdup_printf("%s %s", call->addr, call->peer);
 }
 
+static void
+make_room(dff_h1c_t *h1c)
+{
+	if (h1c->connections_max > 0 &&
+	    h1c->connections >= h1c->connections_max && h1c->idle.head != NULL)
+		h1_conn_close(h1c->idle.head->data);
+}
+
 conn_t *
 h1_conn_open(
     dff_h1c_t *h1c, const dff_h1c_call_t *call, const struct sockaddr *sa)
 {
 	conn_t *conn = g_new0(conn_t, 1);
 
+	make_room(h1c);
+	h1c->connections++;
 	conn->h1c = h1c;
 	conn->key = make_key(call);
 	conn->link.data = conn;
@@ -157,6 +167,12 @@
 	g_assert_not_reached();
 }
 
+void
+dff_h1c_set_connections(dff_h1c_t *h1c, int max)
+{
+	h1c->connections_max = max;
+}
+
 bool
 dff_h1c_ends_delivered(const dff_h1c_t *h1c)
 {
--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -46,6 +46,7 @@
 	if (conn->closing)
 		return;
 	conn->closing = true;
+	conn->h1c->connections--;
 	if (conn->idle)
 		g_queue_unlink(&conn->h1c->idle, &conn->link);
 	conn->idle = false;
--- a/source/net/h1_conn.h
+++ b/source/net/h1_conn.h
@@ -38,6 +38,8 @@
 	GQueue probes; /* probe_t */
 	uv_timer_t sweep;
 	uint64_t opened;
+	int connections; /* open now */
+	int connections_max; /* 0: no limit */
 	int end_pending; /* ended requests with handlers not called yet */
 	int handles; /* handles and requests not yet freed */
 	bool dropped;
--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -2,8 +2,9 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/fault.h"
 #include "net/address.h"
-#include "net/h1_head.h"
+#include "net/h1_guard.h"
 
 /* Length of the queue of connections not yet accepted. */
 #define BACKLOG 1024
@@ -12,6 +13,8 @@
 #define UNACKED_MSEC 10000
 /* Bytes of further requests that are read while one is being answered. */
 #define PIPELINED_MAX 65536
+/* Unsent bytes of answers with which a connection's next request waits. */
+#define UNSENT_MAX 65536
 /* Interval at which idle and slow connections are checked. */
 #define SWEEP_MSEC 500
 
@@ -23,9 +26,13 @@
 	GByteArray *body;
 	GByteArray *input; /* read, not yet parsed */
 	dff_h1d_req_t *req; /* request being answered */
+	dff_holder_t holder; /* its part of the account */
+	uint64_t head_since; /* first byte of the request; 0 before it */
 	uint64_t idle_since;
 	size_t unsent; /* bytes written that are not yet sent */
 	int error_status; /* error status for a request over a limit, or 0 */
+	bool head_done;
+	bool head_late; /* its head was late at the last sweep */
 	bool complete; /* the parser has read a complete request */
 	bool parsing;
 	bool close_after; /* close after this answer */
@@ -38,7 +45,9 @@
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	uv_timer_t sweep;
+	uv_timer_t shed; /* due when slow readers have to be closed */
 	dff_h1d_limits_t limits;
+	h1_guard_t guard;
 	dff_h1d_handlers_t handlers;
 	void *arg;
 	GQueue conns;
@@ -61,6 +70,7 @@
 } write_req_t;
 
 static void parse_input(conn_t *conn);
+static void charge(conn_t *conn);
 
 static void
 free_when_empty(dff_h1d_t *h1d)
@@ -92,6 +102,7 @@
 		return;
 	conn->closing = true;
 	conn->req = NULL;
+	h1_guard_leave(&conn->h1d->guard, &conn->holder);
 	/* An end in order would complete an answer that was broken off. */
 	if (!conn->ends_answer ||
 	    uv_tcp_close_reset(&conn->tcp, on_conn_closed) != 0)
@@ -105,6 +116,23 @@
 
 /* ---- writing ---- */
 
+static void on_shed(uv_timer_t *timer);
+
+/* Accounts for what the caller has not read. The relay may be in a step, so
+ * that connections are closed later. */
+static void
+note_unsent(conn_t *conn)
+{
+	dff_h1d_t *h1d = conn->h1d;
+
+	h1_guard_hold(
+	    &h1d->guard, &conn->holder, DFF_ACCOUNT_ANSWERS, conn->unsent);
+	if ((conn->unsent > h1d->limits.unread_max ||
+		h1_guard_answers_press(&h1d->guard)) &&
+	    !h1d->dropped && !uv_is_active((uv_handle_t *)&h1d->shed))
+		(void)uv_timer_start(&h1d->shed, on_shed, 0, 0);
+}
+
 static void
 on_written(uv_write_t *super, int status)
 {
@@ -116,9 +144,12 @@
 	g_free(write);
 	if (conn->closing)
 		return;
+	note_unsent(conn);
 	if (status < 0 ||
 	    (conn->close_after && conn->req == NULL && conn->unsent == 0))
 		close_conn(conn);
+	else if (conn->req == NULL && !conn->parsing)
+		parse_input(conn);
 }
 
 static void
@@ -148,6 +179,7 @@
 		g_free(write);
 		conn->close_after = true;
 	}
+	note_unsent(conn);
 }
 
 static bool
@@ -212,6 +244,18 @@
 	send_bytes(conn, bytes);
 }
 
+/* Prepare for the next request; keep no large buffer for it. */
+static void
+reset_request(conn_t *conn)
+{
+	h1_reader_reset(&conn->reader);
+	h1_guard_clear(&conn->body, conn->body->len);
+	conn->complete = false;
+	conn->head_done = false;
+	conn->head_late = false;
+	conn->head_since = 0;
+}
+
 /* End a request: close the connection or parse the next request. */
 static void
 finish_req(dff_h1d_req_t *req)
@@ -219,16 +263,16 @@
 	conn_t *conn = req->conn;
 
 	conn->req = NULL;
+	conn->holder.passed_on = conn->unsent > 0;
 	g_free(req);
 	conn->idle_since = uv_now(conn->h1d->loop);
+	reset_request(conn);
+	charge(conn);
 	if (conn->close_after) {
 		if (conn->unsent == 0)
 			close_conn(conn);
 		return;
 	}
-	h1_reader_reset(&conn->reader);
-	g_byte_array_set_size(conn->body, 0);
-	conn->complete = false;
 	if (conn->input->len > 0 && !conn->parsing)
 		parse_input(conn);
 }
@@ -298,6 +342,7 @@
 	conn_t *conn = conn_of(parser);
 	const char *expect = dff_h1_field(&conn->reader.head, "expect");
 
+	conn->head_done = true;
 	conn->reader.head.method =
 	    g_strdup(http_method_str((enum http_method)parser->method));
 	if (parser->content_length != ULLONG_MAX &&
@@ -344,21 +389,60 @@
     .on_message_complete = on_message,
 };
 
+/* Answer a request that was not passed on; its connection ends with it. */
 static void
-reject_request(conn_t *conn)
+refuse(conn_t *conn, int status)
 {
-	int status = conn->error_status != 0 ? conn->error_status : 400;
 	dff_h1d_req_t *req = g_new0(dff_h1d_req_t, 1);
 
-	dff_log(conn->h1d->ctx, DFF_LOG_INFO, "front",
-	    "request refused before routing status=%d parser=%s", status,
-	    http_errno_name(HTTP_PARSER_ERRNO(&conn->reader.parser)));
 	req->conn = conn;
 	conn->req = req;
 	conn->close_after = true;
 	dff_h1d_answer(req, status, "", "", 0);
 }
 
+static void
+reject_request(conn_t *conn)
+{
+	int status = conn->error_status != 0 ? conn->error_status : 400;
+
+	dff_log(conn->h1d->ctx, DFF_LOG_INFO, "front",
+	    "request refused before routing status=%d parser=%s", status,
+	    http_errno_name(HTTP_PARSER_ERRNO(&conn->reader.parser)));
+	refuse(conn, status);
+}
+
+/* Close a connection whose request was not passed on. */
+static void
+evict(conn_t *conn, dff_account_count_t why)
+{
+	h1_guard_count(&conn->h1d->guard, why);
+	if (conn->head_since != 0 && conn->unsent == 0 && !conn->close_after)
+		refuse(conn, why == DFF_ACCOUNT_SLOW_HEADS ? 408 : 503);
+	close_conn(conn);
+	/* Its handle is freed only at the end of the loop's iteration. */
+	h1_guard_clear(&conn->body, SIZE_MAX);
+	h1_guard_clear(&conn->input, SIZE_MAX);
+}
+
+/* Account for the bytes of a request; refuse others, or this one, if there are
+ * too many. */
+static void
+charge(conn_t *conn)
+{
+	h1_guard_t *guard = &conn->h1d->guard;
+	dff_holder_t *victim;
+
+	if (conn->closing || guard->account == NULL ||
+	    DFF_FAULT(CROWD_UNBOUNDED_REQUESTS))
+		return;
+	h1_guard_hold(guard, &conn->holder, DFF_ACCOUNT_REQUESTS,
+	    h1_guard_cost(
+		&conn->reader, conn->body, conn->input, conn->complete));
+	while ((victim = dff_account_unfinished(guard->account)) != NULL)
+		evict(victim->owner, DFF_ACCOUNT_REFUSED_BYTES);
+}
+
 static void
 take_request(conn_t *conn)
 {
@@ -366,6 +450,7 @@
 
 	req->conn = conn;
 	conn->req = req;
+	conn->holder.passed_on = true;
 	conn->h1d->handlers.request(conn->h1d->arg, req);
 }
 
@@ -373,15 +458,23 @@
 parse_input(conn_t *conn)
 {
 	http_parser *parser = &conn->reader.parser;
+	size_t before = conn->input->len;
 	size_t used;
 
 	conn->parsing = true;
 	while (!conn->closing && !conn->close_after && conn->req == NULL &&
+	    (conn->unsent <= UNSENT_MAX || DFF_FAULT(CROWD_ANSWERS_AHEAD)) &&
 	    conn->input->len > 0) {
+		if (conn->head_since == 0)
+			conn->head_since = MAX(uv_now(conn->h1d->loop), 1);
 		http_parser_pause(parser, 0);
 		used = http_parser_execute(parser, &parser_settings,
 		    (const char *)conn->input->data, conn->input->len);
 		g_byte_array_remove_range(conn->input, 0, (guint)used);
+		if (HTTP_PARSER_ERRNO(parser) == HPE_OK || conn->complete)
+			charge(conn);
+		if (conn->closing)
+			break;
 		if (conn->complete) {
 			take_request(conn);
 			continue;
@@ -391,23 +484,34 @@
 			break;
 		}
 	}
+	if (conn->input->len == 0)
+		h1_guard_clear(&conn->input, before);
 	conn->parsing = false;
 }
 
+static void
+take_bytes(conn_t *conn, const char *bytes, size_t len)
+{
+	/* Nothing is read after the last answer. */
+	if (conn->close_after && conn->req == NULL)
+		return;
+	g_byte_array_append(conn->input, (const guint8 *)bytes, (guint)len);
+	conn->idle_since = uv_now(conn->h1d->loop);
+	h1_guard_active(&conn->h1d->guard, &conn->holder);
+	if (conn->req == NULL)
+		parse_input(conn);
+	if (!conn->closing && conn->input->len > PIPELINED_MAX)
+		close_conn(conn);
+	charge(conn);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
 	conn_t *conn = (conn_t *)stream;
 
-	if (got > 0 && !conn->closing) {
-		g_byte_array_append(
-		    conn->input, (const guint8 *)buf->base, (guint)got);
-		conn->idle_since = uv_now(conn->h1d->loop);
-		if (conn->req == NULL)
-			parse_input(conn);
-		else if (conn->input->len > PIPELINED_MAX)
-			close_conn(conn);
-	}
+	if (got > 0 && !conn->closing)
+		take_bytes(conn, buf->base, (size_t)got);
 	g_free(buf->base);
 	if (got < 0)
 		close_conn(conn);
@@ -415,6 +519,23 @@
 
 /* ---- server ---- */
 
+/* Make room for a new connection, or close it again. */
+static void
+enter_account(conn_t *conn)
+{
+	h1_guard_t *guard = &conn->h1d->guard;
+	dff_holder_t *victim;
+
+	if (guard->account == NULL)
+		return;
+	conn->holder.owner = conn;
+	dff_account_enter(
+	    guard->account, &conn->holder, h1_guard_client(&conn->tcp));
+	while ((victim = dff_account_surplus(guard->account)) != NULL &&
+	    !DFF_FAULT(CROWD_UNBOUNDED_CONNECTIONS))
+		evict(victim->owner, DFF_ACCOUNT_REFUSED_CONNECTIONS);
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -442,8 +563,49 @@
 		return;
 	}
 	dff_tcp_set_options(&conn->tcp, UNACKED_MSEC);
-	if (uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read) != 0)
+	enter_account(conn);
+	if (!conn->closing &&
+	    uv_read_start((uv_stream_t *)&conn->tcp, h1_alloc, on_read) != 0)
+		close_conn(conn);
+}
+
+static bool
+reads_too_slowly(const conn_t *conn)
+{
+	return conn->unsent > conn->h1d->limits.unread_max;
+}
+
+static void
+on_shed(uv_timer_t *timer)
+{
+	dff_h1d_t *h1d = timer->data;
+	dff_holder_t *victim;
+
+	for (GList *link = h1d->conns.head; link != NULL; link = link->next) {
+		conn_t *conn = link->data;
+
+		if (conn->closing || !reads_too_slowly(conn))
+			continue;
+		h1_guard_count(&h1d->guard, DFF_ACCOUNT_SLOW_READERS);
 		close_conn(conn);
+	}
+	while ((victim = h1_guard_slow_reader(&h1d->guard)) != NULL) {
+		h1_guard_count(&h1d->guard, DFF_ACCOUNT_SLOW_READERS);
+		close_conn(victim->owner);
+	}
+}
+
+/* Whether a head is late; a process that was paused reads its sockets between
+ * two sweeps. */
+static bool
+head_is_late(conn_t *conn, uint64_t now)
+{
+	uint64_t limit = conn->h1d->guard.head_ms;
+	bool late_before = conn->head_late;
+
+	conn->head_late = limit > 0 && conn->req == NULL && !conn->head_done &&
+	    conn->head_since != 0 && now - conn->head_since > limit;
+	return conn->head_late && late_before;
 }
 
 static void
@@ -458,11 +620,16 @@
 		conn_t *conn = link->data;
 
 		next = link->next;
-		if (conn->req != NULL && conn->unsent > h1d->limits.unread_max)
+		if (conn->closing)
+			continue;
+		if (reads_too_slowly(conn))
 			close_conn(conn);
+		else if (head_is_late(conn, now))
+			evict(conn, DFF_ACCOUNT_SLOW_HEADS);
 		else if (conn->req == NULL && now - conn->idle_since > limit)
 			close_conn(conn);
 	}
+	h1_guard_log(&h1d->guard, h1d->ctx, now);
 }
 
 static void
@@ -492,12 +659,14 @@
 	h1d->limits = *limits;
 	h1d->handlers = *handlers;
 	h1d->arg = arg;
-	h1d->handles = 2;
+	h1d->handles = 3;
 	h1d->listener.data = h1d;
 	h1d->sweep.data = h1d;
+	h1d->shed.data = h1d;
 	g_queue_init(&h1d->conns);
 	(void)uv_tcp_init(loop, &h1d->listener);
 	(void)uv_timer_init(loop, &h1d->sweep);
+	(void)uv_timer_init(loop, &h1d->shed);
 	err = uv_tcp_bind(&h1d->listener, (const struct sockaddr *)&sa, 0);
 	if (err == 0)
 		err = uv_listen(
@@ -517,6 +686,13 @@
 	h1d->limits = *limits;
 }
 
+void
+dff_h1d_set_guard(dff_h1d_t *h1d, const dff_h1d_guard_t *guard)
+{
+	h1d->guard.account = guard->account;
+	h1d->guard.head_ms = (uint64_t)(guard->head_time / DFF_MSEC);
+}
+
 void
 dff_h1d_drain(dff_h1d_t *h1d)
 {
@@ -531,6 +707,7 @@
 	h1d->dropped = true;
 	uv_close((uv_handle_t *)&h1d->listener, on_handle_closed);
 	uv_close((uv_handle_t *)&h1d->sweep, on_handle_closed);
+	uv_close((uv_handle_t *)&h1d->shed, on_handle_closed);
 	for (GList *link = h1d->conns.head; link != NULL; link = link->next)
 		close_conn(link->data);
 }
--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -13,8 +13,13 @@
 #define HEAD_MAX  ((size_t)16384)
 #define BODY_MAX  ((size_t)4 << 20)
 #define IDLE_TIME (15 * DFF_SEC)
+#define HEAD_TIME (10 * DFF_SEC)
 /* Size of the fields that a peer adds to a caller's request. */
 #define PEER_FIELDS_MAX ((size_t)512)
+/* Bytes held for each class of health checks' bytes, and the part of the kept
+ * sockets that they may take. */
+#define HEALTH_BYTES   ((size_t)256 << 10)
+#define HEALTH_DIVISOR 4
 /* Time between checks whether a stop is complete. */
 #define DRAIN_POLL_MSEC 50
 
@@ -75,7 +80,10 @@
 forward_data(dff_relay_host_t *host, const dff_relay_forward_t *forward)
 {
 	dff_h1d_req_t *req = find_req(host, forward->call);
+	host_send_t *send = g_hash_table_lookup(host->sends, &forward->send);
 
+	if (send != NULL)
+		host_hold(send, -(int64_t)MIN(send->held, forward->len));
 	if (req != NULL)
 		dff_h1d_write(req, forward->bytes, forward->len);
 }
@@ -290,6 +298,36 @@
 	    (uint64_t)((left + DFF_MSEC - 1) / DFF_MSEC), 0);
 }
 
+/* Bounds what is held for callers by the machine; a part of the sockets is
+ * kept for health checks. */
+static void
+apply_machine(dff_relay_host_t *host)
+{
+	const dff_account_limits_t limits =
+	    dff_account_limits(host->config.memory, host->config.sockets);
+	dff_account_limits_t health = {
+	    .connections =
+		dff_account_kept(host->config.sockets) / HEALTH_DIVISOR};
+
+	for (int i = 0; i < DFF_ACCOUNT_CLASSES; i++)
+		health.bytes[i] = MIN(limits.bytes[i], HEALTH_BYTES);
+	dff_account_set_limits(host->account, &limits);
+	dff_account_set_limits(host->health_account, &health);
+	/* Each caller's connection needs one to an upstream at most. */
+	dff_h1c_set_connections(host->client, limits.connections);
+}
+
+static void
+set_guards(dff_relay_host_t *host, dff_time_t head_time)
+{
+	dff_h1d_guard_t guard = {host->account, head_time};
+
+	dff_h1d_set_guard(host->front, &guard);
+	dff_h1d_set_guard(host->peer_front, &guard);
+	guard.account = host->health_account;
+	dff_h1d_set_guard(host->health, &guard);
+}
+
 /* Applies the limits of the routing in force to callers' requests. */
 static void
 apply_limits(dff_relay_host_t *host)
@@ -305,6 +343,7 @@
 	dff_h1d_set_limits(host->front, &limits);
 	limits.head_max += PEER_FIELDS_MAX;
 	dff_h1d_set_limits(host->peer_front, &limits);
+	set_guards(host, routing->head_time);
 }
 
 void
@@ -364,6 +403,8 @@
 	if (err == 0)
 		err = dff_h1d_new(host->ctx, host->loop, host->config.health,
 		    &limits, &health, host, &host->health);
+	if (err == 0)
+		set_guards(host, HEAD_TIME);
 	return err;
 }
 
@@ -372,6 +413,7 @@
     const dff_relay_host_config_t *config, const dff_wire_t *wire,
     dff_relay_host_t **out)
 {
+	static const dff_account_limits_t no_limits = {{0}, 0};
 	dff_relay_host_t *host = g_new0(dff_relay_host_t, 1);
 	int err;
 
@@ -382,6 +424,9 @@
 	host->wire = *wire;
 	host->relay = dff_relay_new(ctx, &config->relay);
 	host->client = dff_h1c_new(ctx, loop);
+	host->account = dff_account_new(&no_limits);
+	host->health_account = dff_account_new(&no_limits);
+	apply_machine(host);
 	host->calls =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	host->sends = g_hash_table_new_full(
@@ -423,6 +468,8 @@
 	dff_relay_drop(host->relay);
 	g_hash_table_unref(host->calls);
 	g_hash_table_unref(host->sends);
+	dff_account_drop(host->account);
+	dff_account_drop(host->health_account);
 	g_array_unref(host->outbox);
 	uv_close((uv_handle_t *)&host->udp, on_handle_closed);
 	uv_close((uv_handle_t *)&host->timer, on_handle_closed);
@@ -468,6 +515,12 @@
 	return host->client;
 }
 
+const dff_account_t *
+dff_relay_host_account(const dff_relay_host_t *host)
+{
+	return host->account;
+}
+
 /*
  * Callers' connections stay open until the end, since a request may be in
  * transit on any of them.
@@ -512,5 +565,8 @@
 {
 	host->config.drain_min = config->drain_min;
 	host->config.drain_max = config->drain_max;
+	host->config.memory = config->memory;
+	host->config.sockets = config->sockets;
+	apply_machine(host);
 	dff_relay_set_config(host->relay, &config->relay);
 }
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -16,6 +16,8 @@
 	dff_h1d_t *front;
 	dff_h1d_t *peer_front; /* requests that peers pass on */
 	dff_h1d_t *health;
+	dff_account_t *account; /* of @front and @peer_front */
+	dff_account_t *health_account;
 	uv_udp_t udp;
 	uv_timer_t timer;
 	uv_timer_t drain;
@@ -58,6 +60,7 @@
 	GString *fields; /* forwarded header fields of the answer */
 	int64_t length; /* of the answer's body, -1 if unknown */
 	GByteArray *body; /* of a prefill's answer */
+	size_t held; /* bytes in the account that were not forwarded */
 	bool probed_after_end; /* it has ended and is kept until its upstream
 				* was probed */
 } host_send_t;
@@ -82,6 +85,10 @@
 /** host_unqueue_send() - remove a queued send; false if it was started */
 bool host_unqueue_send(dff_relay_host_t *host, uint64_t number);
 
+/** host_hold() - account for bytes of an answer that are kept until it is
+ *	whole; negative to release */
+void host_hold(host_send_t *send, int64_t bytes);
+
 /** host_free_send() - free a host_send_t */
 void host_free_send(void *data);
 
--- a/source/net/relay_host_sends.c
+++ b/source/net/relay_host_sends.c
@@ -17,11 +17,19 @@
 /* Largest list of cached parts: some thousand of about 50 bytes. */
 #define CACHE_LIST_MAX (1u << 20)
 
+void
+host_hold(host_send_t *send, int64_t bytes)
+{
+	send->held += (size_t)bytes;
+	dff_account_add(send->host->account, DFF_ACCOUNT_ANSWERS, bytes);
+}
+
 void
 host_free_send(void *data)
 {
 	host_send_t *send = data;
 
+	host_hold(send, -(int64_t)send->held);
 	if (send->fields != NULL)
 		(void)g_string_free(send->fields, TRUE);
 	if (send->body != NULL)
@@ -84,6 +92,7 @@
 on_send_data(void *arg, const char *data, size_t len)
 {
 	host_send_t *send = arg;
+	const dff_account_t *account = send->host->account;
 	dff_relay_event_t event = {.type = DFF_RELAY_DATA};
 
 	if (send->stage == DFF_STAGE_PREFILL) {
@@ -94,6 +103,9 @@
 	event.data.send = send->number;
 	event.data.bytes = data;
 	event.data.len = len;
+	event.data.no_room =
+	    !dff_account_has_room(account, DFF_ACCOUNT_ANSWERS, len);
+	host_hold(send, (int64_t)len);
 	dff_relay_host_feed(send->host, &event);
 }
 
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -343,10 +343,10 @@
 		receive_stream(step, call, up, data);
 		return;
 	}
-	if (call->buffered->len + data->len > BUFFERED_MAX) {
+	if (call->buffered->len + data->len > BUFFERED_MAX || data->no_room) {
 		call->progress = MAX(call->progress, DFF_PROGRESS_MAY_HAVE_RUN);
-		relay_call_give_up(
-		    step, call, DFF_FAILURE_UPSTREAM, 0, "too_large");
+		relay_call_give_up(step, call, DFF_FAILURE_UPSTREAM, 0,
+		    data->no_room ? "no_room" : "too_large");
 		return;
 	}
 	g_byte_array_append(
--- a/source/relay/routing.c
+++ b/source/relay/routing.c
@@ -9,6 +9,7 @@
 #define HEAD_DEFAULT	       16384
 #define BODY_DEFAULT	       ((size_t)4 << 20)
 #define IDLE_DEFAULT	       (15 * DFF_SEC)
+#define HEAD_TIME_DEFAULT      (10 * DFF_SEC)
 
 static void
 free_route(void *data)
@@ -32,6 +33,7 @@
 	routing->head_max = HEAD_DEFAULT;
 	routing->body_max = BODY_DEFAULT;
 	routing->idle_time = IDLE_DEFAULT;
+	routing->head_time = HEAD_TIME_DEFAULT;
 	routing->refs = 1;
 	return routing;
 }
