front: a rest that is not sent holds no memory of what was sent

Cause: after a partial write the rest of an answer kept the buffer of the whole answer, so that the account counted 7.5 MB where 40 MB were held (40 callers of 1 MB answers that read nothing).

Change: the rest is copied into a buffer of its own.

--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -152,6 +152,17 @@
 		parse_input(conn);
 }
 
+/* The part that was not sent, without the memory of the part that was. */
+static GString *
+copy_rest(GString *bytes, size_t sent)
+{
+	GString *rest =
+	    g_string_new_len(bytes->str + sent, (gssize)(bytes->len - sent));
+
+	(void)g_string_free(bytes, TRUE);
+	return rest;
+}
+
 static void
 send_bytes(conn_t *conn, GString *bytes)
 {
@@ -166,7 +177,7 @@
 		return;
 	}
 	if (sent > 0)
-		g_string_erase(bytes, 0, sent);
+		bytes = copy_rest(bytes, (size_t)sent);
 	write = g_new0(write_req_t, 1);
 	write->conn = conn;
 	write->bytes = bytes;
