fuzz: the server beyond its account

Change: test_process_h1_fuzz sends corrupted and sound parts of requests on 64 sockets to a server with an account of 2 KiB and 8 connections and a head time of 20 ms: connections and bytes stay within it, both kinds of refusal happen, and an ordinary request is answered afterwards.

--- a/test/test_process_h1_fuzz.c
+++ b/test/test_process_h1_fuzz.c
@@ -156,6 +156,93 @@
 }
 END_TEST
 
+/* Sockets with unfinished, pipelined or unread requests, beyond the limits of
+ * the account. */
+#define CROWD	    64
+#define CROWD_STEP  512
+#define CROWD_OPEN  8
+#define CROWD_BYTES 2048
+
+static void
+crowd_step(int *fd, const struct sockaddr_in *sa)
+{
+	static const char *const heads[] = {
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n",
+	    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "1\r\na\r\n2\r\nbc\r\n",
+	    "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n\r\nGET",
+	    "GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\nd:\r\ne:\r\nf:\r\n"};
+	char got[CROWD_STEP];
+	const char *text;
+
+	if (*fd < 0) {
+		*fd = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(
+		    connect(*fd, (const struct sockaddr *)sa, sizeof(*sa)), 0);
+	}
+	text = heads[g_rand_int_range(dice, 0, G_N_ELEMENTS(heads))];
+	if (g_rand_boolean(dice))
+		spoil(text);
+	else {
+		g_byte_array_set_size(message, 0);
+		g_byte_array_append(
+		    message, (const guint8 *)text, (guint)strlen(text));
+	}
+	(void)send(
+	    *fd, message->data, message->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (g_rand_boolean(dice))
+		(void)recv(*fd, got, sizeof(got), MSG_DONTWAIT);
+	if (g_rand_int_range(dice, 0, 8) != 0)
+		return;
+	(void)close(*fd);
+	*fd = -1;
+}
+
+START_TEST(server_survives_a_crowd_beyond_its_account)
+{
+	static const dff_h1d_handlers_t handlers = {.request = on_request};
+	static const char good[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+	const dff_h1d_limits_t limits = {1024, 1000, 4096, 10 * DFF_SEC};
+	const dff_account_limits_t few = {{CROWD_BYTES, 8192}, CROWD_OPEN};
+	dff_h1d_guard_t guard = {dff_account_new(&few), 20 * DFF_MSEC};
+	GString *back = g_string_new(NULL);
+	struct sockaddr_in sa;
+	dff_h1d_t *server;
+	int fds[CROWD];
+
+	(void)uv_ip4_addr("127.0.0.1", SERVER_PORT, &sa);
+	ck_assert_int_eq(dff_h1d_new(ctx, &loop, SERVER_ADDR, &limits,
+			     &handlers, NULL, &server),
+	    0);
+	dff_h1d_set_guard(server, &guard);
+	memset(fds, -1, sizeof(fds));
+	for (int i = 0; i < 4 * RUNS; i++) {
+		crowd_step(&fds[g_rand_int_range(dice, 0, CROWD)], &sa);
+		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		ck_assert_int_le(
+		    dff_account_connections(guard.account), CROWD_OPEN);
+		ck_assert_uint_le(
+		    dff_account_held(guard.account, DFF_ACCOUNT_REQUESTS),
+		    CROWD_BYTES);
+	}
+	talk(good, sizeof(good) - 1, 5 * DFF_SEC, back);
+	ck_assert_msg(
+	    g_str_has_prefix(back->str, "HTTP/1.1 200 "), "%s", back->str);
+	ck_assert_uint_gt(
+	    dff_account_counted(guard.account, DFF_ACCOUNT_REFUSED_CONNECTIONS),
+	    0);
+	ck_assert_uint_gt(
+	    dff_account_counted(guard.account, DFF_ACCOUNT_REFUSED_BYTES), 0);
+	for (int i = 0; i < CROWD; i++) {
+		if (fds[i] >= 0)
+			(void)close(fds[i]);
+	}
+	(void)g_string_free(back, TRUE);
+	dff_h1d_drop(server);
+	dff_account_drop(guard.account);
+}
+END_TEST
+
 /* ---- the client ---- */
 
 static uv_tcp_t listener;
@@ -290,6 +377,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, server_survives_corrupted_requests);
+	tcase_add_test(tcase, server_survives_a_crowd_beyond_its_account);
 	tcase_add_test(tcase, client_survives_corrupted_answers);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
