--- a/source/net/h1_server.c
+++ b/source/net/h1_server.c
@@ -614,8 +614,9 @@
 	uint64_t limit = conn->h1d->guard.head_ms;
 	bool late_before = conn->head_late;
 
-	conn->head_late = limit > 0 && conn->req == NULL && !conn->head_done &&
-	    conn->head_since != 0 && now - conn->head_since > limit;
+	conn->head_late = limit > 0 && conn->req == NULL && conn->unsent == 0 &&
+	    !conn->head_done && conn->head_since != 0 &&
+	    now - conn->head_since > limit;
 	return conn->head_late && late_before;
 }
 
