--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -438,6 +438,21 @@
 	bool accepted;
 } dff_relay_stored_t;
 
+/** enum dff_order_result - the platform's answer to an order of upstreams */
+typedef enum dff_order_result {
+	DFF_ORDERED_ACCEPTED,
+	DFF_ORDERED_NONE_AVAILABLE, /* none of that kind is to be had there now */
+	DFF_ORDERED_TOO_MANY, /* too many calls to the platform */
+	DFF_ORDERED_UNANSWERED, /* it may be carried out, also later */
+	DFF_ORDERED_REJECTED, /* for another reason; not carried out */
+} dff_order_result_t;
+
+/** struct dff_relay_ordered - the result of a DFF_RELAY_FX_ORDER_UPSTREAMS */
+typedef struct dff_relay_ordered {
+	uint64_t order; /* of the effect */
+	dff_order_result_t result;
+} dff_relay_ordered_t;
+
 /** enum dff_relay_event_type - tag of struct dff_relay_event */
 typedef enum dff_relay_event_type {
 	DFF_RELAY_WAKE, /* timers are due; all events that arrived before
@@ -460,6 +475,8 @@
 	DFF_RELAY_ORIGINS_LOST, /* the store may have lost origins and does not
 				 * return those that it had before */
 	DFF_RELAY_ORIGINS_STORED, /* DFF_RELAY_FX_STORE_ORIGINS has ended */
+	DFF_RELAY_UPSTREAMS_ORDERED, /* DFF_RELAY_FX_ORDER_UPSTREAMS has
+				      * ended */
 	DFF_RELAY_STOP, /* the process is asked to stop */
 } dff_relay_event_type_t;
 
@@ -503,6 +520,7 @@
 		dff_crash_report_t crash_report;
 		dff_relay_origins_t origins;
 		dff_relay_stored_t stored;
+		dff_relay_ordered_t ordered;
 	};
 } dff_relay_event_t;
 
@@ -619,6 +637,24 @@
 	char addr[DFF_ADDR_MAX]; /* where the peer serves records */
 } dff_relay_fetch_t;
 
+/**
+ * struct dff_relay_order - order a number of upstreams from the platform
+ * @order: number of this order
+ * @pool: pool
+ * @domain: failure domain
+ * @count: upstreams of that kind that there are to be
+ * @reclaimable: of the kind that may be reclaimed
+ * @token: fencing token of the duty
+ */
+typedef struct dff_relay_order {
+	uint64_t order;
+	char pool[DFF_NAME_MAX];
+	char domain[DFF_NAME_MAX];
+	uint32_t count;
+	bool reclaimable;
+	uint64_t token;
+} dff_relay_order_t;
+
 /** enum dff_relay_effect_type - tag of struct dff_relay_effect */
 typedef enum dff_relay_effect_type {
 	DFF_RELAY_FX_SEND, /* deliver all events that have arrived, then
@@ -642,6 +678,8 @@
 	DFF_RELAY_FX_CLOSE_IDLE, /* close idle connections to an upstream */
 	DFF_RELAY_FX_FRAME,
 	DFF_RELAY_FX_FETCH, /* fetch a feed's records from a peer */
+	DFF_RELAY_FX_ORDER_UPSTREAMS, /* order upstreams and deliver
+				       * DFF_RELAY_UPSTREAMS_ORDERED */
 } dff_relay_effect_type_t;
 
 /** struct dff_relay_effect - one effect */
@@ -663,6 +701,7 @@
 		dff_relay_fetch_t fetch;
 		dff_relay_origins_t origins; /* DFF_RELAY_FX_STORE_ORIGINS,
 					      * until the next step */
+		dff_relay_order_t order;
 	};
 } dff_relay_effect_t;
 
@@ -692,6 +731,8 @@
  *	nodes that are cut off
  * @revoke_time: time from the store's answer to a configuration after which
  *	the keys that it removes do not count
+ * @orders_upstreams: ordering upstreams of pools with dff_pool_t.scaling is a
+ *	duty of the nodes
  */
 typedef struct dff_relay_config {
 	char id[DFF_NAME_MAX];
@@ -711,6 +752,7 @@
 	dff_time_t config_time;
 	bool revoke_strictly;
 	dff_time_t revoke_time;
+	bool orders_upstreams;
 } dff_relay_config_t;
 
 /** dff_relay_defaults() - set the defaults, which suit a small fleet */
--- a/include/dragonflyfall/relay_host.h
+++ b/include/dragonflyfall/relay_host.h
@@ -86,6 +86,11 @@
 void dff_relay_host_on_fetch(dff_relay_host_t *host,
     void (*fetch)(void *arg, const dff_relay_fetch_t *fetch), void *arg);
 
+/** dff_relay_host_on_order() - set the handler that orders upstreams; its result
+ *	comes back as DFF_RELAY_UPSTREAMS_ORDERED */
+void dff_relay_host_on_order(dff_relay_host_t *host,
+    void (*order)(void *arg, const dff_relay_order_t *order), void *arg);
+
 /** dff_relay_host_on_store_crashes() - set the handler that stores
  *	crash reports for a fleet that restarts */
 void dff_relay_host_on_store_crashes(dff_relay_host_t *host,
--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -272,6 +272,10 @@
 		if (host->fetch != NULL)
 			host->fetch(host->fetch_arg, &fx->fetch);
 		break;
+	case DFF_RELAY_FX_ORDER_UPSTREAMS:
+		if (host->order != NULL)
+			host->order(host->order_arg, &fx->order);
+		break;
 	}
 }
 
@@ -439,6 +443,14 @@
 	host->fetch_arg = arg;
 }
 
+void
+dff_relay_host_on_order(dff_relay_host_t *host,
+    void (*order)(void *arg, const dff_relay_order_t *order), void *arg)
+{
+	host->order = order;
+	host->order_arg = arg;
+}
+
 void
 dff_relay_host_on_store_crashes(dff_relay_host_t *host,
     void (*store_crashes)(void *arg, const dff_crash_report_t *report),
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -33,6 +33,8 @@
 	void *done_arg;
 	void (*fetch)(void *arg, const dff_relay_fetch_t *fetch);
 	void *fetch_arg;
+	void (*order)(void *arg, const dff_relay_order_t *order);
+	void *order_arg;
 	void (*store_crashes)(void *arg, const dff_crash_report_t *report);
 	void *store_crashes_arg;
 	dff_relay_host_origins_t origins;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -384,6 +384,8 @@
 	case DFF_RELAY_ORIGINS_STORED:
 		origin_apply_stored(&step, &event->stored);
 		break;
+	case DFF_RELAY_UPSTREAMS_ORDERED:
+		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
 		break;
--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -534,6 +534,7 @@
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
 	case DFF_RELAY_FX_FETCH:
+	case DFF_RELAY_FX_ORDER_UPSTREAMS:
 		break;
 	}
 }
--- a/test/fake/relay_sim.c
+++ b/test/fake/relay_sim.c
@@ -392,6 +392,7 @@
 	case DFF_RELAY_FX_READ_ORIGINS:
 	case DFF_RELAY_FX_CLOSE_IDLE:
 	case DFF_RELAY_FX_FETCH:
+	case DFF_RELAY_FX_ORDER_UPSTREAMS:
 	case DFF_RELAY_FX_STORE_CRASHES:
 		break;
 	}
--- a/test/fake/stream_sim.c
+++ b/test/fake/stream_sim.c
@@ -664,6 +664,7 @@
 	case DFF_RELAY_FX_CLOSE_IDLE:
 	case DFF_RELAY_FX_FRAME:
 	case DFF_RELAY_FX_FETCH:
+	case DFF_RELAY_FX_ORDER_UPSTREAMS:
 		break;
 	}
 }
