--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -36,8 +36,8 @@
 #define MISSING_SHARE 0.1
 /* Share of a domain's upstreams that may fail without a new order. */
 #define FAILED_SHARE 0.1
-/* Part of the orders of a minute that orders for fewer upstreams may take. */
-#define DECREASES_MAX (SCALING_ORDERS_MAX / 2)
+/* Orders in a minute beyond which none asks for fewer: the rest is for more. */
+#define DECREASES_MAX (SCALING_ORDERS_MAX * 3 / 4)
 #define MINUTE	      (60 * DFF_SEC)
 
 /* Orders of one kind in one domain. */
