--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -495,6 +495,38 @@
 }
 END_TEST
 
+/* An older order, carried out late, takes away what a newer one brought. */
+START_TEST(an_older_order_carried_out_late_is_corrected)
+{
+	scaling_t *scaling = scaling_new();
+	scaling_view_t view = {.bounds = &bounds, .need = 60, .loaded = true};
+	scaling_order_t order;
+	dff_time_t now = START;
+
+	for (uint32_t d = 0; d < DOMAINS; d++)
+		scaling_view_domain(&view, bounds.prices[d].domain)
+		    ->listed[SCALING_RECLAIMABLE] = 20;
+	view.domains[1].listed[SCALING_RECLAIMABLE] = 10;
+	scaling_begin(scaling, &view, now);
+	for (; now < START + 12 * DFF_SEC; now += TICK)
+		scaling_observe(scaling, &view, now);
+	ck_assert(scaling_next_order(scaling, &view, now, &order));
+	ck_assert_str_eq(order.domain, "b");
+	ck_assert(scaling_note_result(
+	    scaling, order.number, DFF_ORDERED_ACCEPTED, now));
+	view.domains[1].listed[SCALING_RECLAIMABLE] = order.count;
+	now += BOOT;
+	scaling_observe(scaling, &view, now);
+	ck_assert(!scaling_next_order(scaling, &view, now, &order));
+	view.domains[1].listed[SCALING_RECLAIMABLE] = 10;
+	now += TICK;
+	scaling_observe(scaling, &view, now);
+	ck_assert(scaling_next_order(scaling, &view, now, &order));
+	ck_assert_str_eq(order.domain, "b");
+	scaling_drop(scaling);
+}
+END_TEST
+
 /* A holder that knows nothing of earlier orders or of the demand changes
  * nothing at first. */
 START_TEST(a_new_holder_begins_with_the_records)
@@ -566,6 +598,7 @@
 	tcase_add_test(tc, regular_ones_are_ordered_without_reclaimable_ones);
 	tcase_add_test(tc, lost_and_refused_calls_do_no_harm);
 	tcase_add_test(tc, an_unanswered_order_is_repeated_as_it_is);
+	tcase_add_test(tc, an_older_order_carried_out_late_is_corrected);
 	tcase_add_test(tc, a_new_holder_begins_with_the_records);
 	tcase_add_test(tc, a_silent_start_takes_nothing_away);
 	tcase_add_test(tc, an_idle_pool_shrinks_to_its_minimum);
