--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -51,6 +51,10 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_ORDERS,
+	COUNT_ORDERS_NONE_AVAILABLE,
+	COUNT_ORDERS_REJECTED,
+	COUNT_ORDERS_UNANSWERED,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -113,6 +117,9 @@
 /** typedef origins_t - origins of resumable streams: origin.h */
 typedef struct origins origins_t;
 
+/** typedef scalers_t - orders of upstreams: scaling_run.h */
+typedef struct scalers scalers_t;
+
 /** struct send - a request in flight at an upstream */
 typedef struct send {
 	uint64_t number; /* 0 for none */
@@ -215,6 +222,7 @@
 	suspects_t *suspects;
 	reach_t *reach;
 	origins_t *origins;
+	scalers_t *scalers;
 	GPtrArray *frames; /* GByteArray, those made in this step */
 	GPtrArray *batches; /* GArray of origins, likewise */
 	GByteArray *forward_buffer; /* of the last DFF_RELAY_FX_FORWARD_DATA */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,4 @@
-#include "relay/internal.h"
+#include "relay/scaling_run.h"
 
 static const char *const count_names[COUNT_COUNT] = {
     [COUNT_REQUESTS] = "requests",
@@ -40,6 +40,10 @@
     [COUNT_PERMITS_DENIED] = "permits_denied",
     [COUNT_PERMITS_UNANSWERED] = "permits_unanswered",
     [COUNT_REFUSED_LIMITED] = "refused_limited",
+    [COUNT_ORDERS] = "upstream_orders",
+    [COUNT_ORDERS_NONE_AVAILABLE] = "upstream_orders_none_available",
+    [COUNT_ORDERS_REJECTED] = "upstream_orders_rejected",
+    [COUNT_ORDERS_UNANSWERED] = "upstream_orders_unanswered",
     [COUNT_HEARTBEATS_IN] = "beats_in",
     [COUNT_HEARTBEATS_OUT] = "beats_out",
     [COUNT_HEARTBEATS_BAD] = "beats_bad",
@@ -84,5 +88,6 @@
 	    upstreams_count_listed(relay->upstreams),
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
+	scaling_add_metrics(relay, text);
 	return g_string_free(text, FALSE);
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -5,6 +5,7 @@
 #include "relay/coordinator.h"
 #include "relay/origin.h"
 #include "relay/reach.h"
+#include "relay/scaling_run.h"
 #include "relay/suspect.h"
 
 /* Defaults for a small fleet. */
@@ -72,6 +73,7 @@
 	relay->suspects = suspects_new();
 	relay->reach = reach_new();
 	relay->origins = origins_new();
+	relay->scalers = scalers_new();
 	relay->frames =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
 	relay->batches =
@@ -105,6 +107,7 @@
 	suspects_drop(relay->suspects);
 	reach_drop(relay->reach);
 	origins_drop(relay->origins);
+	scalers_drop(relay->scalers);
 	g_ptr_array_unref(relay->frames);
 	g_ptr_array_unref(relay->batches);
 	g_byte_array_unref(relay->forward_buffer);
@@ -127,6 +130,7 @@
 	relay->config.config_time = config->config_time;
 	relay->config.revoke_strictly = config->revoke_strictly;
 	relay->config.revoke_time = config->revoke_time;
+	relay->config.orders_upstreams = config->orders_upstreams;
 }
 
 void
@@ -269,6 +273,7 @@
 	coordinator_update_all(step);
 	frame_send_periodic(step);
 	share_budget(relay);
+	scaling_run(step);
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_HEARTBEAT, 0,
 	    step->now + peers_frame_interval(relay));
 }
@@ -395,6 +400,7 @@
 		origin_apply_stored(&step, &event->stored);
 		break;
 	case DFF_RELAY_UPSTREAMS_ORDERED:
+		scaling_receive_result(&step, &event->ordered);
 		break;
 	case DFF_RELAY_STOP:
 		relay->stop_at = now;
--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -102,11 +102,11 @@
 }
 
 scaling_t *
-scaling_new(void)
+scaling_new(uint64_t first_number)
 {
 	scaling_t *scaling = g_new0(scaling_t, 1);
 
-	scaling->next_number = 1;
+	scaling->next_number = first_number;
 	return scaling;
 }
 
@@ -146,17 +146,13 @@
 }
 
 void
-scaling_begin(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
+scaling_begin(scaling_t *scaling, const scaling_view_t *view)
 {
-	uint64_t next = scaling->next_number;
-
-	(void)now;
 	scaling->listed_first = 0;
 	for (uint32_t i = 0; i < view->domain_count; i++)
 		scaling->listed_first += total_of(view->domains[i].listed);
 	memset(scaling->domains, 0, sizeof(scaling->domains));
 	scaling->domain_count = 0;
-	scaling->next_number = next;
 	scaling->paused_until = 0;
 	scaling->decreased_at = 0;
 }
--- a/source/relay/scaling.h
+++ b/source/relay/scaling.h
@@ -97,16 +97,16 @@
 /** typedef scaling_t - orders and demand of one pool */
 typedef struct scaling scaling_t;
 
-/** scaling_new() - no demand and no orders are known; the caller drops it */
-scaling_t *scaling_new(void);
+/** scaling_new() - no demand and no orders are known; the caller drops it;
+ *	orders are numbered from @first_number */
+scaling_t *scaling_new(uint64_t first_number);
 
 /** scaling_drop() - free it */
 void scaling_drop(scaling_t *scaling);
 
 /** scaling_begin() - this node begins to decide: it starts from the upstreams
  *	that are listed, not from its own earlier orders */
-void scaling_begin(
-    scaling_t *scaling, const scaling_view_t *view, dff_time_t now);
+void scaling_begin(scaling_t *scaling, const scaling_view_t *view);
 
 /** scaling_observe() - add what is known at this moment; also on nodes that do
  *	not decide, so that they know the demand when they begin to */
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -115,7 +115,7 @@
 {
 	world_t *world = g_new0(world_t, 1);
 
-	world->scaling = scaling_new();
+	world->scaling = scaling_new(1);
 	world->servers = g_array_new(FALSE, FALSE, sizeof(server_t));
 	world->calls = g_array_new(FALSE, FALSE, sizeof(call_t));
 	world->rng = g_rand_new_with_seed(1);
@@ -309,7 +309,7 @@
 		run_calls(world);
 		view_world(world, &view);
 		if (world->now == START)
-			scaling_begin(world->scaling, &view, world->now);
+			scaling_begin(world->scaling, &view);
 		scaling_observe(world->scaling, &view, world->now);
 		while (scaling_next_order(
 		    world->scaling, &view, world->now, &order))
@@ -463,7 +463,7 @@
  * when another is sent. */
 START_TEST(an_unanswered_order_is_repeated_as_it_is)
 {
-	scaling_t *scaling = scaling_new();
+	scaling_t *scaling = scaling_new(1);
 	scaling_view_t view = {.bounds = &bounds, .need = 30, .loaded = true};
 	scaling_order_t first;
 	scaling_order_t again;
@@ -472,7 +472,7 @@
 	for (uint32_t d = 0; d < DOMAINS; d++)
 		scaling_view_domain(&view, bounds.prices[d].domain)
 		    ->listed[SCALING_RECLAIMABLE] = d == 0 ? 1 : 10;
-	scaling_begin(scaling, &view, now);
+	scaling_begin(scaling, &view);
 	for (; now < START + 12 * DFF_SEC; now += TICK)
 		scaling_observe(scaling, &view, now);
 	ck_assert(scaling_next_order(scaling, &view, now, &first));
@@ -498,7 +498,7 @@
 /* An older order, carried out late, takes away what a newer one brought. */
 START_TEST(an_older_order_carried_out_late_is_corrected)
 {
-	scaling_t *scaling = scaling_new();
+	scaling_t *scaling = scaling_new(1);
 	scaling_view_t view = {.bounds = &bounds, .need = 60, .loaded = true};
 	scaling_order_t order;
 	dff_time_t now = START;
@@ -507,7 +507,7 @@
 		scaling_view_domain(&view, bounds.prices[d].domain)
 		    ->listed[SCALING_RECLAIMABLE] = 20;
 	view.domains[1].listed[SCALING_RECLAIMABLE] = 10;
-	scaling_begin(scaling, &view, now);
+	scaling_begin(scaling, &view);
 	for (; now < START + 12 * DFF_SEC; now += TICK)
 		scaling_observe(scaling, &view, now);
 	ck_assert(scaling_next_order(scaling, &view, now, &order));
@@ -537,12 +537,12 @@
 	run_for(world, 60 * DFF_SEC);
 	before = count_serving(world);
 	scaling_drop(world->scaling);
-	world->scaling = scaling_new();
+	world->scaling = scaling_new(1);
 	{
 		scaling_view_t view;
 
 		view_world(world, &view);
-		scaling_begin(world->scaling, &view, world->now);
+		scaling_begin(world->scaling, &view);
 	}
 	world->orders = 0;
 	run_for(world, 8 * DFF_SEC);
