--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,6 @@
 #include "relay/scaling_run.h"
+#include "relay/duty.h"
+#include "relay/usage.h"
 
 static const char *const count_names[COUNT_COUNT] = {
     [COUNT_REQUESTS] = "requests",
@@ -89,5 +91,7 @@
 	    relay->routing != NULL ? (guint64)relay->routing->version : 0,
 	    (double)(now - relay->source_answered_at) / DFF_SEC);
 	scaling_add_metrics(relay, text);
+	duty_metrics(relay, now, text);
+	usage_metrics(relay, text);
 	return g_string_free(text, FALSE);
 }
