--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1627,6 +1627,51 @@
   assert(message->base.descriptor == &dff__relay_usage__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_reading__init
+                     (Dff__RelayReading         *message)
+{
+  static const Dff__RelayReading init_value = DFF__RELAY_READING__INIT;
+  *message = init_value;
+}
+size_t dff__relay_reading__get_packed_size
+                     (const Dff__RelayReading *message)
+{
+  assert(message->base.descriptor == &dff__relay_reading__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_reading__pack
+                     (const Dff__RelayReading *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_reading__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_reading__pack_to_buffer
+                     (const Dff__RelayReading *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_reading__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayReading *
+       dff__relay_reading__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayReading *)
+     protobuf_c_message_unpack (&dff__relay_reading__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_reading__free_unpacked
+                     (Dff__RelayReading *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_reading__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message)
 {
@@ -4970,7 +5015,58 @@
   (ProtobufCMessageInit) dff__relay_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[25] =
+static const ProtobufCFieldDescriptor dff__relay_reading__field_descriptors[2] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayReading, pool),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayReading, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_reading__field_indices_by_name[] = {
+  0,   /* field[0] = pool */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange dff__relay_reading__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor dff__relay_reading__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayReading",
+  "RelayReading",
+  "Dff__RelayReading",
+  "dff",
+  sizeof(Dff__RelayReading),
+  2,
+  dff__relay_reading__field_descriptors,
+  dff__relay_reading__field_indices_by_name,
+  1,  dff__relay_reading__number_ranges,
+  (ProtobufCMessageInit) dff__relay_reading__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[26] =
 {
   {
     "node",
@@ -5272,6 +5368,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reading",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_reading),
+    offsetof(Dff__RelayBeat, reading),
+    &dff__relay_reading__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
@@ -5290,6 +5398,7 @@
   0,   /* field[0] = node */
   20,   /* field[20] = nodes */
   18,   /* field[18] = permits */
+  25,   /* field[25] = reading */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
   8,   /* field[8] = source_age_ms */
@@ -5300,12 +5409,13 @@
   24,   /* field[24] = wall_ms */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[3 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
   { 28, 22 },
-  { 0, 25 }
+  { 33, 25 },
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5315,10 +5425,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  25,
+  26,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  3,  dff__relay_beat__number_ranges,
+  4,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Dff__RelayPermit Dff__RelayPermit;
 typedef struct Dff__RelayDuty Dff__RelayDuty;
 typedef struct Dff__RelayUsage Dff__RelayUsage;
+typedef struct Dff__RelayReading Dff__RelayReading;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -798,6 +799,24 @@
     , 0, 0, 0 }
 
 
+/*
+ * Prompt tokens that upstreams of a pool are to read for the sender, or for its
+ * domain, in a second.
+ */
+struct  Dff__RelayReading
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t pool;
+  uint32_t tokens;
+};
+#define DFF__RELAY_READING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_reading__descriptor) \
+    , 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -879,6 +898,11 @@
    */
   size_t n_usage;
   Dff__RelayUsage **usage;
+  /*
+   * where upstreams are ordered
+   */
+  size_t n_reading;
+  Dff__RelayReading **reading;
   /*
    * time of day of the sender, where usage is counted
    */
@@ -886,7 +910,7 @@
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1573,6 +1597,25 @@
 void   dff__relay_usage__free_unpacked
                      (Dff__RelayUsage *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayReading methods */
+void   dff__relay_reading__init
+                     (Dff__RelayReading         *message);
+size_t dff__relay_reading__get_packed_size
+                     (const Dff__RelayReading   *message);
+size_t dff__relay_reading__pack
+                     (const Dff__RelayReading   *message,
+                      uint8_t             *out);
+size_t dff__relay_reading__pack_to_buffer
+                     (const Dff__RelayReading   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayReading *
+       dff__relay_reading__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_reading__free_unpacked
+                     (Dff__RelayReading *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1702,6 +1745,9 @@
 typedef void (*Dff__RelayUsage_Closure)
                  (const Dff__RelayUsage *message,
                   void *closure_data);
+typedef void (*Dff__RelayReading_Closure)
+                 (const Dff__RelayReading *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1747,6 +1793,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_permit__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_duty__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_usage__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_reading__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -10,6 +10,7 @@
 
 #include "base/fault.h"
 #include "relay/duty.h"
+#include "relay/scaling_run.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/permit.h"
@@ -216,6 +217,7 @@
 		peer->cut_off = frame->cut_off;
 		duty_receive_frame(step, peer, frame);
 		usage_receive_frame(step, peer, frame);
+		scaling_receive_frame(peer, frame);
 		apply_marks(step, peer, frame);
 	}
 	if (!frame->summary) {
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -8,6 +8,7 @@
 
 #include "base/fault.h"
 #include "relay/duty.h"
+#include "relay/scaling_run.h"
 #include "relay/reach.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
@@ -65,6 +66,8 @@
 	Dff__RelayLimit *limit_rows[LIMIT_ROWS_MAX];
 	char node[2 * DFF_NAME_MAX];
 	Dff__RelayDuty duty;
+	Dff__RelayReading readings[PEER_READINGS_MAX];
+	Dff__RelayReading *reading_rows[PEER_READINGS_MAX];
 	Dff__RelayUsage usage[USAGE_ROWS_MAX];
 	Dff__RelayUsage *usage_rows[USAGE_ROWS_MAX];
 } draft_t;
@@ -238,6 +241,9 @@
 	    limit_list(relay, false, full, draft->limits, step->now);
 	duty_fill_frame(step, &draft->frame, &draft->duty);
 	usage_fill_frame(step, &draft->frame, draft->usage, draft->usage_rows);
+	draft->frame.reading = draft->reading_rows;
+	draft->frame.n_reading = scaling_fill_frame(
+	    step, false, draft->readings, draft->reading_rows);
 	draft->frame.unreachable = draft->unreachable;
 	draft->frame.n_unreachable =
 	    unreachable_list(relay, draft->unreachable, step->now);
@@ -302,6 +308,9 @@
 	    notice_list(relay, NOTICE_ORIGIN_PEER, draft->notices, step->now);
 	draft->frame.leader = relay->config.addr;
 	duty_fill_frame(step, &draft->frame, &draft->duty);
+	draft->frame.reading = draft->reading_rows;
+	draft->frame.n_reading = scaling_fill_frame(
+	    step, true, draft->readings, draft->reading_rows);
 	draft->frame.n_limits =
 	    limit_list(relay, true, all_limits, draft->limits, step->now);
 	if (all_limits)
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -75,6 +75,9 @@
 #define TICK_SWEEP	 0
 #define TICK_CACHE_QUERY 1
 
+/* Pools whose rate of reading one frame has. */
+#define PEER_READINGS_MAX 16
+
 /** struct peer - another relay, or the summary of another failure domain */
 typedef struct peer {
 	char *addr; /* "" for a domain's summary */
@@ -92,6 +95,10 @@
 	GArray *loads; /* peer_load_t, from its last frame */
 	GArray *unreachable; /* uint32_t, hashes of upstreams, likewise */
 	bool cut_off; /* it reaches no upstream */
+	struct {
+		uint32_t pool; /* hash of its name */
+		uint32_t tokens; /* to be read in a second */
+	} readings[PEER_READINGS_MAX];
 	uint64_t duty_token; /* of a holder in its frames; 0 for none */
 	uint64_t duty_end;
 	/* Its time of day less this node's time, of its last frame. */
--- a/source/relay/scaling_demand.c
+++ b/source/relay/scaling_demand.c
@@ -2,44 +2,33 @@
 
 #include <glib.h>
 
-/* Share of its time that an upstream may spend reading prompts, and share of
- * its slots that may be taken: beyond it queues grow faster than the load. */
-#define BUSY_SHARE 0.5
-#define SLOT_SHARE 0.6
+/* Shares of their time that upstreams may read prompts, and of their slots that
+ * may be taken, while those of one domain are missing: a load that nearly
+ * doubles within the time to boot is still served. */
+#define READ_SHARE 0.5
+#define SLOT_SHARE 0.5
 /* Time with requests after which the demand is known, longer than a mix of
  * requests usually lasts; and without any request. */
 #define LOADED_TIME (10 * DFF_SEC)
 #define IDLE_TIME   (SCALING_DEMAND_SECONDS * DFF_SEC)
 
-static double
-need_of(const scaling_load_t *load, dff_time_t wait_max)
-{
-	double need = (double)load->busy / BUSY_SHARE;
-
-	if (wait_max > 0)
-		need = MAX(need, (double)load->reading / (double)wait_max);
-	if (load->slots > 0)
-		need = MAX(need,
-		    (double)load->running * load->upstreams /
-			(SLOT_SHARE * load->slots));
-	return need;
-}
-
 double
-scaling_demand_need(
-    const scaling_load_t loads[DFF_ROLE_COUNT], dff_time_t wait_max)
+scaling_demand_need(const scaling_load_t *load)
 {
 	uint32_t total = 0;
 	double need = 0;
 
 	for (int role = 0; role < DFF_ROLE_COUNT; role++)
-		total += loads[role].upstreams;
+		total += load->roles[role].upstreams;
+	if (load->speed > 0)
+		need = load->reading * total / (READ_SHARE * load->speed);
 	for (int role = 0; role < DFF_ROLE_COUNT; role++) {
-		const scaling_load_t *load = &loads[role];
+		const scaling_role_t *row = &load->roles[role];
 
-		if (load->upstreams > 0)
+		if (row->slots > 0)
 			need = MAX(need,
-			    need_of(load, wait_max) * total / load->upstreams);
+			    (double)row->running * total /
+				(SLOT_SHARE * row->slots));
 	}
 	return need;
 }
--- a/source/relay/scaling_demand.h
+++ b/source/relay/scaling_demand.h
@@ -10,30 +10,29 @@
 /* Seconds that are remembered. */
 #define SCALING_DEMAND_SECONDS 60
 
+/** struct scaling_role - requests at the upstreams of one role */
+typedef struct scaling_role {
+	uint32_t upstreams; /* that serve */
+	uint32_t slots; /* requests that they run at once */
+	uint32_t running;
+} scaling_role_t;
+
 /**
- * struct scaling_load - what is in flight at the upstreams of one role
- * @upstreams: upstreams that serve
- * @busy: of these, those that have prompts to read
- * @running: requests in flight
- * @slots: requests that they run at once
- * @reading: time in which one upstream would read all queued prompts
+ * struct scaling_load - what a pool has to do at a moment
+ * @roles: by role
+ * @speed: prompt tokens that its upstreams read in a second, if they do nothing
+ *	else
+ * @reading: prompt tokens that they are to read in a second
  */
 typedef struct scaling_load {
-	uint32_t upstreams;
-	uint32_t busy;
-	uint32_t running;
-	uint32_t slots;
-	dff_time_t reading;
+	scaling_role_t roles[DFF_ROLE_COUNT];
+	double speed;
+	double reading;
 } scaling_load_t;
 
-/**
- * scaling_demand_need() - upstreams that a moment's load needs
- * @loads: by role; the platform does not let a role be ordered, so that each
- *	role is taken to keep its share
- * @wait_max: longest time that a prompt may wait for others
- */
-double scaling_demand_need(
-    const scaling_load_t loads[DFF_ROLE_COUNT], dff_time_t wait_max);
+/** scaling_demand_need() - upstreams that this load needs; an order names no
+ *	role, so that each role is taken to keep its share */
+double scaling_demand_need(const scaling_load_t *load);
 
 /**
  * struct scaling_demand - demand of the last minute
--- a/source/relay/scaling_run.c
+++ b/source/relay/scaling_run.c
@@ -3,10 +3,13 @@
 #include <string.h>
 
 #include "relay/duty.h"
+#include "relay/peers.h"
 #include "relay/scaling.h"
 
-/* Share of the shortest target latency that a prompt may wait for others. */
-#define WAIT_SHARE 0.3
+/* Time over which the rate of reading is measured. */
+#define READING_TIME DFF_SEC
+/* Tokens whose reading time shows the speed of an upstream. */
+#define SPEED_TOKENS 1000
 /* Numbers of orders of one pool. */
 #define NUMBERS_BITS 32
 
@@ -16,12 +19,19 @@
  * @scaling: its orders
  * @token: token of the duty under which it orders; 0 for none
  * @view: what was known last
+ * @hash: of the pool's name, for frames
+ * @tokens: prompt tokens that this node had read since @since
+ * @rate: the same in a second, last measured
  */
 typedef struct scaler {
 	char pool[DFF_NAME_MAX];
 	scaling_t *scaling;
 	uint64_t token;
 	scaling_view_t view;
+	uint32_t hash;
+	uint64_t tokens;
+	dff_time_t since;
+	uint32_t rate;
 } scaler_t;
 
 struct scalers {
@@ -65,52 +75,107 @@
 	}
 	scaler = g_new0(scaler_t, 1);
 	g_strlcpy(scaler->pool, pool, sizeof(scaler->pool));
+	scaler->hash = upstream_hash(pool);
 	scaler->scaling =
 	    scaling_new(((uint64_t)scalers->pools->len << NUMBERS_BITS) + 1);
 	g_ptr_array_add(scalers->pools, scaler);
 	return scaler;
 }
 
-/* Longest time that a prompt may wait for others; 0 without a target. */
-static dff_time_t
-wait_max(const dff_routing_t *routing, const char *pool)
+/* ---- prompt tokens to be read ---- */
+
+void
+scaling_note_read(dff_relay_t *relay, const dff_pool_t *pool, uint32_t tokens)
+{
+	if (relay->config.orders_upstreams && pool != NULL &&
+	    pool->scaling.enabled)
+		find_scaler(relay->scalers, pool->name)->tokens += tokens;
+}
+
+static void
+measure_rate(scaler_t *scaler, dff_time_t now)
+{
+	if (scaler->since != 0 && now - scaler->since < READING_TIME)
+		return;
+	if (scaler->since != 0)
+		scaler->rate = (uint32_t)((double)scaler->tokens * DFF_SEC /
+		    (double)(now - scaler->since));
+	scaler->tokens = 0;
+	scaler->since = now;
+}
+
+static uint32_t
+rate_of_peer(const peer_t *peer, uint32_t pool)
+{
+	for (size_t i = 0; i < PEER_READINGS_MAX; i++) {
+		if (peer->readings[i].pool == pool)
+			return peer->readings[i].tokens;
+	}
+	return 0;
+}
+
+/* Rate of this node and of those whose frames it gets; with @fleet, also of
+ * other domains. */
+static uint32_t
+sum_rates(const dff_relay_t *relay, const scaler_t *scaler, bool fleet,
+    dff_time_t now)
 {
-	dff_time_t shortest = 0;
+	uint32_t sum = scaler->rate;
 
-	for (guint i = 0; i < routing->routes->len; i++) {
-		const dff_route_t *route = routing->routes->pdata[i];
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+		bool summary = *peer->addr == '\0';
 
-		if (!route->generates || route->target_latency <= 0)
+		if (!peer_is_alive(relay, peer, now) || (summary && !fleet) ||
+		    (!summary && !peer_is_direct(relay, peer)))
 			continue;
-		for (guint j = 0; j < route->shares->len; j++) {
-			const dff_route_share_t *share =
-			    &g_array_index(route->shares, dff_route_share_t, j);
-
-			if (strcmp(share->pool, pool) == 0 &&
-			    (shortest == 0 || route->target_latency < shortest))
-				shortest = route->target_latency;
-		}
+		sum += rate_of_peer(peer, scaler->hash);
 	}
-	return (dff_time_t)(WAIT_SHARE * (double)shortest);
+	return sum;
 }
 
-/* Requests at upstreams that leave count too: others get what comes next. */
-static void
-add_load(const dff_relay_t *relay, const upstream_t *up, scaling_load_t *load)
+size_t
+scaling_fill_frame(step_t *step, bool summary, Dff__RelayReading *rows,
+    Dff__RelayReading **pointers)
 {
-	uint64_t backlog = up->backlog + up->peer_sends.backlog;
+	const dff_relay_t *relay = step->relay;
+	size_t count = 0;
+
+	for (guint i = 0;
+	     i < relay->scalers->pools->len && count < PEER_READINGS_MAX; i++) {
+		const scaler_t *scaler = relay->scalers->pools->pdata[i];
+		uint32_t rate = summary ?
+		    sum_rates(relay, scaler, false, step->now) :
+		    scaler->rate;
+
+		if (rate == 0)
+			continue;
+		dff__relay_reading__init(&rows[count]);
+		rows[count].pool = scaler->hash;
+		rows[count].tokens = rate;
+		pointers[count] = &rows[count];
+		count++;
+	}
+	return count;
+}
 
-	load->running += up->running + up->peer_sends.running;
-	load->busy += backlog > 0;
-	load->reading +=
-	    pool_stats_read_time(&relay->pool_stats, up, (double)backlog);
+void
+scaling_receive_frame(peer_t *peer, const Dff__RelayBeat *frame)
+{
+	memset(peer->readings, 0, sizeof(peer->readings));
+	for (size_t i = 0; i < MIN(frame->n_reading, PEER_READINGS_MAX); i++) {
+		peer->readings[i].pool = frame->reading[i]->pool;
+		peer->readings[i].tokens = frame->reading[i]->tokens;
+	}
 }
 
+/* ---- what is known of a pool ---- */
+
 static void
-gather(const dff_relay_t *relay, const dff_pool_t *pool, dff_time_t now,
-    scaling_view_t *view)
+gather(const dff_relay_t *relay, const dff_pool_t *pool, const scaler_t *scaler,
+    dff_time_t now, scaling_view_t *view)
 {
-	scaling_load_t loads[DFF_ROLE_COUNT] = {0};
+	scaling_load_t load = {.reading = sum_rates(relay, scaler, true, now)};
 	upstream_t *up;
 
 	*view = (scaling_view_t){.bounds = &pool->scaling};
@@ -118,16 +183,21 @@
 		(void)scaling_view_domain(view, pool->scaling.prices[i].domain);
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
-		scaling_load_t *load = &loads[up->record.role];
+		scaling_role_t *role = &load.roles[up->record.role];
 		scaling_domain_t *domain;
 
 		if (strcmp(up->record.pool, pool->name) != 0)
 			continue;
-		add_load(relay, up, load);
+		/* At upstreams that leave too: others get what comes next. */
+		role->running += up->running + up->peer_sends.running;
 		if (!upstream_is_listed(up, now))
 			continue;
-		load->upstreams++;
-		load->slots += up->record.slots;
+		role->upstreams++;
+		role->slots += up->record.slots;
+		load.speed += SPEED_TOKENS * (double)DFF_SEC /
+		    (double)MAX(pool_stats_read_time(
+				    &relay->pool_stats, up, SPEED_TOKENS),
+			1);
 		view->keeps_parts |= up->cached_tokens > 0;
 		domain = scaling_view_domain(view, up->record.domain);
 		if (domain != NULL)
@@ -136,9 +206,8 @@
 				SCALING_REGULAR]++;
 	}
 	for (int role = 0; role < DFF_ROLE_COUNT; role++)
-		view->loaded |= loads[role].running > 0;
-	view->need =
-	    scaling_demand_need(loads, wait_max(relay->routing, pool->name));
+		view->loaded |= load.roles[role].running > 0;
+	view->need = scaling_demand_need(&load);
 }
 
 static void
@@ -174,7 +243,11 @@
 	scaling_order_t order;
 	uint64_t token = duty_token(relay->duties, DFF_DUTY_SCALING, step->now);
 
-	gather(relay, pool, step->now, &scaler->view);
+	scaling_view_t view;
+
+	measure_rate(scaler, step->now);
+	gather(relay, pool, scaler, step->now, &view);
+	scaler->view = view;
 	if (token != 0 && token != scaler->token)
 		scaling_begin(scaler->scaling, &scaler->view);
 	if (token != 0)
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -5,6 +5,7 @@
 #include "relay/origin.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
+#include "relay/scaling_run.h"
 #include "relay/send.h"
 #include "relay/suspect.h"
 
@@ -63,6 +64,7 @@
 	send->backlog = send->stage == DFF_STAGE_DECODE ? 0 : uncached;
 	send->memory = call->prompt.tokens +
 	    (send->stage == DFF_STAGE_PREFILL ? 0 : call->prompt.tokens_out);
+	scaling_note_read(step->relay, call->pool_config, send->backlog);
 	up->backlog += send->backlog;
 	up->memory += send->memory;
 	/* The last part is specific to this request; no other needs it. */
