--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -1,8 +1,8 @@
 /*
  * The plan places reclaimable upstreams in so many domains that the loss of
- * one domain leaves what the demand needs, where that costs less than regular
- * ones. Orders lead from the listed upstreams to the plan: more at once, fewer
- * slowly, and never so that what remains could not bear such a loss.
+ * those of one domain leaves enough, where that costs less than regular ones.
+ * Orders lead from the listed upstreams to the plan: more at once, fewer slowly,
+ * and never so that what remains could not bear such a loss.
  */
 #include "relay/scaling.h"
 
@@ -30,8 +30,12 @@
  * plan are kept: both save orders. */
 #define INCREASE_FACTOR 1.1
 #define SURPLUS_SHARE	0.15
+/* Share of the need that must remain when the reclaimable upstreams of one
+ * domain are lost: the need has room for a load that nearly doubles, which is
+ * not expected at the same moment. */
+#define LOSS_SHARE 0.7
 /* Share of the cost below which fewer domains are preferred. */
-#define SAVING_SHARE 0.9
+#define SAVING_SHARE 0.8
 /* Fewer upstreams are missing than this share of the plan: no order. */
 #define MISSING_SHARE 0.1
 /* Share of a domain's upstreams that may fail without a new order. */
@@ -54,12 +58,13 @@
 
 typedef struct domain_state {
 	char name[DFF_NAME_MAX];
+	uint32_t listed_first; /* when this node began to decide */
 	kind_state_t kinds[SCALING_KIND_COUNT];
 } domain_state_t;
 
 struct scaling {
 	scaling_demand_t demand;
-	uint32_t listed_first; /* upstreams listed when this node began */
+	uint32_t listed_first; /* when this node began to decide */
 	domain_state_t domains[DFF_SCALING_DOMAINS_MAX];
 	uint32_t domain_count;
 	scaling_plan_t plan;
@@ -149,12 +154,17 @@
 scaling_begin(scaling_t *scaling, const scaling_view_t *view)
 {
 	scaling->listed_first = 0;
-	for (uint32_t i = 0; i < view->domain_count; i++)
-		scaling->listed_first += total_of(view->domains[i].listed);
 	memset(scaling->domains, 0, sizeof(scaling->domains));
 	scaling->domain_count = 0;
 	scaling->paused_until = 0;
 	scaling->decreased_at = 0;
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		domain_state_t *state =
+		    find_domain(scaling, view->domains[i].name);
+
+		state->listed_first = total_of(view->domains[i].listed);
+		scaling->listed_first += state->listed_first;
+	}
 }
 
 void
@@ -206,14 +216,18 @@
 	list->price[at] = price;
 }
 
-/* Number of upstreams in each of @domains domains, so that without one of them
- * @need remain. */
+/* Number of upstreams in each of @domains domains; 0 if they cannot bear the
+ * loss of one. */
 static uint32_t
 each_of(double need, uint32_t domains)
 {
+	double each = need / domains;
+
 	if (DFF_FAULT(RELAY_SCALING_NO_SPARE))
-		return (uint32_t)ceil(need / domains);
-	return domains < 2 ? 0 : (uint32_t)ceil(need / (domains - 1));
+		return (uint32_t)ceil(each);
+	if (domains < 2)
+		return 0;
+	return (uint32_t)ceil(MAX(each, LOSS_SHARE * need / (domains - 1)));
 }
 
 /* Number of the cheapest domains to have reclaimable upstreams, 0 if regular
@@ -247,10 +261,11 @@
 	return chosen;
 }
 
-/* Upstreams that remain when the domain with most reclaimable ones loses
- * them. */
-static uint32_t
-left_by_loss(const uint32_t (*counts)[SCALING_KIND_COUNT], uint32_t domains)
+/* Whether so many upstreams are enough, also without the reclaimable ones of
+ * the domain that has most of them. */
+static bool
+are_enough(const uint32_t (*counts)[SCALING_KIND_COUNT], uint32_t domains,
+    uint32_t need)
 {
 	uint32_t total = 0;
 	uint32_t most = 0;
@@ -259,7 +274,9 @@
 		total += total_of(counts[i]);
 		most = MAX(most, counts[i][SCALING_RECLAIMABLE]);
 	}
-	return DFF_FAULT(RELAY_SCALING_NO_SPARE) ? total : total - most;
+	if (DFF_FAULT(RELAY_SCALING_NO_SPARE))
+		most = 0;
+	return total >= need && total - most >= LOSS_SHARE * need;
 }
 
 /* Regular upstreams for what is missing, evenly, the cheapest domain first. */
@@ -270,13 +287,13 @@
 	uint32_t domains = all->count;
 	bool added = true;
 
-	while (added && left_by_loss(wanted, domains) < need) {
+	while (added && !are_enough(wanted, domains, need)) {
 		added = false;
 		for (uint32_t i = 0; i < domains; i++) {
 			uint32_t *counts = wanted[all->index[i]];
 
 			if (total_of(counts) >= bounds->max ||
-			    left_by_loss(wanted, domains) >= need)
+			    are_enough(wanted, domains, need))
 				continue;
 			counts[SCALING_REGULAR]++;
 			added = true;
@@ -301,60 +318,111 @@
 static bool
 is_open(const domain_state_t *state, dff_time_t now)
 {
-	const kind_state_t *kind = &state->kinds[SCALING_RECLAIMABLE];
+	const kind_state_t *kind;
 
+	if (state == NULL)
+		return false;
+	kind = &state->kinds[SCALING_RECLAIMABLE];
 	return kind->refused_time == 0 || now >= kind->not_before;
 }
 
+/* Before the demand is known nothing is taken away, but regular upstreams are
+ * replaced, one for one. */
+static uint32_t
+keep_first(const scaling_t *scaling, const domain_state_t *state,
+    const scaling_view_t *view, uint32_t index, uint32_t wanted, dff_time_t now)
+{
+	const dff_scaling_t *bounds = view->bounds;
+	const uint32_t *listed = view->domains[index].listed;
+
+	if (scaling_demand_is_known(&scaling->demand, now) ||
+	    DFF_FAULT(RELAY_SCALING_HASTY))
+		return wanted;
+	wanted = MAX(wanted, listed[SCALING_RECLAIMABLE]);
+	if (listed[SCALING_REGULAR] > 0 && bounds->reclaimable_price > 0 &&
+	    bounds->reclaimable_price < 1 && is_open(state, now))
+		wanted = MAX(wanted, MIN(state->listed_first, bounds->max));
+	return wanted;
+}
+
+/* More reclaimable upstreams where there are some to be had, for domains where
+ * there are none now. */
+static void
+add_reclaimable(uint32_t (*wanted)[SCALING_KIND_COUNT], const by_price_t *open,
+    const dff_scaling_t *bounds, uint32_t domains, uint32_t need)
+{
+	uint32_t total = 0;
+	bool added = true;
+
+	for (uint32_t i = 0; i < domains; i++)
+		total += total_of(wanted[i]);
+	while (added && total < need) {
+		added = false;
+		for (uint32_t i = 0; i < open->count && total < need; i++) {
+			uint32_t *counts = wanted[open->index[i]];
+
+			if (total_of(counts) >= bounds->max)
+				continue;
+			counts[SCALING_RECLAIMABLE]++;
+			total++;
+			added = true;
+		}
+	}
+}
+
+static void
+set_targets(scaling_t *scaling, const scaling_view_t *view,
+    uint32_t (*wanted)[SCALING_KIND_COUNT], dff_time_t now)
+{
+	scaling->plan.target_count = view->domain_count;
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		scaling_target_t *target = &scaling->plan.targets[i];
+		const domain_state_t *state =
+		    find_domain(scaling, view->domains[i].name);
+
+		wanted[i][SCALING_RECLAIMABLE] = keep_first(scaling, state,
+		    view, i, wanted[i][SCALING_RECLAIMABLE], now);
+		keep_minimum(wanted[i], view->bounds, is_open(state, now));
+		g_strlcpy(target->domain, view->domains[i].name,
+		    sizeof(target->domain));
+		memcpy(target->wanted, wanted[i], sizeof(target->wanted));
+	}
+}
+
 static void
 make_plan(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
 {
 	const dff_scaling_t *bounds = view->bounds;
 	uint32_t wanted[DFF_SCALING_DOMAINS_MAX][SCALING_KIND_COUNT] = {0};
-	bool open_at[DFF_SCALING_DOMAINS_MAX] = {false};
 	by_price_t open = {.count = 0};
 	by_price_t all = {.count = 0};
-	double need = scaling_demand_peak(&scaling->demand);
+	double need = ceil(scaling_demand_peak(&scaling->demand));
 	double prices = 0;
 	uint32_t spread;
 
 	for (uint32_t i = 0; i < view->domain_count; i++) {
-		const scaling_domain_t *domain = &view->domains[i];
-		const domain_state_t *state =
-		    find_domain(scaling, domain->name);
-		double price = price_of(bounds, domain->name);
+		double price = price_of(bounds, view->domains[i].name);
 
 		insert_by_price(&all, i, price);
 		prices += price;
-		open_at[i] = state != NULL && is_open(state, now);
-		if (open_at[i])
-			insert_by_price(&open, i, price);
-		else
-			wanted[i][SCALING_RECLAIMABLE] =
-			    domain->listed[SCALING_RECLAIMABLE];
 	}
-	if (!scaling_demand_is_known(&scaling->demand, now) &&
-	    !DFF_FAULT(RELAY_SCALING_HASTY) && view->domain_count > 0)
-		need = MAX(need,
-		    scaling->listed_first * (view->domain_count - 1.0) /
-			view->domain_count);
-	need = ceil(need);
 	spread = choose_spread(
-	    &open, bounds, need, prices / MAX(view->domain_count, 1));
-	for (uint32_t i = 0; i < spread; i++)
-		wanted[open.index[i]][SCALING_RECLAIMABLE] =
-		    MIN(each_of(need, spread), bounds->max);
-	add_regular(wanted, &all, bounds, (uint32_t)need);
-	scaling->plan.need = (uint32_t)need;
-	scaling->plan.target_count = view->domain_count;
-	for (uint32_t i = 0; i < view->domain_count; i++) {
-		scaling_target_t *target = &scaling->plan.targets[i];
+	    &all, bounds, need, prices / MAX(view->domain_count, 1));
+	for (uint32_t i = 0; i < spread; i++) {
+		const scaling_domain_t *domain = &view->domains[all.index[i]];
+		uint32_t each = MIN(each_of(need, spread), bounds->max);
 
-		keep_minimum(wanted[i], bounds, open_at[i]);
-		g_strlcpy(target->domain, view->domains[i].name,
-		    sizeof(target->domain));
-		memcpy(target->wanted, wanted[i], sizeof(target->wanted));
+		if (is_open(find_domain(scaling, domain->name), now))
+			insert_by_price(&open, all.index[i], all.price[i]);
+		else
+			each = MIN(each, domain->listed[SCALING_RECLAIMABLE]);
+		wanted[all.index[i]][SCALING_RECLAIMABLE] = each;
 	}
+	add_reclaimable(
+	    wanted, &open, bounds, view->domain_count, (uint32_t)need);
+	add_regular(wanted, &all, bounds, (uint32_t)need);
+	scaling->plan.need = (uint32_t)need;
+	set_targets(scaling, view, wanted, now);
 }
 
 /* ---- orders ---- */
@@ -458,8 +526,9 @@
 		uint32_t count = (uint32_t)ceil(wanted[kind] * INCREASE_FACTOR);
 
 		if (expected[kind] >= wanted[kind] ||
-		    (expected[kind] > 0 &&
-			expected[kind] >= wanted[kind] * (1 - MISSING_SHARE)) ||
+		    (total_of(expected) > 0 &&
+			wanted[kind] - expected[kind] <
+			    total_of(wanted) * MISSING_SHARE) ||
 		    state->kinds[kind].repeat ||
 		    now < state->kinds[kind].not_before)
 			continue;
@@ -494,7 +563,7 @@
 		total - fewer < scaling->listed_first))
 		return false;
 	counts[index][kind] -= fewer;
-	return left_by_loss(counts, view->domain_count) >= scaling->plan.need;
+	return are_enough(counts, view->domain_count, scaling->plan.need);
 }
 
 static bool
--- a/source/relay/scaling.h
+++ b/source/relay/scaling.h
@@ -65,8 +65,7 @@
 
 /**
  * struct scaling_plan - upstreams that are wanted
- * @need: upstreams that must remain when all reclaimable ones of one domain
- *	are lost
+ * @need: upstreams that the demand needs
  * @targets: by domain, in the order of the view
  * @target_count: number of these
  */
--- a/source/relay/scaling_demand.c
+++ b/source/relay/scaling_demand.c
@@ -3,13 +3,12 @@
 #include <glib.h>
 
 /* Shares of their time that upstreams may read prompts, and of their slots that
- * may be taken, while those of one domain are missing: a load that nearly
- * doubles within the time to boot is still served. */
-#define READ_SHARE 0.5
-#define SLOT_SHARE 0.5
-/* Time with requests after which the demand is known, longer than a mix of
- * requests usually lasts; and without any request. */
-#define LOADED_TIME (10 * DFF_SEC)
+ * may be taken: a load that nearly doubles within the time to boot takes 0.8. */
+#define READ_SHARE 0.42
+#define SLOT_SHARE 0.42
+/* Time with requests after which the demand is known, longer than waves and
+ * mixes of requests usually last; and without any request. */
+#define LOADED_TIME (30 * DFF_SEC)
 #define IDLE_TIME   (SCALING_DEMAND_SECONDS * DFF_SEC)
 
 double
