--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -34,6 +34,10 @@
  * domain are lost: the need has room for a load that nearly doubles, which is
  * not expected at the same moment. */
 #define LOSS_SHARE 0.7
+/* Upstreams beyond the need, as a factor, where reclaimable ones cost at most
+ * half of regular ones: fewer prompts meet one that reads another. */
+#define CHEAP_FACTOR 1.5
+#define CHEAP_PRICE  0.5
 /* Share of the cost below which fewer domains are preferred. */
 #define SAVING_SHARE 0.8
 /* Fewer upstreams are missing than this share of the plan: no order. */
@@ -397,9 +401,12 @@
 	by_price_t open = {.count = 0};
 	by_price_t all = {.count = 0};
 	double need = ceil(scaling_demand_peak(&scaling->demand));
+	double with_spare = need;
 	double prices = 0;
 	uint32_t spread;
 
+	if (bounds->reclaimable_price <= CHEAP_PRICE)
+		with_spare = ceil(need * CHEAP_FACTOR);
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		double price = price_of(bounds, view->domains[i].name);
 
@@ -410,7 +417,7 @@
 	    &all, bounds, need, prices / MAX(view->domain_count, 1));
 	for (uint32_t i = 0; i < spread; i++) {
 		const scaling_domain_t *domain = &view->domains[all.index[i]];
-		uint32_t each = MIN(each_of(need, spread), bounds->max);
+		uint32_t each = MIN(each_of(with_spare, spread), bounds->max);
 
 		if (is_open(find_domain(scaling, domain->name), now))
 			insert_by_price(&open, all.index[i], all.price[i]);
@@ -419,7 +426,7 @@
 		wanted[all.index[i]][SCALING_RECLAIMABLE] = each;
 	}
 	add_reclaimable(
-	    wanted, &open, bounds, view->domain_count, (uint32_t)need);
+	    wanted, &open, bounds, view->domain_count, (uint32_t)with_spare);
 	add_regular(wanted, &all, bounds, (uint32_t)need);
 	scaling->plan.need = (uint32_t)need;
 	set_targets(scaling, view, wanted, now);
--- a/source/relay/scaling_demand.c
+++ b/source/relay/scaling_demand.c
@@ -6,10 +6,13 @@
  * may be taken: a load that nearly doubles within the time to boot takes 0.8. */
 #define READ_SHARE 0.42
 #define SLOT_SHARE 0.42
+/* Time over which the load is averaged: the shares above have room for more
+ * within it. */
+#define SPAN (2 * DFF_SEC)
 /* Time with requests after which the demand is known, longer than waves and
  * mixes of requests usually last; and without any request. */
 #define LOADED_TIME (30 * DFF_SEC)
-#define IDLE_TIME   (SCALING_DEMAND_SECONDS * DFF_SEC)
+#define IDLE_TIME   (SCALING_DEMAND_SPANS * SPAN)
 
 double
 scaling_demand_need(const scaling_load_t *load)
@@ -33,13 +36,13 @@
 }
 
 static void
-close_second(scaling_demand_t *demand)
+close_span(scaling_demand_t *demand)
 {
 	if (demand->samples == 0)
 		return;
-	demand->means[demand->second % SCALING_DEMAND_SECONDS] =
+	demand->means[demand->span % SCALING_DEMAND_SPANS] =
 	    demand->sum / demand->samples;
-	demand->seconds = MIN(demand->seconds + 1, SCALING_DEMAND_SECONDS);
+	demand->spans = MIN(demand->spans + 1, SCALING_DEMAND_SPANS);
 	demand->sum = 0;
 	demand->samples = 0;
 }
@@ -48,28 +51,28 @@
 scaling_demand_add(
     scaling_demand_t *demand, double need, bool loaded, dff_time_t now)
 {
-	int64_t second = now / DFF_SEC;
+	int64_t span = now / SPAN;
 
 	if (demand->since == 0) {
 		demand->since = now;
-		demand->second = second;
+		demand->span = span;
 	}
 	if (loaded && demand->loaded_since == 0)
 		demand->loaded_since = now;
-	while (demand->second < second) {
-		if (second - demand->second > SCALING_DEMAND_SECONDS) {
+	while (demand->span < span) {
+		if (span - demand->span > SCALING_DEMAND_SPANS) {
 			/* It slept for more than a minute. */
 			*demand = (scaling_demand_t){.since = now,
 			    .loaded_since = loaded ? now : 0,
-			    .second = second};
+			    .span = span};
 			break;
 		}
 		if (demand->samples == 0) {
 			demand->sum = 0;
 			demand->samples = 1;
 		}
-		close_second(demand);
-		demand->second++;
+		close_span(demand);
+		demand->span++;
 	}
 	demand->sum += need;
 	demand->samples++;
@@ -90,13 +93,12 @@
 {
 	double peak = 0;
 
-	/* The present second counts only without a complete one: the mean of
+	/* The present span counts only without a complete one: the mean of
 	 * a few samples is no demand. */
-	if (demand->seconds == 0 && demand->samples > 0)
+	if (demand->spans == 0 && demand->samples > 0)
 		return demand->sum / demand->samples;
-	for (uint32_t age = 1; age <= demand->seconds; age++)
+	for (uint32_t age = 1; age <= demand->spans; age++)
 		peak = MAX(peak,
-		    demand->means[(demand->second - age) %
-			SCALING_DEMAND_SECONDS]);
+		    demand->means[(demand->span - age) % SCALING_DEMAND_SPANS]);
 	return peak;
 }
--- a/source/relay/scaling_demand.h
+++ b/source/relay/scaling_demand.h
@@ -7,8 +7,8 @@
 
 #include "dragonflyfall/event.h"
 
-/* Seconds that are remembered. */
-#define SCALING_DEMAND_SECONDS 60
+/* Spans that are remembered: a minute. */
+#define SCALING_DEMAND_SPANS 30
 
 /** struct scaling_role - requests at the upstreams of one role */
 typedef struct scaling_role {
@@ -38,20 +38,20 @@
  * struct scaling_demand - demand of the last minute
  * @since: first sample
  * @loaded_since: first sample with a request in flight; 0 for none
- * @second: the second that is being added up
+ * @span: number of the span of time that is being added up
  * @sum: sum of its samples
  * @samples: their number
- * @means: mean of each second, by second
- * @seconds: seconds that are complete, at most as many as are remembered
+ * @means: mean of each span, by number
+ * @spans: spans that are complete, at most as many as are remembered
  */
 typedef struct scaling_demand {
 	dff_time_t since;
 	dff_time_t loaded_since;
-	int64_t second;
+	int64_t span;
 	double sum;
 	uint32_t samples;
-	double means[SCALING_DEMAND_SECONDS];
-	uint32_t seconds;
+	double means[SCALING_DEMAND_SPANS];
+	uint32_t spans;
 } scaling_demand_t;
 
 /** scaling_demand_add() - add the need of one moment */
@@ -62,8 +62,8 @@
  *	upstreams away */
 bool scaling_demand_is_known(const scaling_demand_t *demand, dff_time_t now);
 
-/** scaling_demand_peak() - upstreams needed in the second of the last minute
- *	that needed most */
+/** scaling_demand_peak() - upstreams needed in the span of the last minute that
+ *	needed most */
 double scaling_demand_peak(const scaling_demand_t *demand);
 
 #endif
