--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -465,6 +465,18 @@
 	return state->count;
 }
 
+/* Most upstreams of a kind that there may be, whatever became of the last
+ * order. */
+static uint32_t
+most_of(const kind_state_t *state, uint32_t listed, const dff_scaling_t *bounds,
+    dff_time_t now)
+{
+	if (state->ordered_at == 0 ||
+	    now - state->ordered_at >= bounds->boot_time + LISTING_TIME)
+		return listed;
+	return MAX(listed, state->count);
+}
+
 /* Whether the domain has an order in flight. */
 static bool
 is_busy(const domain_state_t *domain)
@@ -527,7 +539,9 @@
 		expected[kind] = expected_count(&state->kinds[kind],
 		    domain->listed[kind], view->bounds, now);
 	for (int kind = 0; kind < SCALING_KIND_COUNT; kind++) {
-		uint32_t other = expected[SCALING_KIND_COUNT - 1 - kind];
+		int other_kind = SCALING_KIND_COUNT - 1 - kind;
+		uint32_t other = most_of(&state->kinds[other_kind],
+		    domain->listed[other_kind], view->bounds, now);
 		uint32_t room =
 		    view->bounds->max - MIN(other, view->bounds->max);
 		uint32_t count = (uint32_t)ceil(wanted[kind] * INCREASE_FACTOR);
