--- a/Makefile
+++ b/Makefile
@@ -164,7 +164,7 @@
 	    build/fault/test_relay_unreachable build/fault/test_relay_frame_send build/fault/test_relay_send_timing \
 	    build/fault/test_relay_notice build/fault/test_relay_limit \
 	    build/fault/test_rate_limit build/fault/test_relay_suspect build/fault/test_relay_suspect_parts build/fault/test_relay_readers build/fault/test_relay_stream_gaps \
-	    build/fault/test_relay_stream_software build/fault/test_relay_send build/fault/test_relay_continuation build/fault/test_relay_origin build/fault/test_relay_stream_fleet build/fault/test_relay_reach build/fault/test_relay_duty build/fault/test_relay_scaling \
+	    build/fault/test_relay_stream_software build/fault/test_relay_send build/fault/test_relay_continuation build/fault/test_relay_origin build/fault/test_relay_stream_fleet build/fault/test_relay_reach build/fault/test_relay_duty build/fault/test_relay_scaling build/fault/test_relay_scaling_run \
 	    build/fault/test_process_h1 build/fault/test_platform_wire \
 	    build/fault/test_process_platform_store build/fault/test_process_stream_software \
 	    build/fault/test_process_edge build/fault/test_process_held \
