--- a/test/test_relay_scaling_run.c
+++ b/test/test_relay_scaling_run.c
@@ -21,18 +21,19 @@
 {
 	dff_routing_t *routing = relay_bench_new_routing(1);
 	dff_relay_event_t event = {.type = DFF_RELAY_ROUTING};
-	dff_pool_t *pool = NULL;
-
-	for (guint i = 0; i < routing->pools->len; i++) {
-		pool = &g_array_index(routing->pools, dff_pool_t, i);
-		if (strcmp(pool->name, "llm") == 0)
-			break;
-	}
-	pool->scaling = (dff_scaling_t){.enabled = true,
+	const dff_scaling_t scaling = {.enabled = true,
 	    .min = 1,
 	    .max = 20,
 	    .boot_time = 4 * DFF_SEC,
 	    .reclaimable_price = 0.22};
+
+	for (guint i = 0; i < routing->pools->len; i++) {
+		dff_pool_t *pool =
+		    &g_array_index(routing->pools, dff_pool_t, i);
+
+		if (strcmp(pool->name, "llm") == 0)
+			pool->scaling = scaling;
+	}
 	event.routing = routing;
 	relay_bench_step(bench, &event);
 	dff_routing_drop(routing);
