--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Dff__RelayUsage Dff__RelayUsage;
 typedef struct Dff__RelayPace Dff__RelayPace;
 typedef struct Dff__RelayShare Dff__RelayShare;
+typedef struct Dff__RelayReading Dff__RelayReading;
 typedef struct Dff__RelayBeat Dff__RelayBeat;
 
 
@@ -920,6 +921,24 @@
     , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Prompt tokens that upstreams of a pool are to read for the sender, or for its
+ * domain, in a second.
+ */
+struct  Dff__RelayReading
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t pool;
+  uint32_t tokens;
+};
+#define DFF__RELAY_READING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&dff__relay_reading__descriptor) \
+    , 0, 0 }
+
+
 struct  Dff__RelayBeat
 {
   ProtobufCMessage base;
@@ -1011,6 +1030,11 @@
    */
   size_t n_usage;
   Dff__RelayUsage **usage;
+  /*
+   * where upstreams are ordered
+   */
+  size_t n_reading;
+  Dff__RelayReading **reading;
   /*
    * time of day of the sender, where usage is counted
    */
@@ -1022,7 +1046,7 @@
 };
 #define DFF__RELAY_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Dff__CatalogueEdit methods */
@@ -1785,6 +1809,25 @@
 void   dff__relay_share__free_unpacked
                      (Dff__RelayShare *message,
                       ProtobufCAllocator *allocator);
+/* Dff__RelayReading methods */
+void   dff__relay_reading__init
+                     (Dff__RelayReading         *message);
+size_t dff__relay_reading__get_packed_size
+                     (const Dff__RelayReading   *message);
+size_t dff__relay_reading__pack
+                     (const Dff__RelayReading   *message,
+                      uint8_t             *out);
+size_t dff__relay_reading__pack_to_buffer
+                     (const Dff__RelayReading   *message,
+                      ProtobufCBuffer     *buffer);
+Dff__RelayReading *
+       dff__relay_reading__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   dff__relay_reading__free_unpacked
+                     (Dff__RelayReading *message,
+                      ProtobufCAllocator *allocator);
 /* Dff__RelayBeat methods */
 void   dff__relay_beat__init
                      (Dff__RelayBeat         *message);
@@ -1926,6 +1969,9 @@
 typedef void (*Dff__RelayShare_Closure)
                  (const Dff__RelayShare *message,
                   void *closure_data);
+typedef void (*Dff__RelayReading_Closure)
+                 (const Dff__RelayReading *message,
+                  void *closure_data);
 typedef void (*Dff__RelayBeat_Closure)
                  (const Dff__RelayBeat *message,
                   void *closure_data);
@@ -1975,6 +2021,7 @@
 extern const ProtobufCMessageDescriptor dff__relay_usage__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_pace__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_share__descriptor;
+extern const ProtobufCMessageDescriptor dff__relay_reading__descriptor;
 extern const ProtobufCMessageDescriptor dff__relay_beat__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -11,6 +11,7 @@
 #include "base/fault.h"
 #include "relay/confirm.h"
 #include "relay/duty.h"
+#include "relay/scaling_run.h"
 #include "relay/limit.h"
 #include "relay/notice.h"
 #include "relay/origin_tell.h"
@@ -222,6 +223,7 @@
 		peer->cut_off = frame->cut_off;
 		duty_receive_frame(step, peer, frame);
 		usage_receive_frame(step, peer, frame);
+		scaling_receive_frame(peer, frame);
 		apply_marks(step, peer, frame);
 	}
 	if (!frame->summary) {
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -63,6 +63,10 @@
 	COUNT_CONFIRM_QUESTIONS,
 	COUNT_CONFIRM_REPLIES,
 	COUNT_CONFIRM_BYTES_OUT,
+	COUNT_ORDERS,
+	COUNT_ORDERS_NONE_AVAILABLE,
+	COUNT_ORDERS_REJECTED,
+	COUNT_ORDERS_UNANSWERED,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -83,6 +87,9 @@
 #define TICK_SWEEP	 0
 #define TICK_CACHE_QUERY 1
 
+/* Pools whose rate of reading one frame has. */
+#define PEER_READINGS_MAX 16
+
 /** struct peer - another relay, or the summary of another failure domain */
 typedef struct peer {
 	char *addr; /* "" for a domain's summary */
@@ -100,6 +107,10 @@
 	GArray *loads; /* peer_load_t, from its last frame */
 	GArray *unreachable; /* uint32_t, hashes of upstreams, likewise */
 	bool cut_off; /* it reaches no upstream */
+	struct {
+		uint32_t pool; /* hash of its name */
+		uint32_t tokens; /* to be read in a second */
+	} readings[PEER_READINGS_MAX];
 	uint64_t duty_token; /* of a holder in its frames; 0 for none */
 	uint64_t duty_end;
 	/* Its time of day less this node's time, of its last frame. */
@@ -132,6 +143,9 @@
 
 /** typedef confirm_t - how old the configuration may be: confirm.h */
 typedef struct confirm confirm_t;
+/** typedef scalers_t - orders of upstreams: scaling_run.h */
+typedef struct scalers scalers_t;
+
 /** typedef duties_t - duties with one holder: duty.h */
 typedef struct duties duties_t;
 
@@ -255,6 +269,7 @@
 	reach_t *reach;
 	origins_t *origins;
 	confirm_t *confirm;
+	scalers_t *scalers;
 	duties_t *duties;
 	usage_t *usage;
 	organisation_counts_t *organisation_counts;
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -1,4 +1,5 @@
 #include "relay/confirm.h"
+#include "relay/scaling_run.h"
 #include "relay/duty.h"
 #include "relay/usage.h"
 
@@ -51,6 +52,10 @@
     [COUNT_CONFIRM_QUESTIONS] = "confirmations_asked",
     [COUNT_CONFIRM_REPLIES] = "confirmations_received",
     [COUNT_CONFIRM_BYTES_OUT] = "confirmation_bytes_out",
+    [COUNT_ORDERS] = "upstream_orders",
+    [COUNT_ORDERS_NONE_AVAILABLE] = "upstream_orders_none_available",
+    [COUNT_ORDERS_REJECTED] = "upstream_orders_rejected",
+    [COUNT_ORDERS_UNANSWERED] = "upstream_orders_unanswered",
     [COUNT_HEARTBEATS_IN] = "beats_in",
     [COUNT_HEARTBEATS_OUT] = "beats_out",
     [COUNT_HEARTBEATS_BAD] = "beats_bad",
@@ -118,6 +123,7 @@
 		g_string_append_printf(text, "dff_relay_pools_short %u\n",
 		    shares_count_short(relay->shares, now));
 	}
+	scaling_add_metrics(relay, text);
 	duty_metrics(relay, now, text);
 	usage_metrics(relay, text);
 	return g_string_free(text, FALSE);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -8,6 +8,7 @@
 #include "relay/duty.h"
 #include "relay/origin.h"
 #include "relay/reach.h"
+#include "relay/scaling_run.h"
 #include "relay/suspect.h"
 #include "relay/usage.h"
 
@@ -80,6 +81,7 @@
 	relay->reach = reach_new();
 	relay->origins = origins_new();
 	relay->confirm = confirm_new();
+	relay->scalers = scalers_new();
 	relay->duties = duties_new();
 	relay->usage = usage_new();
 	relay->organisation_counts = organisation_counts_new();
@@ -118,6 +120,7 @@
 	reach_drop(relay->reach);
 	origins_drop(relay->origins);
 	confirm_drop(relay->confirm);
+	scalers_drop(relay->scalers);
 	duties_drop(relay->duties);
 	usage_drop(relay->usage);
 	organisation_counts_drop(relay->organisation_counts);
@@ -145,6 +148,7 @@
 	relay->config.revoke_time = config->revoke_time;
 	relay->config.learn_capacity = config->learn_capacity;
 	relay->pool_stats.learns = config->learn_capacity;
+	relay->config.orders_upstreams = config->orders_upstreams;
 }
 
 void
@@ -311,6 +315,7 @@
 	duty_run(step);
 	frame_send_periodic(step);
 	share_budget(relay);
+	scaling_run(step);
 	dff_timers_set(relay->timers, DFF_TIMER_MEMBER_HEARTBEAT, 0,
 	    step->now + peers_frame_interval(relay));
 }
@@ -442,6 +447,9 @@
 	case DFF_RELAY_ORIGINS_STORED:
 		origin_apply_stored(&step, &event->stored);
 		break;
+	case DFF_RELAY_UPSTREAMS_ORDERED:
+		scaling_receive_result(&step, &event->ordered);
+		break;
 	case DFF_RELAY_DUTY_READ:
 		duties_apply_read(ctx, relay->duties, &event->duty_read, now);
 		duty_run(&step);
