--- a/source/relay/scaling_run.c
+++ b/source/relay/scaling_run.c
@@ -196,7 +196,7 @@
 		role->slots += up->record.slots;
 		load.speed += SPEED_TOKENS * (double)DFF_SEC /
 		    (double)MAX(pool_stats_read_time(
-				    &relay->pool_stats, up, SPEED_TOKENS),
+				    &relay->pool_stats, up, SPEED_TOKENS, now),
 			1);
 		view->keeps_parts |= up->cached_tokens > 0;
 		domain = scaling_view_domain(view, up->record.domain);
