--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &dff__relay_permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   dff__relay_confirm__init
+                     (Dff__RelayConfirm         *message)
+{
+  static const Dff__RelayConfirm init_value = DFF__RELAY_CONFIRM__INIT;
+  *message = init_value;
+}
+size_t dff__relay_confirm__get_packed_size
+                     (const Dff__RelayConfirm *message)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t dff__relay_confirm__pack
+                     (const Dff__RelayConfirm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t dff__relay_confirm__pack_to_buffer
+                     (const Dff__RelayConfirm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Dff__RelayConfirm *
+       dff__relay_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Dff__RelayConfirm *)
+     protobuf_c_message_unpack (&dff__relay_confirm__descriptor,
+                                allocator, len, data);
+}
+void   dff__relay_confirm__free_unpacked
+                     (Dff__RelayConfirm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &dff__relay_confirm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   dff__relay_duty__init
                      (Dff__RelayDuty         *message)
 {
@@ -4900,6 +4945,96 @@
   (ProtobufCMessageInit) dff__relay_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor dff__relay_confirm__field_descriptors[5] =
+{
+  {
+    "asked_at",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, asked_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayConfirm, records),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned dff__relay_confirm__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = asked_at */
+  4,   /* field[4] = records */
+  1,   /* field[1] = reply */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange dff__relay_confirm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor dff__relay_confirm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "dff.RelayConfirm",
+  "RelayConfirm",
+  "Dff__RelayConfirm",
+  "dff",
+  sizeof(Dff__RelayConfirm),
+  5,
+  dff__relay_confirm__field_descriptors,
+  dff__relay_confirm__field_indices_by_name,
+  1,  dff__relay_confirm__number_ranges,
+  (ProtobufCMessageInit) dff__relay_confirm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor dff__relay_duty__field_descriptors[2] =
 {
   {
@@ -5066,7 +5201,7 @@
   (ProtobufCMessageInit) dff__relay_reading__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[26] =
+static const ProtobufCFieldDescriptor dff__relay_beat__field_descriptors[27] =
 {
   {
     "node",
@@ -5332,6 +5467,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirms",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Dff__RelayBeat, n_confirms),
+    offsetof(Dff__RelayBeat, confirms),
+    &dff__relay_confirm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "duty",
     28,
@@ -5384,10 +5531,11 @@
 static const unsigned dff__relay_beat__field_indices_by_name[] = {
   15,   /* field[15] = brief */
   14,   /* field[14] = changes */
+  22,   /* field[22] = confirms */
   6,   /* field[6] = crashes */
   21,   /* field[21] = cut_off */
   7,   /* field[7] = domain */
-  22,   /* field[22] = duty */
+  23,   /* field[23] = duty */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = kept */
   19,   /* field[19] = leader */
@@ -5398,24 +5546,25 @@
   0,   /* field[0] = node */
   20,   /* field[20] = nodes */
   18,   /* field[18] = permits */
-  25,   /* field[25] = reading */
+  26,   /* field[26] = reading */
   10,   /* field[10] = records */
   2,   /* field[2] = sequence */
   8,   /* field[8] = source_age_ms */
   11,   /* field[11] = summary */
   13,   /* field[13] = unreachable */
-  23,   /* field[23] = usage */
+  24,   /* field[24] = usage */
   3,   /* field[3] = version */
-  24,   /* field[24] = wall_ms */
+  25,   /* field[25] = wall_ms */
   16,   /* field[16] = words */
 };
-static const ProtobufCIntRange dff__relay_beat__number_ranges[4 + 1] =
+static const ProtobufCIntRange dff__relay_beat__number_ranges[5 + 1] =
 {
   { 1, 0 },
   { 9, 7 },
-  { 28, 22 },
-  { 33, 25 },
-  { 0, 26 }
+  { 26, 22 },
+  { 28, 23 },
+  { 33, 26 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor dff__relay_beat__descriptor =
 {
@@ -5425,10 +5574,10 @@
   "Dff__RelayBeat",
   "dff",
   sizeof(Dff__RelayBeat),
-  26,
+  27,
   dff__relay_beat__field_descriptors,
   dff__relay_beat__field_indices_by_name,
-  4,  dff__relay_beat__number_ranges,
+  5,  dff__relay_beat__number_ranges,
   (ProtobufCMessageInit) dff__relay_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -8,6 +8,7 @@
 #include "dragonflyfall/timer.h"
 #include "relay/budget.h"
 #include "relay/events.h"
+#include "relay/freshness.h"
 #include "relay/place.h"
 
 /** enum relay_count - counters of a relay */
@@ -55,6 +56,9 @@
 	COUNT_ORDERS_NONE_AVAILABLE,
 	COUNT_ORDERS_REJECTED,
 	COUNT_ORDERS_UNANSWERED,
+	COUNT_CONFIRM_QUESTIONS,
+	COUNT_CONFIRM_REPLIES,
+	COUNT_CONFIRM_BYTES_OUT,
 	COUNT_HEARTBEATS_IN,
 	COUNT_HEARTBEATS_OUT,
 	COUNT_HEARTBEATS_BAD,
@@ -132,6 +136,8 @@
 /** typedef scalers_t - orders of upstreams: scaling_run.h */
 typedef struct scalers scalers_t;
 
+/** typedef confirm_t - how old the configuration may be: confirm.h */
+typedef struct confirm confirm_t;
 /** typedef duties_t - duties with one holder: duty.h */
 typedef struct duties duties_t;
 
@@ -242,6 +248,7 @@
 	reach_t *reach;
 	origins_t *origins;
 	scalers_t *scalers;
+	confirm_t *confirm;
 	duties_t *duties;
 	usage_t *usage;
 	GPtrArray *frames; /* GByteArray, those made in this step */
@@ -295,10 +302,6 @@
  *	or a peer at @at; a long silence before that was an outage */
 void relay_note_source_answer(step_t *step, dff_time_t at);
 
-/** relay_configuration_age() - time since the moment up to which the routing in
- *	force is confirmed as the newest; DFF_TIME_NEVER if it never was */
-dff_time_t relay_configuration_age(const dff_relay_t *relay, dff_time_t now);
-
 /* ---- call.c: requests ---- */
 
 void relay_call_open(step_t *step, const dff_relay_open_t *open);
