--- a/source/base/account.c
+++ b/source/base/account.c
@@ -12,7 +12,7 @@
 #define REQUESTS_DIVISOR 3
 #define ANSWERS_DIVISOR	 6
 /* Sockets kept for health checks, peers and the store. */
-#define KEPT_MAX     64
+#define KEPT_MAX     512
 #define KEPT_DIVISOR 8
 
 struct dff_account_client {
