relay: one function sends an encoded frame to an address

Cause: permits, confirmations, origins, sums that are handed on and periodic frames each filled in the effect of a frame themselves.

Change: frame_send_bytes() beside frame_pack(); behaviour stays as it is.

--- a/source/relay/confirm.c
+++ b/source/relay/confirm.c
@@ -125,7 +125,6 @@
 {
 	dff_relay_t *relay = step->relay;
 	Dff__RelayBeat frame = DFF__RELAY_BEAT__INIT;
-	dff_relay_effect_t *fx;
 	const GByteArray *bytes;
 
 	frame.confirms = &row;
@@ -134,10 +133,7 @@
 	frame.changes = true;
 	bytes = frame_pack(relay, &frame);
 	relay->counts[COUNT_CONFIRM_BYTES_OUT] += bytes->len;
-	fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
-	g_strlcpy(fx->frame.addr, addr, sizeof(fx->frame.addr));
-	fx->frame.bytes = bytes->data;
-	fx->frame.len = bytes->len;
+	frame_send_bytes(step, addr, bytes->data, bytes->len);
 }
 
 static uint64_t
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -91,15 +91,12 @@
 
 	for (guint i = 0; i < relay->peers->len; i++) {
 		const peer_t *peer = relay->peers->pdata[i];
-		dff_relay_effect_t *fx;
 
 		if (!peer_is_direct(relay, peer) ||
 		    !peer_is_alive(relay, peer, step->now))
 			continue;
-		fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
-		g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
-		fx->frame.bytes = datagram->bytes;
-		fx->frame.len = datagram->len;
+		frame_send_bytes(
+		    step, peer->addr, datagram->bytes, datagram->len);
 	}
 }
 
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -366,16 +366,23 @@
 	return frame_pack(relay, &draft.frame);
 }
 
-static void
-send_frame(step_t *step, peer_t *peer, const GByteArray *frame)
+void
+frame_send_bytes(
+    step_t *step, const char *addr, const uint8_t *bytes, size_t len)
 {
 	dff_relay_effect_t *fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
 
+	g_strlcpy(fx->frame.addr, addr, sizeof(fx->frame.addr));
+	fx->frame.bytes = bytes;
+	fx->frame.len = len;
+}
+
+static void
+send_frame(step_t *step, peer_t *peer, const GByteArray *frame)
+{
 	step->relay->counts[COUNT_HEARTBEATS_OUT]++;
 	step->relay->counts[COUNT_HEARTBEAT_BYTES_OUT] += frame->len;
-	g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
-	fx->frame.bytes = frame->data;
-	fx->frame.len = frame->len;
+	frame_send_bytes(step, peer->addr, frame->data, frame->len);
 }
 
 /* Number of nodes of a peer's domain that rank above it. */
--- a/source/relay/origin_tell.c
+++ b/source/relay/origin_tell.c
@@ -120,17 +120,13 @@
 
 	for (guint i = 0; i < 2 * count && sent < TELL_PEERS; i++) {
 		const peer_t *peer = relay->peers->pdata[(first + i) % count];
-		dff_relay_effect_t *fx;
 
 		if (!peer_is_direct(relay, peer) ||
 		    !peer_is_alive(relay, peer, step->now) ||
 		    reaches_store(peer, step->now) != (i < count))
 			continue;
 		sent++;
-		fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
-		g_strlcpy(fx->frame.addr, peer->addr, sizeof(fx->frame.addr));
-		fx->frame.bytes = frame->data;
-		fx->frame.len = frame->len;
+		frame_send_bytes(step, peer->addr, frame->data, frame->len);
 	}
 }
 
--- a/source/relay/permit.c
+++ b/source/relay/permit.c
@@ -29,7 +29,6 @@
 {
 	dff_relay_t *relay = step->relay;
 	Dff__RelayBeat frame = DFF__RELAY_BEAT__INIT;
-	dff_relay_effect_t *fx;
 	const GByteArray *bytes;
 
 	frame.permits = &row;
@@ -37,10 +36,7 @@
 	frame.brief = true;
 	frame.changes = true;
 	bytes = frame_pack(relay, &frame);
-	fx = relay_add_fx(step, DFF_RELAY_FX_FRAME);
-	g_strlcpy(fx->frame.addr, addr, sizeof(fx->frame.addr));
-	fx->frame.bytes = bytes->data;
-	fx->frame.len = bytes->len;
+	frame_send_bytes(step, addr, bytes->data, bytes->len);
 }
 
 static void
