Bytes for an upstream that stops reading are not kept after its answer

Cause: an upstream may answer in full before it has read the request. Its connection became idle and kept the unsent rest, whole bodies, until it was closed for its idle time; the account counts the copy only until the request ends. 16 callers one after the other with bodies of 6 MiB, upstreams that answer at the head, read no more and let connections stay open: 66,300 KiB held of 64 MiB with the default idle time of 2.8 s.

Change: a connection whose request was not sent to its end is closed with the complete answer.

--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -240,6 +240,16 @@
     .on_message_complete = on_message,
 };
 
+/* Whether a part of the request is still held for a server that does not read
+ * it. The account of the node counts it only until the request ends. */
+static bool
+has_unsent(const conn_t *conn)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) >
+	    0 &&
+	    !DFF_FAULT(CROWD_KEEPS_UNSENT);
+}
+
 /* Handle a complete answer: it ends the request unless it is stale or
  * interim. */
 static void
@@ -258,7 +268,7 @@
 		return;
 	}
 	conn->answered = true;
-	if (conn->close_after || conn->stale_answers > 0)
+	if (conn->close_after || conn->stale_answers > 0 || has_unsent(conn))
 		h1_conn_close(conn);
 	else
 		h1_conn_set_idle(conn);
