--- a/source/net/relay_host.c
+++ b/source/net/relay_host.c
@@ -23,141 +23,6 @@
 /* Time between checks whether a stop is complete. */
 #define DRAIN_POLL_MSEC 50
 
-/* ---- callers ---- */
-
-/* Finds a call's request; NULL if the caller has disconnected. */
-static dff_h1d_req_t *
-find_req(const dff_relay_host_t *host, uint64_t number)
-{
-	const host_call_t *call = g_hash_table_lookup(host->calls, &number);
-
-	return call != NULL ? call->req : NULL;
-}
-
-static void
-forget_call(dff_relay_host_t *host, uint64_t number)
-{
-	(void)g_hash_table_remove(host->calls, &number);
-}
-
-/* Removes a call that is now answered to its end; returns its request. */
-static dff_h1d_req_t *
-remove_call(dff_relay_host_t *host, uint64_t number)
-{
-	dff_h1d_req_t *req = find_req(host, number);
-
-	forget_call(host, number);
-	return req;
-}
-
-static void
-answer_call(dff_relay_host_t *host, const dff_relay_answer_t *answer)
-{
-	dff_h1d_req_t *req = remove_call(host, answer->call);
-	char fields[64] = "";
-
-	if (req == NULL)
-		return;
-	if (answer->retry_after > 0)
-		(void)g_snprintf(fields, sizeof(fields),
-		    "Retry-After: %.3f\r\n",
-		    (double)answer->retry_after / DFF_SEC);
-	dff_h1d_answer(req, answer->status, fields, "", 0);
-}
-
-static void
-forward_head(dff_relay_host_t *host, const dff_relay_forward_t *forward)
-{
-	dff_h1d_req_t *req = find_req(host, forward->call);
-	host_send_t *send = g_hash_table_lookup(host->sends, &forward->send);
-
-	if (req != NULL && send != NULL)
-		dff_h1d_begin(
-		    req, send->status, send->fields->str, send->length);
-}
-
-static void
-forward_data(dff_relay_host_t *host, const dff_relay_forward_t *forward)
-{
-	dff_h1d_req_t *req = find_req(host, forward->call);
-	host_send_t *send = g_hash_table_lookup(host->sends, &forward->send);
-
-	if (send != NULL)
-		host_hold(send, -(int64_t)MIN(send->held, forward->len));
-	if (req != NULL)
-		dff_h1d_write(req, forward->bytes, forward->len);
-}
-
-static void
-forward_end(dff_relay_host_t *host, uint64_t number)
-{
-	dff_h1d_req_t *req = remove_call(host, number);
-
-	if (req != NULL)
-		dff_h1d_end(req);
-}
-
-static void
-abort_call(dff_relay_host_t *host, uint64_t number)
-{
-	dff_h1d_req_t *req = remove_call(host, number);
-
-	if (req != NULL)
-		dff_h1d_abort(req);
-}
-
-static void
-open_call(dff_relay_host_t *host, dff_h1d_req_t *req, bool from_peer)
-{
-	dff_relay_event_t event = {.type = DFF_RELAY_OPEN};
-	char host_name[DFF_HOST_NAME_MAX];
-	host_call_t *call;
-	int status;
-
-	status = host->wire.decode_request(
-	    dff_h1d_head(req), dff_h1d_body(req), &event.open, host_name);
-	if (status != 0) {
-		dff_log(host->ctx, DFF_LOG_INFO, "call",
-		    "request is invalid status=%d target=%.48s", status,
-		    dff_h1d_head(req)->target);
-		dff_h1d_answer(req, status, "", "", 0);
-		return;
-	}
-	call = g_new0(host_call_t, 1);
-	call->number = ++host->next_call;
-	call->req = req;
-	dff_h1d_set_data(req, call->number);
-	g_hash_table_insert(host->calls, &call->number, call);
-	event.open.call = call->number;
-	event.open.from_peer = from_peer;
-	dff_relay_host_feed(host, &event);
-}
-
-static void
-on_request(void *arg, dff_h1d_req_t *req)
-{
-	open_call(arg, req, false);
-}
-
-static void
-on_peer_request(void *arg, dff_h1d_req_t *req)
-{
-	open_call(arg, req, true);
-}
-
-static void
-on_caller_gone(void *arg, dff_h1d_req_t *req)
-{
-	dff_relay_host_t *host = arg;
-	dff_relay_event_t event = {.type = DFF_RELAY_CALLER_GONE};
-
-	event.caller_gone = dff_h1d_data(req);
-	/* Timers may end the call in this same step: it must no longer be
-	 * found. */
-	forget_call(host, event.caller_gone);
-	dff_relay_host_feed(host, &event);
-}
-
 /* ---- health ---- */
 
 static void
@@ -234,19 +99,19 @@
 		host_cancel_send(host, fx->cancel);
 		break;
 	case DFF_RELAY_FX_ANSWER:
-		answer_call(host, &fx->answer);
+		host_answer_call(host, &fx->answer);
 		break;
 	case DFF_RELAY_FX_FORWARD_HEAD:
-		forward_head(host, &fx->forward);
+		host_forward_head(host, &fx->forward);
 		break;
 	case DFF_RELAY_FX_FORWARD_DATA:
-		forward_data(host, &fx->forward);
+		host_forward_data(host, &fx->forward);
 		break;
 	case DFF_RELAY_FX_FORWARD_END:
-		forward_end(host, fx->forward.call);
+		host_forward_end(host, fx->forward.call);
 		break;
 	case DFF_RELAY_FX_ABORT:
-		abort_call(host, fx->call);
+		host_abort_call(host, fx->call);
 		break;
 	case DFF_RELAY_FX_RELEASE:
 		host_release_memory(host, &fx->release);
@@ -408,9 +273,10 @@
 static int
 listen_all(dff_relay_host_t *host)
 {
-	static const dff_h1d_handlers_t front = {on_request, on_caller_gone};
+	static const dff_h1d_handlers_t front = {
+	    host_on_request, host_on_caller_gone};
 	static const dff_h1d_handlers_t peers = {
-	    on_peer_request, on_caller_gone};
+	    host_on_peer_request, host_on_caller_gone};
 	static const dff_h1d_handlers_t health = {.request = on_health};
 	const dff_h1d_limits_t limits = {
 	    HEAD_MAX, BODY_MAX, UNREAD_MAX, IDLE_TIME};
--- a/source/net/relay_host_internal.h
+++ b/source/net/relay_host_internal.h
@@ -77,6 +77,36 @@
 	bool cancelled;
 } queued_send_t;
 
+/* ---- relay_host_calls.c: requests of callers and their answers ---- */
+
+/** host_on_request() - handler of the server of callers */
+void host_on_request(void *arg, dff_h1d_req_t *req);
+
+/** host_on_peer_request() - handler of the server of peers */
+void host_on_peer_request(void *arg, dff_h1d_req_t *req);
+
+/** host_on_caller_gone() - handler of both: a caller has disconnected */
+void host_on_caller_gone(void *arg, dff_h1d_req_t *req);
+
+/** host_answer_call() - answer a call with a status of the relay's own */
+void host_answer_call(dff_relay_host_t *host, const dff_relay_answer_t *answer);
+
+/** host_forward_head() - begin a call's answer with that of its send */
+void host_forward_head(
+    dff_relay_host_t *host, const dff_relay_forward_t *forward);
+
+/** host_forward_data() - pass on bytes of the answer's body */
+void host_forward_data(
+    dff_relay_host_t *host, const dff_relay_forward_t *forward);
+
+/** host_forward_end() - the answer is whole */
+void host_forward_end(dff_relay_host_t *host, uint64_t number);
+
+/** host_abort_call() - break the answer off */
+void host_abort_call(dff_relay_host_t *host, uint64_t number);
+
+/* ---- relay_host_outbox.c and relay_host_sends.c ---- */
+
 /** host_init_outbox() - set up; its handles are counted in @host */
 void host_init_outbox(dff_relay_host_t *host);
 
