The memory of engines is known from what was sent to them, and kept

Cause: what requests hold at an engine was a sum of whole prompts, so that a part shared by fifty of them counted fifty times, and it only added 400 ms to the predicted wait: on a route with a target of more than 0.5 s any number of requests went to a full engine. A prompt that was read and waits for its handover counted nowhere.

Change: relay/kv_held.c counts shared parts once, also those that peers report, and prompts until their handover; frames tell what a node's requests hold without shared parts (RelayLoad.unshared; a row without it counts as before). relay/kv_room.c decides: a new request goes only to engines that it fits into with a tenth left for sends that others have not reported yet, one that is under way may use all. If it fits nowhere, it is refused as not run (why=no_kv_room, dff_relay_refused_kv_room_total). The penalty of 400 ms and the sum that it uses are unchanged.

--- a/source/proto/dragonflyfall.pb-c.c
+++ b/source/proto/dragonflyfall.pb-c.c
@@ -4552,7 +4552,7 @@
   (ProtobufCMessageInit) dff__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dff__relay_load__field_descriptors[5] =
 {
   {
     "upstream",
@@ -4602,17 +4602,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unshared",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__RelayLoad, unshared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay_load__field_indices_by_name[] = {
   2,   /* field[2] = backlog */
   3,   /* field[3] = memory */
   1,   /* field[1] = running */
+  4,   /* field[4] = unshared */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange dff__relay_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dff__relay_load__descriptor =
 {
@@ -4622,7 +4635,7 @@
   "Dff__RelayLoad",
   "dff",
   sizeof(Dff__RelayLoad),
-  4,
+  5,
   dff__relay_load__field_descriptors,
   dff__relay_load__field_indices_by_name,
   1,  dff__relay_load__number_ranges,
--- a/source/proto/dragonflyfall.pb-c.h
+++ b/source/proto/dragonflyfall.pb-c.h
@@ -628,10 +628,14 @@
    * tokens held
    */
   uint32_t memory;
+  /*
+   * of them, those that no other request shares
+   */
+  uint32_t unshared;
 };
 #define DFF__RELAY_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay_load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Dff__RelayKept
--- a/source/relay/call.c
+++ b/source/relay/call.c
@@ -4,6 +4,7 @@
 #include "relay/confirm.h"
 #include "relay/forward.h"
 #include "relay/key_check.h"
+#include "relay/kv_room.h"
 #include "relay/origin.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
@@ -271,6 +272,7 @@
 	suspect_add_cancelled_run(step, call);
 	relay_send_cancel(step, call);
 	release_handle(step, call);
+	kv_release_handle(step, call);
 	free_call(step->relay, call);
 }
 
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -46,6 +46,7 @@
 			    dff_routing_pool(relay->routing, up->record.pool);
 		upstream_cache_part(up, row->part, row->tokens,
 		    pool != NULL ? pool->kv_tokens : 0, step->now);
+		kv_held_note_peer(&up->held, row->part, row->tokens, step->now);
 	}
 }
 
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -168,16 +168,19 @@
 	row->running = sends->running;
 	row->backlog = sends->backlog;
 	row->memory = sends->memory;
+	row->unshared = sends->unshared;
 	*reported = *sends;
 }
 
 /* Numbers above 32 bits are reported as UINT32_MAX. */
 static in_flight_t
-sum_sends(uint64_t running, uint64_t backlog, uint64_t memory)
+sum_sends(
+    uint64_t running, uint64_t backlog, uint64_t memory, uint64_t unshared)
 {
 	return (in_flight_t){(uint32_t)MIN(running, UINT32_MAX),
 	    (uint32_t)MIN(backlog, UINT32_MAX),
-	    (uint32_t)MIN(memory, UINT32_MAX)};
+	    (uint32_t)MIN(memory, UINT32_MAX),
+	    (uint32_t)MIN(unshared, UINT32_MAX)};
 }
 
 /* Adds the parts that were read since @since. */
@@ -276,8 +279,8 @@
 		add_state(step, &draft, extent == EXTENT_FULL);
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(relay->upstreams, h, &up)) != 0;) {
-		in_flight_t sends =
-		    sum_sends(up->running, up->backlog, up->memory);
+		in_flight_t sends = sum_sends(
+		    up->running, up->backlog, up->memory, up->held.unshared);
 
 		add_load(&draft, up, &sends, &up->reported);
 	}
@@ -300,7 +303,9 @@
 	return sum_sends(
 	    up->running + up->peer_sends.running - up->domain_sends.running,
 	    up->backlog + up->peer_sends.backlog - up->domain_sends.backlog,
-	    up->memory + up->peer_sends.memory - up->domain_sends.memory);
+	    up->memory + up->peer_sends.memory - up->domain_sends.memory,
+	    up->held.unshared + up->peer_sends.unshared -
+		up->domain_sends.unshared);
 }
 
 /* Adds what this domain knows beside its nodes' sends. */
--- a/source/relay/give_up.c
+++ b/source/relay/give_up.c
@@ -1,6 +1,7 @@
 #include "relay/give_up.h"
 
 #include "base/fault.h"
+#include "relay/kv_room.h"
 #include "relay/origin.h"
 #include "relay/share_calls.h"
 #include "relay/suspect.h"
@@ -126,13 +127,19 @@
 	    "no_upstream_of_its_software" :
 	    "no_upstream";
 
-	if (place->limited) {
+	dff_time_t retry = place->retry;
+
+	if (place->no_kv_room) {
+		step->relay->counts[COUNT_REFUSED_KV_ROOM]++;
+		why = "no_kv_room";
+		retry = KV_ROOM_TIME;
+	} else if (place->limited) {
 		step->relay->counts[COUNT_REFUSED_LIMITED]++;
 		why = "limited";
 	} else if (place->retry > 0)
 		why = "upstreams_away";
 	relay_call_give_up(step, call, DFF_FAILURE_BUSY,
-	    place->retry > 0 ? retry_time(step, place->retry) : DFF_SEC, why);
+	    retry > 0 ? retry_time(step, retry) : DFF_SEC, why);
 }
 
 /* Gives up a call for which too much work is queued, by what its organisation
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -58,6 +58,7 @@
 	COUNT_PERMITS_DENIED,
 	COUNT_PERMITS_UNANSWERED,
 	COUNT_REFUSED_LIMITED,
+	COUNT_REFUSED_KV_ROOM,
 	COUNT_BEYOND_SHARE,
 	COUNT_REFUSED_SHARE,
 	COUNT_CONFIRM_QUESTIONS,
@@ -170,6 +171,7 @@
 	uint32_t uncached; /* prompt tokens that the engine had to read */
 	uint32_t backlog; /* tokens, counted there until its answer's head */
 	uint32_t memory; /* tokens, counted there until its end */
+	bool holds; /* it is counted in what its engine holds */
 	bool head_seen;
 	bool not_run; /* the upstream stated that it did not run it */
 	bool stamped; /* its answer has the upstream's signature */
@@ -222,6 +224,7 @@
 	char kv_handle[DFF_NAME_MAX];
 	uint32_t kv_handle_tries;
 	dff_time_t kv_handle_at; /* when the handle was received */
+	bool kv_handle_held; /* counted at @prefill_engine */
 	dff_handle_t avoid[AVOID_MAX];
 	uint32_t avoid_count;
 	/* Upstreams that answered sends and kept their connections. */
--- a/source/relay/metrics.c
+++ b/source/relay/metrics.c
@@ -47,6 +47,7 @@
     [COUNT_PERMITS_DENIED] = "permits_denied",
     [COUNT_PERMITS_UNANSWERED] = "permits_unanswered",
     [COUNT_REFUSED_LIMITED] = "refused_limited",
+    [COUNT_REFUSED_KV_ROOM] = "refused_kv_room",
     [COUNT_BEYOND_SHARE] = "beyond_share",
     [COUNT_REFUSED_SHARE] = "refused_share",
     [COUNT_CONFIRM_QUESTIONS] = "confirmations_asked",
--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -345,6 +345,7 @@
 	sum->running += sends->running;
 	sum->backlog += sends->backlog;
 	sum->memory += sends->memory;
+	sum->unshared += sends->unshared;
 }
 
 static void
@@ -353,6 +354,7 @@
 	sum->running -= MIN(sum->running, sends->running);
 	sum->backlog -= MIN(sum->backlog, sends->backlog);
 	sum->memory -= MIN(sum->memory, sends->memory);
+	sum->unshared -= MIN(sum->unshared, sends->unshared);
 }
 
 static bool
@@ -402,9 +404,11 @@
 {
 	upstream_t *up = upstreams_find(relay->upstreams, row->upstream);
 	peer_load_t load = {.upstream = row->upstream,
-	    .sends = {row->running, row->backlog, row->memory}};
+	    .sends = {row->running, row->backlog, row->memory,
+		/* Nodes of the version before do not report it. */
+		row->unshared != 0 ? row->unshared : row->memory}};
 
-	if (up == NULL || load.sends.running == 0)
+	if (up == NULL || (load.sends.running == 0 && load.sends.unshared == 0))
 		return;
 	add_sends(&up->peer_sends, &load.sends);
 	if (is_summary(peer))
--- a/source/relay/place.c
+++ b/source/relay/place.c
@@ -9,6 +9,7 @@
 #include "relay/place.h"
 
 #include "base/fault.h"
+#include "relay/kv_room.h"
 
 #include <string.h>
 
@@ -122,17 +123,6 @@
 	return hash;
 }
 
-/* Tokens of the parts that other requests may share. */
-static uint32_t
-shared_tokens(const dff_prompt_t *prompt)
-{
-	uint32_t tokens = 0;
-
-	for (uint32_t i = 0; i + 1 < prompt->count; i++)
-		tokens += prompt->parts[i].tokens;
-	return tokens;
-}
-
 static bool
 is_avoided(const placement_request_t *request, dff_handle_t handle)
 {
@@ -176,6 +166,7 @@
 	uint64_t shared; /* shared_hash() of the prompt */
 	donor_t donors[DONORS_MAX];
 	uint32_t donor_count;
+	bool no_kv_room; /* at one of the engines */
 } search_t;
 
 static bool
@@ -223,6 +214,15 @@
 	    is_eligible(search->request, up);
 }
 
+static bool
+has_kv_room(search_t *search, upstream_t *up, bool decodes)
+{
+	bool room = kv_has_room(up, search->request, decodes, search->now);
+
+	search->no_kv_room |= !room;
+	return room;
+}
+
 /* Wait for a slot at an upstream that runs plain requests. It may slow down
  * long before its slots are taken. */
 static dff_time_t
@@ -442,7 +442,8 @@
 	for (dff_handle_t h = 0;
 	     (h = upstreams_next(search->upstreams, h, &up)) != 0;) {
 		if (!is_candidate(search, up, h) ||
-		    decodes != (up->record.role != DFF_ROLE_PREFILL))
+		    decodes != (up->record.role != DFF_ROLE_PREFILL) ||
+		    !has_kv_room(search, up, decodes))
 			continue;
 		rate_read(search, up, h, &candidate);
 		if (home.handle == 0 || candidate.home_score > home.home_score)
@@ -454,14 +455,15 @@
 		up = upstreams_get(search->upstreams, home.handle);
 		home.cost -= (dff_time_t)(HOME_SHARE *
 		    (double)pool_stats_read_time(search->stats, up,
-			shared_tokens(search->request->prompt), search->now));
+			prompt_shared_tokens(search->request->prompt),
+			search->now));
 		consider(best, &home);
 	}
 }
 
 /* Choose the engine that decodes from KV memory of another engine. */
 static void
-place_decode(const search_t *search, dff_handle_t source, best_t *best)
+place_decode(search_t *search, dff_handle_t source, best_t *best)
 {
 	const placement_request_t *request = search->request;
 	const upstream_t *source_engine =
@@ -477,7 +479,8 @@
 		if (!is_candidate(search, up, h) ||
 		    up->record.role == DFF_ROLE_PREFILL ||
 		    (source_engine != NULL &&
-			!shares_memory(source_engine, up)))
+			!shares_memory(source_engine, up)) ||
+		    !has_kv_room(search, up, true))
 			continue;
 		candidate.recently_failed =
 		    !upstream_takes_work(up, search->now);
@@ -587,6 +590,7 @@
 		place_plain(&search, &best);
 		set_place(place, &best, DFF_STAGE_WHOLE);
 	}
+	place->no_kv_room = search.no_kv_room;
 	if (place->upstream == 0)
 		set_retry(&search, place);
 }
--- a/source/relay/place.h
+++ b/source/relay/place.h
@@ -26,6 +26,7 @@
  * @permit_at_hand: of upstreams with a rate limit, only those for which this
  *	node holds a permit
  * @software: only upstreams of this software version; "" for any
+ * @under_way: it was sent before, or its answer has begun
  * @whole_only: no separate prefill
  * @prefill_engine: engine that holds its KV memory, or 0: only the decode
  *	stage is placed
@@ -45,6 +46,7 @@
 	uint32_t avoid_count;
 	const char *software;
 	bool permit_at_hand;
+	bool under_way;
 	bool whole_only;
 	dff_handle_t prefill_engine;
 	bool explores;
@@ -62,6 +64,8 @@
  * @retry: without an upstream, time until the first of them may accept
  *	requests again after a pause or under its rate limit; 0 if none will
  * @limited: that one has a rate limit
+ * @no_kv_room: an engine was left out because the request would exceed its
+ *	memory
  * @explored: it was chosen to find out whether it is still slow
  */
 typedef struct placement {
@@ -74,6 +78,7 @@
 	bool recently_failed;
 	dff_time_t retry;
 	bool limited;
+	bool no_kv_room;
 	bool explored;
 } placement_t;
 
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -8,6 +8,7 @@
 #include "relay/answer_end.h"
 #include "relay/forward.h"
 #include "relay/identity.h"
+#include "relay/kv_room.h"
 #include "relay/origin.h"
 #include "relay/pace.h"
 #include "relay/permit.h"
@@ -130,8 +131,10 @@
 		usage_note_begin(step, call);
 	dff_timers_cancel(
 	    step->relay->timers, DFF_TIMER_ATTEMPT, call->table_handle);
-	if (result_is_good(send) && send->stage == DFF_STAGE_DECODE)
+	if (result_is_good(send) && send->stage == DFF_STAGE_DECODE) {
 		call->kv_handle[0] = '\0';
+		kv_release_handle(step, call);
+	}
 	if (result_is_good(send) &&
 	    (call->route->kind == DFF_ROUTE_STREAM ||
 		DFF_FAULT(RELAY_HALF_ANSWERS)))
@@ -428,7 +431,9 @@
 		call->counted_sends++;
 	call->prefill_accepted = true;
 	dff_hist_add(step->relay->prefill_time, step->now - send->sent_at);
+	kv_release_handle(step, call);
 	call->prefill_engine = send->upstream;
+	kv_hold_handle(step, call);
 	g_strlcpy(call->kv_addr, send->addr, sizeof(call->kv_addr));
 	g_strlcpy(call->kv_handle, end->handle, sizeof(call->kv_handle));
 	call->kv_handle_tries = 0;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -3,6 +3,7 @@
 #include "base/fault.h"
 #include "relay/forward.h"
 #include "relay/give_up.h"
+#include "relay/kv_room.h"
 #include "relay/origin.h"
 #include "relay/permit.h"
 #include "relay/reach.h"
@@ -50,6 +51,7 @@
 	scaling_note_read(step->relay, call->pool_config, send->backlog);
 	up->backlog += send->backlog;
 	up->memory += send->memory;
+	kv_hold_send(up, call, step->now);
 	/* The last part is specific to this request; no other needs it. */
 	for (uint32_t i = 0; i + 1 < call->prompt.count; i++)
 		frame_note_part(step->relay, up, call->prompt.parts[i].id,
@@ -80,6 +82,7 @@
 	if (up != NULL) {
 		upstream_note_end(up);
 		up->memory -= MIN(up->memory, send->memory);
+		kv_release_send(up, call, step->now);
 	}
 	(void)g_hash_table_remove(step->relay->by_send, &send->number);
 	dff_timers_cancel(
@@ -269,6 +272,7 @@
 	request->avoid_count = call->avoid_count;
 	request->software = origin_bound_software(call);
 	request->permit_at_hand = call->permit_requests >= PERMIT_REQUESTS_MAX;
+	request->under_way = call->sends > 0 || call->stream_begun;
 	request->whole_only = call->after_event >= 0;
 	request->prefill_engine =
 	    call->kv_handle[0] != '\0' ? call->prefill_engine : 0;
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -8,6 +8,7 @@
 
 #include "dragonflyfall/relay.h"
 #include "relay/capacity.h"
+#include "relay/kv_held.h"
 #include "relay/rate_limit.h"
 
 /** struct in_flight - sends in flight at an upstream, as frames report them */
@@ -15,6 +16,7 @@
 	uint32_t running;
 	uint32_t backlog; /* prompt tokens */
 	uint32_t memory; /* tokens held */
+	uint32_t unshared; /* of them, those that no other request shares */
 } in_flight_t;
 
 /** enum notice_origin - who received an upstream's notice */
@@ -32,7 +34,8 @@
  *	DFF_TIME_NEVER while it is listed
  * @running: own sends in flight
  * @backlog: prompt tokens of own sends that it has not read yet
- * @memory: tokens that own sends hold there
+ * @memory: tokens that own sends hold there, shared ones counted by each
+ * @held: the same with shared ones counted once
  * @peer_sends: the same of all other nodes, as peers report them
  * @domain_sends: the part of @peer_sends from summaries of other domains
  * @reported: own sends as last reported in a frame
@@ -77,6 +80,7 @@
 	uint32_t running;
 	uint64_t backlog;
 	uint64_t memory;
+	kv_held_t held;
 	in_flight_t peer_sends;
 	in_flight_t domain_sends;
 	in_flight_t reported;
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -75,6 +75,7 @@
 remove_upstream(upstreams_t *ups, dff_handle_t handle, upstream_t *up)
 {
 	g_hash_table_unref(up->cached_parts);
+	kv_held_clear(&up->held);
 	(void)g_hash_table_remove(ups->by_hash, GUINT_TO_POINTER(up->hash));
 	(void)g_hash_table_remove(ups->by_id, up->record.id);
 	dff_table_give(ups->table, handle);
