--- a/test/test_relay_kv_room.c
+++ b/test/test_relay_kv_room.c
@@ -9,7 +9,8 @@
 #include <string.h>
 
 #include "fake/relay_net.h"
-#include "relay/kv_held.h"
+#include "proto/dragonflyfall.pb-c.h"
+#include "relay/kv_room.h"
 
 #define NODES	     6
 #define ENGINES_MAX  8
@@ -334,8 +335,69 @@
 }
 END_TEST
 
+/* A node of the version before reports no tokens without shared parts. */
+static void
+receive_old_frame(int node, uint32_t memory)
+{
+	Dff__RelayLoad row = DFF__RELAY_LOAD__INIT;
+	Dff__RelayLoad *rows[] = {&row};
+	Dff__RelayBeat frame = DFF__RELAY_BEAT__INIT;
+	dff_relay_event_t event = {.type = DFF_RELAY_HEARTBEAT};
+	uint8_t bytes[256];
+
+	row.upstream = upstream_hash("e0");
+	row.running = 30;
+	row.memory = memory;
+	frame.node = (char *)(uintptr_t) "old";
+	frame.domain = (char *)(uintptr_t) "a";
+	frame.incarnation = 1;
+	frame.sequence = 1;
+	frame.source_age_ms = UINT32_MAX;
+	frame.loads = rows;
+	frame.n_loads = 1;
+	ck_assert_uint_le(
+	    dff__relay_beat__get_packed_size(&frame), sizeof(bytes));
+	event.heartbeat.len = dff__relay_beat__pack(&frame, bytes);
+	event.heartbeat.bytes = bytes;
+	event.heartbeat.addr = "10.0.97.99:7000";
+	relay_bench_step(net.nodes[node], &event);
+}
+
+START_TEST(memory_that_older_nodes_report_counts)
+{
+	start_fleet(0, 1, 1);
+	receive_old_frame(0, 440000);
+	open_request(0);
+	ck_assert_int_eq(refused, 1);
+	ck_assert_uint_eq(jobs->len, 0);
+	open_request(1);
+	ck_assert_uint_eq(jobs->len, 1);
+	stop_fleet();
+}
+END_TEST
+
 /* ---- what is held ---- */
 
+START_TEST(large_request_fits_where_there_is_no_other)
+{
+	const dff_pool_t pool = {.kv_tokens = KV_TOKENS};
+	const dff_prompt_t prompt = {.parts = {{1, 470000}},
+	    .count = 1,
+	    .tokens = 470000,
+	    .tokens_out = OUT};
+	placement_request_t request = {.pool_config = &pool, .prompt = &prompt};
+	upstream_t up = {.running = 0};
+
+	ck_assert(kv_has_room(&up, &request, true, 0));
+	up.peer_sends.unshared = 1;
+	ck_assert(!kv_has_room(&up, &request, true, 0));
+	request.under_way = true;
+	ck_assert(kv_has_room(&up, &request, true, 0));
+	up.peer_sends.unshared = 30000;
+	ck_assert(!kv_has_room(&up, &request, true, 0));
+}
+END_TEST
+
 static dff_prompt_t
 make_prompt(uint64_t shared, uint64_t own)
 {
@@ -396,6 +458,8 @@
 	tcase_set_timeout(tcase, 300);
 	tcase_add_test(tcase, engines_hold_no_more_than_their_memory);
 	tcase_add_test(tcase, engines_hold_prompts_until_their_handover);
+	tcase_add_test(tcase, memory_that_older_nodes_report_counts);
+	tcase_add_test(tcase, large_request_fits_where_there_is_no_other);
 	tcase_add_test(tcase, shared_parts_are_held_once);
 	tcase_add_test(tcase, parts_of_peers_are_held_for_a_time);
 	suite_add_tcase(suite, tcase);
