relay: refused orders of upstreams take no room from others

Cause: each order counted among the 48 that may be sent in a minute, also those that were refused as there are none to be had.

Change: an order that was refused as there are none to be had has changed nothing and is not counted; how often these are sent is bounded by their own wait.

Test: refused_orders_leave_room_for_others failed before (no order).

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -148,16 +148,43 @@
 
 /* ---- orders ---- */
 
+static bool
+is_recent(const sent_order_t *sent, dff_time_t now)
+{
+	return sent->number != 0 && now - sent->at < MINUTE;
+}
+
 static uint32_t
 count_recent(const scaling_t *scaling, dff_time_t now)
 {
 	uint32_t recent = 0;
 
-	for (uint32_t i = 0; i < MIN(scaling->sent, SCALING_ORDERS_MAX); i++)
-		recent += now - scaling->sent_at[i] < MINUTE;
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++)
+		recent += is_recent(&scaling->sent[i], now);
 	return recent;
 }
 
+static void
+note_sent(scaling_t *scaling, uint64_t number, dff_time_t now)
+{
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
+		if (is_recent(&scaling->sent[i], now))
+			continue;
+		scaling->sent[i] = (sent_order_t){number, now};
+		return;
+	}
+}
+
+/* A refused order has changed nothing. */
+static void
+forget_sent(scaling_t *scaling, uint64_t number)
+{
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
+		if (scaling->sent[i].number == number)
+			scaling->sent[i].number = 0;
+	}
+}
+
 /* Upstreams of a kind that there are, or will be once the last order was
  * carried out. */
 static uint32_t
@@ -219,8 +246,7 @@
 	state->floor = MIN(domain->listed[kind], count);
 	state->accepted = false;
 	state->ordered_at = now;
-	scaling->sent_at[scaling->sent % SCALING_ORDERS_MAX] = now;
-	scaling->sent++;
+	note_sent(scaling, order->number, now);
 }
 
 /* An order whose result is not known is sent again before any other. */
@@ -417,6 +443,7 @@
 		if (DFF_FAULT(RELAY_SCALING_REFUSAL_IGNORED))
 			state->refused_time = 0;
 		state->not_before = now + state->refused_time;
+		forget_sent(scaling, number);
 		break;
 	case DFF_ORDERED_TOO_MANY:
 		scaling->paused_until = now + TOO_MANY_TIME;
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -456,6 +456,39 @@
 }
 END_TEST
 
+/* Orders for more were refused all the time; then many are not needed. */
+START_TEST(refused_orders_leave_room_for_others)
+{
+	static const char *const names[] = {
+	    "a", "b", "c", "d", "e", "f", "g", "h"};
+	scaling_t *scaling = scaling_new(1);
+	scaling_view_t view = {.bounds = &bounds, .need = 40, .loaded = true};
+	scaling_order_t order;
+	uint32_t refused = 0;
+	dff_time_t now = START;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		scaling_view_domain(&view, names[i])->listed[SCALING_REGULAR] =
+		    5;
+	scaling_begin(scaling, &view);
+	for (; now < START + 55 * DFF_SEC; now += TICK) {
+		scaling_observe(scaling, &view, now);
+		if (!scaling_next_order(scaling, &view, now, &order))
+			continue;
+		ck_assert_int_eq(order.kind, SCALING_RECLAIMABLE);
+		ck_assert(scaling_note_result(
+		    scaling, order.number, DFF_ORDERED_NONE_AVAILABLE, now));
+		refused++;
+	}
+	ck_assert_uint_gt(refused, SCALING_ORDERS_MAX * 3 / 4);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		view.domains[i].listed[SCALING_RECLAIMABLE] = 20;
+	ck_assert(scaling_next_order(scaling, &view, now, &order));
+	ck_assert_str_eq(order.why, "too_many");
+	scaling_drop(scaling);
+}
+END_TEST
+
 /* Refusals, lost answers, orders carried out up to 6 s late. */
 START_TEST(lost_and_refused_calls_do_no_harm)
 {
@@ -618,6 +651,7 @@
 	tcase_add_test(tc, two_domains_bear_the_loss_of_one);
 	tcase_add_test(tc, where_none_are_to_be_had_is_asked_seldom);
 	tcase_add_test(tc, regular_ones_are_ordered_without_reclaimable_ones);
+	tcase_add_test(tc, refused_orders_leave_room_for_others);
 	tcase_add_test(tc, lost_and_refused_calls_do_no_harm);
 	tcase_add_test(tc, an_unanswered_order_is_repeated_as_it_is);
 	tcase_add_test(tc, an_older_order_carried_out_late_is_corrected);
