relay: reclaimable upstreams are asked for before regular ones are bought

Cause: after a refusal the next order in a domain waits for up to 16 s. In between more regular upstreams were bought, though reclaimable ones were to be had again.

Change: if regular upstreams are to be ordered, domains whose last refusal is 2 s old are asked again first; regular ones follow if these are refused.

Test: regular_ones_help_out_while_there_are_no_others failed before (2 regular ones, then 34).

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -267,6 +267,26 @@
 	return false;
 }
 
+/* Asks again where there were no reclaimable upstreams to be had, a while ago at
+ * least. */
+static bool
+reopen_domains(scaling_t *scaling, dff_time_t now)
+{
+	bool reopened = false;
+
+	for (uint32_t i = 0; i < scaling->domain_count; i++) {
+		kind_state_t *state =
+		    &scaling->domains[i].kinds[SCALING_RECLAIMABLE];
+
+		if (state->refused_at == 0 || now >= state->not_before ||
+		    now - state->refused_at < REFUSED_MIN)
+			continue;
+		state->not_before = now;
+		reopened = true;
+	}
+	return reopened;
+}
+
 static bool
 order_more(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     dff_time_t now, scaling_order_t *order)
@@ -300,6 +320,10 @@
 		count = MIN(count, room);
 		if (count <= expected[kind])
 			continue;
+		if (kind == SCALING_REGULAR && reopen_domains(scaling, now)) {
+			scaling_make_plan(scaling, view, now);
+			return order_more(scaling, view, index, now, order);
+		}
 		set_order(scaling, domain, kind, count, "too_few", now, order);
 		return true;
 	}
@@ -429,6 +453,7 @@
 		return false;
 	state->in_flight = 0;
 	state->repeat = false;
+	state->refused_at = 0;
 	switch (result) {
 	case DFF_ORDERED_ACCEPTED:
 		state->accepted = true;
@@ -443,6 +468,7 @@
 		if (DFF_FAULT(RELAY_SCALING_REFUSAL_IGNORED))
 			state->refused_time = 0;
 		state->not_before = now + state->refused_time;
+		state->refused_at = now;
 		forget_sent(scaling, number);
 		break;
 	case DFF_ORDERED_TOO_MANY:
--- a/source/relay/scaling_parts.h
+++ b/source/relay/scaling_parts.h
@@ -16,6 +16,7 @@
 	dff_time_t ordered_at; /* 0 for none */
 	dff_time_t not_before;
 	dff_time_t refused_time; /* last wait after a refusal; 0 for none */
+	dff_time_t refused_at; /* 0 if the last result was no refusal */
 } kind_state_t;
 
 typedef struct domain_state {
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -456,6 +456,48 @@
 }
 END_TEST
 
+static uint32_t
+count_regular(const world_t *world)
+{
+	uint32_t found = 0;
+
+	for (uint32_t d = 0; d < DOMAINS; d++)
+		found += count(world, d, SCALING_REGULAR, false);
+	return found;
+}
+
+/* A domain goes, no reclaimable ones are to be had anywhere for 11 s, and the
+ * load rises meanwhile and until after that: regular ones help out, and no
+ * longer. */
+START_TEST(regular_ones_help_out_while_there_are_no_others)
+{
+	for (uint32_t d = 0; d < DOMAINS; d++) {
+		world_t *world = begin();
+		uint32_t regular;
+
+		run_for(world, 46 * DFF_SEC);
+		reclaim(world, d, 11 * DFF_SEC);
+		for (uint32_t i = 0; i < DOMAINS; i++)
+			world->dry_until[i] = world->dry_until[d];
+		run_for(world, 2 * DFF_SEC);
+		world->work = world->late = 0;
+		world->factor = 1.4;
+		run_for(world, 6500 * DFF_MSEC);
+		world->factor = 1.9;
+		run_for(world, 2500 * DFF_MSEC);
+		regular = count_regular(world);
+		ck_assert_uint_gt(regular, 0);
+		run_for(world, BOOT);
+		ck_assert_msg(count_regular(world) <= regular,
+		    "%u regular ones, then %u", regular, count_regular(world));
+		run_for(world, BOOT + 2 * REACTION);
+		ck_assert_uint_eq(count_regular(world), 0);
+		ck_assert_double_lt(late_share(world), 0.01);
+		end(world);
+	}
+}
+END_TEST
+
 /* Orders for more were refused all the time; then many are not needed. */
 START_TEST(refused_orders_leave_room_for_others)
 {
@@ -651,6 +693,7 @@
 	tcase_add_test(tc, two_domains_bear_the_loss_of_one);
 	tcase_add_test(tc, where_none_are_to_be_had_is_asked_seldom);
 	tcase_add_test(tc, regular_ones_are_ordered_without_reclaimable_ones);
+	tcase_add_test(tc, regular_ones_help_out_while_there_are_no_others);
 	tcase_add_test(tc, refused_orders_leave_room_for_others);
 	tcase_add_test(tc, lost_and_refused_calls_do_no_harm);
 	tcase_add_test(tc, an_unanswered_order_is_repeated_as_it_is);
