relay: the first holder of the duties waits for nobody

Cause: a node that starts claims the duties after a lease and the time of late calls, 8 s after the start of a fleet, also if nobody can have held them.

Change: a log of duties whose end is position 0 (no record ever, the store in its first era) is claimed at once, in turns as before. The claim is accepted only if the log is still empty.

--- a/source/relay/duty.c
+++ b/source/relay/duty.c
@@ -230,11 +230,25 @@
 		set_end(duties, end, now);
 }
 
+/* Nobody has held the duties: the log is empty, and the store in its first era.
+ */
+static bool
+were_never_held(const duties_t *duties)
+{
+	uint64_t end = duties->end;
+
+	if (DFF_FAULT(RELAY_DUTY_EMPTY_COPY))
+		end -= dff_position_era(end) << DFF_POSITION_OFFSET_BITS;
+	return duties->end_known && end == 0;
+}
+
 /* When a claim of a node other than the holder may be carried out at the
  * earliest. */
 static dff_time_t
 free_at(const duties_t *duties)
 {
+	if (were_never_held(duties))
+		return duties->end_known_at;
 	if (duties->released)
 		return duties->end_known_at + duties->quiet;
 	if (DFF_FAULT(RELAY_DUTY_NO_WAIT))
@@ -307,6 +321,8 @@
 next_as_candidate(duties_t *duties, const duty_view_t *view, dff_time_t now,
     dff_duty_request_t *request)
 {
+	dff_time_t allowed_at;
+
 	if (!view->is_candidate || now < duties->retry_at ||
 	    now - duties->heard_at < SILENCE_TIME)
 		return false;
@@ -315,8 +331,10 @@
 		prepare_read(duties, request);
 		return true;
 	}
-	if (now < MAX(free_at(duties), duties->claims_allowed_at) +
-		view->turn * TURN_TIME)
+	allowed_at = free_at(duties);
+	if (!were_never_held(duties))
+		allowed_at = MAX(allowed_at, duties->claims_allowed_at);
+	if (now < allowed_at + view->turn * TURN_TIME)
 		return false;
 	prepare_append(duties, DFF_DUTY_CLAIM, request);
 	return true;
--- a/test/test_relay_duty.c
+++ b/test/test_relay_duty.c
@@ -222,6 +222,39 @@
 }
 END_TEST
 
+/* A log that has never had a record says that nobody has acted; an empty one of
+ * a store that came back as an older copy does not. */
+START_TEST(first_holder_waits_for_nobody)
+{
+	const uint64_t second_era = UINT64_C(1) << DFF_POSITION_OFFSET_BITS;
+	dff_duty_read_t read = {.answered = true, .end = 0};
+	dff_duty_request_t request;
+	dff_time_t now = 0;
+
+	start(false);
+	(void)wait_call(&now);
+	duties_apply_read(ctx, duties, &read, now);
+	request = wait_call(&now);
+	ck_assert(request.append);
+	ck_assert_uint_eq(request.position, 0);
+	ck_assert_int_lt(now, 2 * DFF_SEC);
+	accept_at(0, now);
+	ck_assert_uint_eq(duty_token(duties, "a", now), 1);
+	end();
+
+	now = 0;
+	read.end = second_era;
+	start(false);
+	(void)wait_call(&now);
+	duties_apply_read(ctx, duties, &read, now);
+	request = wait_call(&now);
+	ck_assert(request.append);
+	ck_assert_uint_eq(request.position, second_era);
+	ck_assert_int_ge(now, LEASE + LATE);
+	end();
+}
+END_TEST
+
 START_TEST(node_that_lost_a_duty_does_not_claim_it_soon)
 {
 	dff_duty_record_t records[2] = {
@@ -293,6 +326,7 @@
 	tcase_add_test(tcase, claim_waits_from_the_answer_to_the_read);
 	tcase_add_test(
 	    tcase, claim_waits_for_late_calls_where_no_fence_is_checked);
+	tcase_add_test(tcase, first_holder_waits_for_nobody);
 	tcase_add_test(tcase, node_that_lost_a_duty_does_not_claim_it_soon);
 	tcase_add_test(tcase, release_names_the_time_of_late_calls);
 	suite_add_tcase(suite, tcase);
