relay: orders wait until the first upstreams are listed

Cause: a holder that has the duty right after the start sees upstreams as they are listed, over 3 s. It ordered as many reclaimable ones as were listed at that moment, and took the others for a surplus.

Change: while the demand is not known, nothing is ordered until the number listed has not grown by a tenth for 1 s; regular upstreams that are listed later count among the first ones, of which nothing is taken away.

Test: upstreams_that_are_being_listed_are_waited_for failed before (5 ordered in place of 35).

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -19,6 +19,10 @@
  * unanswered or rejected order is repeated. */
 #define TOO_MANY_TIME DFF_SEC
 #define REPEAT_TIME   DFF_SEC
+/* Upstreams that start together are listed at most this long after each other.
+ */
+#define SETTLE_TIME  DFF_SEC
+#define GROWTH_SHARE 0.1
 /* Upstreams that are taken away from a domain at once, as a share of those
  * there: what they have cached is read again elsewhere. */
 #define DECREASE_SHARE 0.5
@@ -128,10 +132,37 @@
 	}
 }
 
+/* Regular upstreams that are listed late count among the first ones. */
+static void
+observe_listed(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
+{
+	uint32_t listed = 0;
+
+	scaling->listed_first = 0;
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		const scaling_domain_t *domain = &view->domains[i];
+		domain_state_t *state =
+		    scaling_find_domain(scaling, domain->name);
+
+		listed += scaling_total_of(domain->listed);
+		if (state == NULL)
+			continue;
+		state->listed_first =
+		    MAX(state->listed_first, domain->listed[SCALING_REGULAR]);
+		scaling->listed_first += state->listed_first;
+	}
+	if (listed > scaling->listed * (1 + GROWTH_SHARE)) {
+		scaling->grown_at = now;
+		scaling->listed = listed;
+	}
+	scaling->listed = MIN(scaling->listed, listed);
+}
+
 void
 scaling_observe(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
 {
 	scaling_demand_add(&scaling->demand, view->need, view->loaded, now);
+	observe_listed(scaling, view, now);
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		const scaling_domain_t *domain = &view->domains[i];
 		domain_state_t *state =
@@ -409,6 +440,9 @@
 	scaling_make_plan(scaling, view, now);
 	if (now < scaling->paused_until || recent >= SCALING_ORDERS_MAX)
 		return false;
+	if (!scaling_demand_is_known(&scaling->demand, now) &&
+	    now - scaling->grown_at < SETTLE_TIME)
+		return false;
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		if (is_ready(scaling, &view->domains[i]) &&
 		    repeat_order(scaling, &view->domains[i], now, order))
--- a/source/relay/scaling_parts.h
+++ b/source/relay/scaling_parts.h
@@ -34,6 +34,8 @@
 struct scaling {
 	scaling_demand_t demand;
 	uint32_t listed_first; /* when this node began to decide */
+	uint32_t listed; /* at the last change by a tenth */
+	dff_time_t grown_at; /* last time that more were listed by a tenth */
 	domain_state_t domains[DFF_SCALING_DOMAINS_MAX];
 	uint32_t domain_count;
 	scaling_plan_t plan;
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -667,6 +667,39 @@
 }
 END_TEST
 
+/* Upstreams are listed as they start, 30 a second. */
+START_TEST(upstreams_that_are_being_listed_are_waited_for)
+{
+	scaling_t *scaling = scaling_new(1);
+	scaling_view_t view = {.bounds = &bounds};
+	scaling_order_t order;
+	dff_time_t now = START;
+	uint32_t orders = 0;
+
+	for (uint32_t d = 0; d < DOMAINS; d++)
+		scaling_view_domain(&view, bounds.prices[d].domain)
+		    ->listed[SCALING_REGULAR] = 5;
+	scaling_begin(scaling, &view);
+	for (; now < START + 6 * DFF_SEC; now += TICK) {
+		if ((now - START) % (500 * DFF_MSEC) == 0 &&
+		    now < START + 4 * DFF_SEC) {
+			for (uint32_t d = 0; d < DOMAINS; d++)
+				view.domains[d].listed[SCALING_REGULAR] = MIN(
+				    view.domains[d].listed[SCALING_REGULAR] + 4,
+				    WHOLE);
+		}
+		scaling_observe(scaling, &view, now);
+		while (scaling_next_order(scaling, &view, now, &order)) {
+			ck_assert_int_eq(order.kind, SCALING_RECLAIMABLE);
+			ck_assert_uint_eq(order.count, WHOLE);
+			orders++;
+		}
+	}
+	ck_assert_uint_eq(orders, DOMAINS);
+	scaling_drop(scaling);
+}
+END_TEST
+
 START_TEST(an_idle_pool_shrinks_to_its_minimum)
 {
 	world_t *world = begin();
@@ -700,6 +733,7 @@
 	tcase_add_test(tc, an_older_order_carried_out_late_is_corrected);
 	tcase_add_test(tc, a_new_holder_begins_with_the_records);
 	tcase_add_test(tc, a_silent_start_takes_nothing_away);
+	tcase_add_test(tc, upstreams_that_are_being_listed_are_waited_for);
 	tcase_add_test(tc, an_idle_pool_shrinks_to_its_minimum);
 	suite_add_tcase(s, tc);
 	return s;
