relay: upstreams that leave count no more when others are to leave

Cause: whether enough remain without some upstreams was decided from those listed, among them those that had been told to leave a moment ago. Where engines keep no parts of prompts nothing spaces these orders: 15 regular upstreams left in each of four domains at once while the reclaimable ones that were to replace them still booted. 4 of 30 needed remained, also by the minimum of a domain with both kinds.

Change: what stays is what is listed, or what was ordered since if that is less and the order was not refused.

Test: all_that_leave_at_once_are_not_needed failed before (4 remain). Tests of single orders are in a file of their own, those that were there before as they were.

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -249,6 +249,18 @@
 	return MAX(listed, state->count);
 }
 
+/* Fewest upstreams of a kind that remain while the last order is carried out. */
+static uint32_t
+least_of(const kind_state_t *state, uint32_t listed,
+    const dff_scaling_t *bounds, dff_time_t now)
+{
+	if (state->ordered_at == 0 ||
+	    now - state->ordered_at >= bounds->boot_time + LISTING_TIME ||
+	    (!state->accepted && state->in_flight == 0 && !state->repeat))
+		return listed;
+	return MIN(listed, state->count);
+}
+
 /* Whether the domain has an order in flight. */
 static bool
 is_busy(const domain_state_t *domain)
@@ -361,16 +373,33 @@
 	return false;
 }
 
-/* Whether what serves now, without @fewer upstreams, still bears a loss. */
+/* Upstreams of a domain that serve now and stay. */
+static void
+count_staying(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
+    dff_time_t now, uint32_t counts[SCALING_KIND_COUNT])
+{
+	const scaling_domain_t *domain = &view->domains[index];
+	const domain_state_t *state =
+	    scaling_find_domain(scaling, domain->name);
+
+	for (int kind = 0; kind < SCALING_KIND_COUNT; kind++)
+		counts[kind] = state == NULL ?
+		    domain->listed[kind] :
+		    least_of(&state->kinds[kind], domain->listed[kind],
+			view->bounds, now);
+}
+
+/* Whether what stays of those that serve now, without @fewer upstreams, still
+ * bears a loss. */
 static bool
-may_lose(const scaling_t *scaling, const scaling_view_t *view, uint32_t index,
+may_lose(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     scaling_kind_t kind, uint32_t fewer, dff_time_t now)
 {
 	uint32_t counts[DFF_SCALING_DOMAINS_MAX][SCALING_KIND_COUNT];
 	uint32_t total = 0;
 
 	for (uint32_t i = 0; i < view->domain_count; i++) {
-		memcpy(counts[i], view->domains[i].listed, sizeof(counts[i]));
+		count_staying(scaling, view, i, now, counts[i]);
 		total += scaling_total_of(counts[i]);
 	}
 	/* Before the demand is known, only replaced ones may leave. */
@@ -393,10 +422,13 @@
 	    &scaling_find_domain(scaling, domain->name)->kinds[kind];
 	uint32_t wanted = scaling->plan.targets[index].wanted[kind];
 	uint32_t listed = domain->listed[kind];
-	uint32_t total = scaling_total_of(domain->listed);
+	uint32_t staying[SCALING_KIND_COUNT];
 	uint32_t step = listed;
 	uint32_t surplus;
+	uint32_t total;
 
+	count_staying(scaling, view, index, now, staying);
+	total = scaling_total_of(staying);
 	if (listed <= wanted || state->repeat || now < state->not_before ||
 	    expected_count(state, listed, view->bounds, now) != listed)
 		return false;
