relay: nothing is ordered before the first upstream is listed

Cause: a holder that had the duty before any upstream was listed ordered the minimum of each domain, reclaimable; these took the place of as many regular ones before the others were replaced.

Change: while the demand is not known, orders wait until upstreams have been listed. Test: upstreams_that_are_being_listed_are_waited_for, in which the first ones are listed after a second now, failed before (order of 1).

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -473,7 +473,7 @@
 	if (now < scaling->paused_until || recent >= SCALING_ORDERS_MAX)
 		return false;
 	if (!scaling_demand_is_known(&scaling->demand, now) &&
-	    now - scaling->grown_at < SETTLE_TIME)
+	    (scaling->grown_at == 0 || now - scaling->grown_at < SETTLE_TIME))
 		return false;
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		if (is_ready(scaling, &view->domains[i]) &&
--- a/test/test_relay_scaling_orders.c
+++ b/test/test_relay_scaling_orders.c
@@ -146,7 +146,8 @@
 }
 END_TEST
 
-/* Upstreams are listed as they start, 30 a second. */
+/* Upstreams are listed as they start, 30 a second, the first ones after a second.
+ */
 START_TEST(upstreams_that_are_being_listed_are_waited_for)
 {
 	scaling_t *scaling = scaling_new(1);
@@ -156,12 +157,11 @@
 	uint32_t orders = 0;
 
 	for (uint32_t d = 0; d < DOMAINS; d++)
-		scaling_view_domain(&view, bounds.prices[d].domain)
-		    ->listed[SCALING_REGULAR] = 5;
+		(void)scaling_view_domain(&view, bounds.prices[d].domain);
 	scaling_begin(scaling, &view);
-	for (; now < START + 6 * DFF_SEC; now += TICK) {
+	for (; now < START + 8 * DFF_SEC; now += TICK) {
 		if ((now - START) % (500 * DFF_MSEC) == 0 &&
-		    now < START + 4 * DFF_SEC) {
+		    now >= START + DFF_SEC && now < START + 6 * DFF_SEC) {
 			for (uint32_t d = 0; d < DOMAINS; d++)
 				view.domains[d].listed[SCALING_REGULAR] = MIN(
 				    view.domains[d].listed[SCALING_REGULAR] + 4,
