relay: refused domains are asked again while regular upstreams stand in

Cause: the wait after refusals grows to 16 s, also while many regular upstreams serve in place of reclaimable ones, which cost a fraction.

Change: while more than a tenth of the need is listed as regular, a refused domain is asked again after 4 s.

Test: regular_ones_do_not_stay_long failed before (13 left 16 s after there were reclaimable ones again).

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -15,6 +15,10 @@
  * had. */
 #define REFUSED_MIN (2 * DFF_SEC)
 #define REFUSED_MAX (16 * DFF_SEC)
+/* Longest time while regular upstreams stand in for reclaimable ones, for more
+ * than this share of the need. */
+#define STAND_IN_MAX   (4 * DFF_SEC)
+#define STAND_IN_SHARE 0.1
 /* Time without any order after too many calls, and time after which an
  * unanswered or rejected order is repeated. */
 #define TOO_MANY_TIME DFF_SEC
@@ -310,10 +314,10 @@
 	return false;
 }
 
-/* Asks again where there were no reclaimable upstreams to be had, a while ago at
- * least. */
+/* Asks again where there were no reclaimable upstreams to be had @wait ago or
+ * longer. */
 static bool
-reopen_domains(scaling_t *scaling, dff_time_t now)
+reopen_domains(scaling_t *scaling, dff_time_t wait, dff_time_t now)
 {
 	bool reopened = false;
 
@@ -322,7 +326,7 @@
 		    &scaling->domains[i].kinds[SCALING_RECLAIMABLE];
 
 		if (state->refused_at == 0 || now >= state->not_before ||
-		    now - state->refused_at < REFUSED_MIN)
+		    now - state->refused_at < wait)
 			continue;
 		state->not_before = now;
 		reopened = true;
@@ -330,6 +334,16 @@
 	return reopened;
 }
 
+static uint32_t
+count_regular(const scaling_view_t *view)
+{
+	uint32_t regular = 0;
+
+	for (uint32_t i = 0; i < view->domain_count; i++)
+		regular += view->domains[i].listed[SCALING_REGULAR];
+	return regular;
+}
+
 static bool
 order_more(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     dff_time_t now, scaling_order_t *order)
@@ -363,7 +377,8 @@
 		count = MIN(count, room);
 		if (count <= expected[kind])
 			continue;
-		if (kind == SCALING_REGULAR && reopen_domains(scaling, now)) {
+		if (kind == SCALING_REGULAR &&
+		    reopen_domains(scaling, REFUSED_MIN, now)) {
 			scaling_make_plan(scaling, view, now);
 			return order_more(scaling, view, index, now, order);
 		}
@@ -469,6 +484,8 @@
 {
 	uint32_t recent = count_recent(scaling, now);
 
+	if (count_regular(view) > scaling->plan.need * STAND_IN_SHARE)
+		(void)reopen_domains(scaling, STAND_IN_MAX, now);
 	scaling_make_plan(scaling, view, now);
 	if (now < scaling->paused_until || recent >= SCALING_ORDERS_MAX)
 		return false;
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -477,6 +477,27 @@
 }
 END_TEST
 
+/* As before, and the load rises no more when there are reclaimable ones again.
+ */
+START_TEST(regular_ones_do_not_stay_long)
+{
+	world_t *world = begin();
+
+	run_for(world, 46 * DFF_SEC);
+	reclaim(world, 0, 16 * DFF_SEC);
+	for (uint32_t d = 0; d < DOMAINS; d++)
+		world->dry_until[d] = world->dry_until[0];
+	world->factor = 1.8;
+	run_for(world, 16 * DFF_SEC);
+	ck_assert_uint_gt(count_regular(world), 0);
+	world->orders = 0;
+	run_for(world, 16 * DFF_SEC);
+	ck_assert_uint_eq(count_regular(world), 0);
+	ck_assert_uint_le(world->orders, 32);
+	end(world);
+}
+END_TEST
+
 /* Refusals, lost answers, orders carried out up to 6 s late. */
 START_TEST(lost_and_refused_calls_do_no_harm)
 {
@@ -571,6 +592,7 @@
 	tcase_add_test(tc, where_none_are_to_be_had_is_asked_seldom);
 	tcase_add_test(tc, regular_ones_are_ordered_without_reclaimable_ones);
 	tcase_add_test(tc, regular_ones_help_out_while_there_are_no_others);
+	tcase_add_test(tc, regular_ones_do_not_stay_long);
 	tcase_add_test(tc, lost_and_refused_calls_do_no_harm);
 	tcase_add_test(tc, a_new_holder_begins_with_the_records);
 	tcase_add_test(tc, a_silent_start_takes_nothing_away);
