relay: regular upstreams stay until reclaimable ones serve in their place

Cause: as soon as a refused domain was to be asked again, the plan wanted reclaimable upstreams only, and regular ones that stood in for them were taken away before the answer; refused again, the same number was bought anew.

Change: no order for fewer regular upstreams while more than a tenth of what is wanted are reclaimable ones that have room and are not listed.

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -428,6 +428,28 @@
 	    counts, view->domain_count, scaling->plan.need);
 }
 
+/* Whether reclaimable upstreams that are wanted, and have room, are not listed:
+ * regular ones stand in for them. */
+static bool
+lacks_reclaimable(const scaling_t *scaling, const scaling_view_t *view)
+{
+	uint32_t missing = 0;
+	uint32_t all = 0;
+
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		const uint32_t *listed = view->domains[i].listed;
+		const uint32_t *wanted = scaling->plan.targets[i].wanted;
+		uint32_t room = view->bounds->max -
+		    MIN(listed[SCALING_REGULAR], view->bounds->max);
+		uint32_t expected = MIN(wanted[SCALING_RECLAIMABLE], room);
+
+		all += scaling_total_of(wanted);
+		missing +=
+		    expected - MIN(expected, listed[SCALING_RECLAIMABLE]);
+	}
+	return missing > all * MISSING_SHARE;
+}
+
 static bool
 order_fewer(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     scaling_kind_t kind, dff_time_t now, scaling_order_t *order)
@@ -447,6 +469,8 @@
 	if (listed <= wanted || state->repeat || now < state->not_before ||
 	    expected_count(state, listed, view->bounds, now) != listed)
 		return false;
+	if (kind == SCALING_REGULAR && lacks_reclaimable(scaling, view))
+		return false;
 	surplus = listed - wanted;
 	if (wanted > 0 && surplus <= (uint32_t)(listed * SURPLUS_SHARE) + 1)
 		return false;
--- a/test/test_relay_scaling.c
+++ b/test/test_relay_scaling.c
@@ -67,6 +67,7 @@
 	double seconds; /* of upstreams */
 	double price;
 	uint32_t orders;
+	uint32_t orders_for_fewer;
 	uint32_t fewest; /* upstreams that served at any time */
 	dff_time_t dry_until[DOMAINS];
 	double refused_share; /* of orders, with too many calls */
@@ -213,6 +214,7 @@
 		call.domain++;
 	check_order(world, order, call.domain);
 	world->orders++;
+	world->orders_for_fewer += strcmp(order->why, "too_many") == 0;
 	if (g_rand_double(world->rng) < world->refused_share) {
 		call.result = DFF_ORDERED_TOO_MANY;
 		call.done = true;
@@ -488,8 +490,10 @@
 	for (uint32_t d = 0; d < DOMAINS; d++)
 		world->dry_until[d] = world->dry_until[0];
 	world->factor = 1.8;
+	world->orders_for_fewer = 0;
 	run_for(world, 16 * DFF_SEC);
 	ck_assert_uint_gt(count_regular(world), 0);
+	ck_assert_uint_eq(world->orders_for_fewer, 0);
 	world->orders = 0;
 	run_for(world, 16 * DFF_SEC);
 	ck_assert_uint_eq(count_regular(world), 0);
