--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -15,10 +15,18 @@
  * had. */
 #define REFUSED_MIN (2 * DFF_SEC)
 #define REFUSED_MAX (16 * DFF_SEC)
+/* Longest time while regular upstreams stand in for reclaimable ones, for more
+ * than this share of the need. */
+#define STAND_IN_MAX   (4 * DFF_SEC)
+#define STAND_IN_SHARE 0.1
 /* Time without any order after too many calls, and time after which an
  * unanswered or rejected order is repeated. */
 #define TOO_MANY_TIME DFF_SEC
 #define REPEAT_TIME   DFF_SEC
+/* Upstreams that start together are listed at most this long after each other.
+ */
+#define SETTLE_TIME  DFF_SEC
+#define GROWTH_SHARE 0.1
 /* Upstreams that are taken away from a domain at once, as a share of those
  * there: what they have cached is read again elsewhere. */
 #define DECREASE_SHARE 0.5
@@ -128,10 +136,37 @@
 	}
 }
 
+/* Regular upstreams that are listed late count among the first ones. */
+static void
+observe_listed(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
+{
+	uint32_t listed = 0;
+
+	scaling->listed_first = 0;
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		const scaling_domain_t *domain = &view->domains[i];
+		domain_state_t *state =
+		    scaling_find_domain(scaling, domain->name);
+
+		listed += scaling_total_of(domain->listed);
+		if (state == NULL)
+			continue;
+		state->listed_first =
+		    MAX(state->listed_first, domain->listed[SCALING_REGULAR]);
+		scaling->listed_first += state->listed_first;
+	}
+	if (listed > scaling->listed * (1 + GROWTH_SHARE)) {
+		scaling->grown_at = now;
+		scaling->listed = listed;
+	}
+	scaling->listed = MIN(scaling->listed, listed);
+}
+
 void
 scaling_observe(scaling_t *scaling, const scaling_view_t *view, dff_time_t now)
 {
 	scaling_demand_add(&scaling->demand, view->need, view->loaded, now);
+	observe_listed(scaling, view, now);
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		const scaling_domain_t *domain = &view->domains[i];
 		domain_state_t *state =
@@ -148,16 +183,43 @@
 
 /* ---- orders ---- */
 
+static bool
+is_recent(const sent_order_t *sent, dff_time_t now)
+{
+	return sent->number != 0 && now - sent->at < MINUTE;
+}
+
 static uint32_t
 count_recent(const scaling_t *scaling, dff_time_t now)
 {
 	uint32_t recent = 0;
 
-	for (uint32_t i = 0; i < MIN(scaling->sent, SCALING_ORDERS_MAX); i++)
-		recent += now - scaling->sent_at[i] < MINUTE;
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++)
+		recent += is_recent(&scaling->sent[i], now);
 	return recent;
 }
 
+static void
+note_sent(scaling_t *scaling, uint64_t number, dff_time_t now)
+{
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
+		if (is_recent(&scaling->sent[i], now))
+			continue;
+		scaling->sent[i] = (sent_order_t){number, now};
+		return;
+	}
+}
+
+/* A refused order has changed nothing. */
+static void
+forget_sent(scaling_t *scaling, uint64_t number)
+{
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
+		if (scaling->sent[i].number == number)
+			scaling->sent[i].number = 0;
+	}
+}
+
 /* Upstreams of a kind that there are, or will be once the last order was
  * carried out. */
 static uint32_t
@@ -191,6 +253,18 @@
 	return MAX(listed, state->count);
 }
 
+/* Fewest upstreams of a kind that remain while the last order is carried out. */
+static uint32_t
+least_of(const kind_state_t *state, uint32_t listed,
+    const dff_scaling_t *bounds, dff_time_t now)
+{
+	if (state->ordered_at == 0 ||
+	    now - state->ordered_at >= bounds->boot_time + LISTING_TIME ||
+	    (!state->accepted && state->in_flight == 0 && !state->repeat))
+		return listed;
+	return MIN(listed, state->count);
+}
+
 /* Whether the domain has an order in flight. */
 static bool
 is_busy(const domain_state_t *domain)
@@ -219,8 +293,7 @@
 	state->floor = MIN(domain->listed[kind], count);
 	state->accepted = false;
 	state->ordered_at = now;
-	scaling->sent_at[scaling->sent % SCALING_ORDERS_MAX] = now;
-	scaling->sent++;
+	note_sent(scaling, order->number, now);
 }
 
 /* An order whose result is not known is sent again before any other. */
@@ -241,6 +314,36 @@
 	return false;
 }
 
+/* Asks again where there were no reclaimable upstreams to be had @wait ago or
+ * longer. */
+static bool
+reopen_domains(scaling_t *scaling, dff_time_t wait, dff_time_t now)
+{
+	bool reopened = false;
+
+	for (uint32_t i = 0; i < scaling->domain_count; i++) {
+		kind_state_t *state =
+		    &scaling->domains[i].kinds[SCALING_RECLAIMABLE];
+
+		if (state->refused_at == 0 || now >= state->not_before ||
+		    now - state->refused_at < wait)
+			continue;
+		state->not_before = now;
+		reopened = true;
+	}
+	return reopened;
+}
+
+static uint32_t
+count_regular(const scaling_view_t *view)
+{
+	uint32_t regular = 0;
+
+	for (uint32_t i = 0; i < view->domain_count; i++)
+		regular += view->domains[i].listed[SCALING_REGULAR];
+	return regular;
+}
+
 static bool
 order_more(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     dff_time_t now, scaling_order_t *order)
@@ -274,22 +377,44 @@
 		count = MIN(count, room);
 		if (count <= expected[kind])
 			continue;
+		if (kind == SCALING_REGULAR &&
+		    reopen_domains(scaling, REFUSED_MIN, now)) {
+			scaling_make_plan(scaling, view, now);
+			return order_more(scaling, view, index, now, order);
+		}
 		set_order(scaling, domain, kind, count, "too_few", now, order);
 		return true;
 	}
 	return false;
 }
 
-/* Whether what serves now, without @fewer upstreams, still bears a loss. */
+/* Upstreams of a domain that serve now and stay. */
+static void
+count_staying(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
+    dff_time_t now, uint32_t counts[SCALING_KIND_COUNT])
+{
+	const scaling_domain_t *domain = &view->domains[index];
+	const domain_state_t *state =
+	    scaling_find_domain(scaling, domain->name);
+
+	for (int kind = 0; kind < SCALING_KIND_COUNT; kind++)
+		counts[kind] = state == NULL ?
+		    domain->listed[kind] :
+		    least_of(&state->kinds[kind], domain->listed[kind],
+			view->bounds, now);
+}
+
+/* Whether what stays of those that serve now, without @fewer upstreams, still
+ * bears a loss. */
 static bool
-may_lose(const scaling_t *scaling, const scaling_view_t *view, uint32_t index,
+may_lose(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     scaling_kind_t kind, uint32_t fewer, dff_time_t now)
 {
 	uint32_t counts[DFF_SCALING_DOMAINS_MAX][SCALING_KIND_COUNT];
 	uint32_t total = 0;
 
 	for (uint32_t i = 0; i < view->domain_count; i++) {
-		memcpy(counts[i], view->domains[i].listed, sizeof(counts[i]));
+		count_staying(scaling, view, i, now, counts[i]);
 		total += scaling_total_of(counts[i]);
 	}
 	/* Before the demand is known, only replaced ones may leave. */
@@ -303,6 +428,28 @@
 	    counts, view->domain_count, scaling->plan.need);
 }
 
+/* Whether reclaimable upstreams that are wanted, and have room, are not listed:
+ * regular ones stand in for them. */
+static bool
+lacks_reclaimable(const scaling_t *scaling, const scaling_view_t *view)
+{
+	uint32_t missing = 0;
+	uint32_t all = 0;
+
+	for (uint32_t i = 0; i < view->domain_count; i++) {
+		const uint32_t *listed = view->domains[i].listed;
+		const uint32_t *wanted = scaling->plan.targets[i].wanted;
+		uint32_t room = view->bounds->max -
+		    MIN(listed[SCALING_REGULAR], view->bounds->max);
+		uint32_t expected = MIN(wanted[SCALING_RECLAIMABLE], room);
+
+		all += scaling_total_of(wanted);
+		missing +=
+		    expected - MIN(expected, listed[SCALING_RECLAIMABLE]);
+	}
+	return missing > all * MISSING_SHARE;
+}
+
 static bool
 order_fewer(scaling_t *scaling, const scaling_view_t *view, uint32_t index,
     scaling_kind_t kind, dff_time_t now, scaling_order_t *order)
@@ -312,13 +459,18 @@
 	    &scaling_find_domain(scaling, domain->name)->kinds[kind];
 	uint32_t wanted = scaling->plan.targets[index].wanted[kind];
 	uint32_t listed = domain->listed[kind];
-	uint32_t total = scaling_total_of(domain->listed);
+	uint32_t staying[SCALING_KIND_COUNT];
 	uint32_t step = listed;
 	uint32_t surplus;
+	uint32_t total;
 
+	count_staying(scaling, view, index, now, staying);
+	total = scaling_total_of(staying);
 	if (listed <= wanted || state->repeat || now < state->not_before ||
 	    expected_count(state, listed, view->bounds, now) != listed)
 		return false;
+	if (kind == SCALING_REGULAR && lacks_reclaimable(scaling, view))
+		return false;
 	surplus = listed - wanted;
 	if (wanted > 0 && surplus <= (uint32_t)(listed * SURPLUS_SHARE) + 1)
 		return false;
@@ -356,9 +508,14 @@
 {
 	uint32_t recent = count_recent(scaling, now);
 
+	if (count_regular(view) > scaling->plan.need * STAND_IN_SHARE)
+		(void)reopen_domains(scaling, STAND_IN_MAX, now);
 	scaling_make_plan(scaling, view, now);
 	if (now < scaling->paused_until || recent >= SCALING_ORDERS_MAX)
 		return false;
+	if (!scaling_demand_is_known(&scaling->demand, now) &&
+	    (scaling->grown_at == 0 || now - scaling->grown_at < SETTLE_TIME))
+		return false;
 	for (uint32_t i = 0; i < view->domain_count; i++) {
 		if (is_ready(scaling, &view->domains[i]) &&
 		    repeat_order(scaling, &view->domains[i], now, order))
@@ -403,6 +560,7 @@
 		return false;
 	state->in_flight = 0;
 	state->repeat = false;
+	state->refused_at = 0;
 	switch (result) {
 	case DFF_ORDERED_ACCEPTED:
 		state->accepted = true;
@@ -417,6 +575,8 @@
 		if (DFF_FAULT(RELAY_SCALING_REFUSAL_IGNORED))
 			state->refused_time = 0;
 		state->not_before = now + state->refused_time;
+		state->refused_at = now;
+		forget_sent(scaling, number);
 		break;
 	case DFF_ORDERED_TOO_MANY:
 		scaling->paused_until = now + TOO_MANY_TIME;
--- a/source/relay/scaling_parts.h
+++ b/source/relay/scaling_parts.h
@@ -16,6 +16,7 @@
 	dff_time_t ordered_at; /* 0 for none */
 	dff_time_t not_before;
 	dff_time_t refused_time; /* last wait after a refusal; 0 for none */
+	dff_time_t refused_at; /* 0 if the last result was no refusal */
 } kind_state_t;
 
 typedef struct domain_state {
@@ -24,17 +25,24 @@
 	kind_state_t kinds[SCALING_KIND_COUNT];
 } domain_state_t;
 
+/* An order that was not refused. */
+typedef struct sent_order {
+	uint64_t number; /* 0 for none */
+	dff_time_t at;
+} sent_order_t;
+
 struct scaling {
 	scaling_demand_t demand;
 	uint32_t listed_first; /* when this node began to decide */
+	uint32_t listed; /* at the last change by a tenth */
+	dff_time_t grown_at; /* last time that more were listed by a tenth */
 	domain_state_t domains[DFF_SCALING_DOMAINS_MAX];
 	uint32_t domain_count;
 	scaling_plan_t plan;
 	uint64_t next_number;
 	dff_time_t paused_until; /* all orders */
 	dff_time_t decreased_at; /* last order for fewer */
-	dff_time_t sent_at[SCALING_ORDERS_MAX]; /* of the last orders */
-	uint32_t sent;
+	sent_order_t sent[SCALING_ORDERS_MAX]; /* of the last minute */
 };
 
 /** scaling_find_domain() - state of a domain, added if it is missing; NULL if
