relay: runs at a dead process are no evidence when its next one is listed

The process of a run was taken to be the one recorded now, so that each of them counted as another crash: 2 crashes were 4, and the part that all prompts share was refused at all nodes for a minute. With nothing served, no answer could clear it. For the same reason the start kept with a crash was that of the next process, whose first crash then did not count.

Change: a run remembers the start of the process that it was sent to, and a crash the start of its run. Of a peer's crash that start is known unless the record was read after it. The class, the process behind an id taken from the newest record instead of the send, was searched for in source/relay: pace, notices and identities compare the start of the send already.

--- a/source/relay/suspect.c
+++ b/source/relay/suspect.c
@@ -190,7 +190,7 @@
 	if (crash->count > 0 && run->sent_at <= crash->last_at + RESTART_MIN)
 		return;
 	crash->count++;
-	crash->started_ms = up->record.started_ms;
+	crash->started_ms = run->started_ms;
 	crash->last_at = run->ended_at;
 	crash->learned_at = step->now;
 	suspect_note_crash(step, run->key, suspect, crash);
@@ -217,6 +217,7 @@
 	const upstream_t *up =
 	    upstreams_get(step->relay->upstreams, call->send.upstream);
 	broken_run_t run = {.upstream = call->send.upstream,
+	    .started_ms = call->send.upstream_started_ms,
 	    .sent_at = call->send.sent_at,
 	    .ended_at = step->now,
 	    .cancelled = cancelled};
@@ -272,9 +273,8 @@
 	}
 }
 
-/* Whether the run broke off at an upstream that was down already, as far as is
- * known: after the crash that was counted last it neither answered nor wrote a
- * record of another start. */
+/* Whether the run was sent to a process that was down already, as far as is
+ * known: that which crashed last, and it has not answered since. */
 static bool
 is_after_crash(
     const suspects_t *suspects, const broken_run_t *run, const upstream_t *up)
@@ -283,10 +283,11 @@
 	const crash_t *crash =
 	    suspect != NULL ? suspect_find_crash(suspect, up->hash) : NULL;
 
-	return crash != NULL && up->record.started_ms != 0 &&
-	    crash->started_ms == up->record.started_ms &&
+	return crash != NULL && run->started_ms != 0 &&
+	    crash->started_ms == run->started_ms &&
 	    run->sent_at > crash->last_at + RESTART_MIN &&
-	    up->answered_at <= crash->last_at &&
+	    (up->record.started_ms != run->started_ms ||
+		up->answered_at <= crash->last_at) &&
 	    !DFF_FAULT(RELAY_CRASHES_OF_DEAD_COUNT);
 }
 
--- a/source/relay/suspect_evidence.c
+++ b/source/relay/suspect_evidence.c
@@ -49,8 +49,9 @@
 	if (count <= crash->count)
 		return false;
 	crash->count = count;
-	if (up != NULL)
-		crash->started_ms = up->record.started_ms;
+	/* A record that was read later is not of the process that crashed. */
+	crash->started_ms =
+	    up != NULL && at >= up->restarted_at ? up->record.started_ms : 0;
 	crash->last_at = at;
 	crash->learned_at = step->now;
 	suspect_note_crash(step, key, suspect, crash);
--- a/source/relay/suspect_parts.h
+++ b/source/relay/suspect_parts.h
@@ -40,6 +40,7 @@
 typedef struct broken_run {
 	uint64_t key;
 	dff_handle_t upstream;
+	uint64_t started_ms; /* start of the process that it was sent to */
 	dff_time_t sent_at;
 	dff_time_t ended_at;
 	bool unresponsive; /* its upstream is silent, or a probe timed out */
--- a/source/relay/upstream.h
+++ b/source/relay/upstream.h
@@ -55,6 +55,8 @@
  * @failed_at: when this node or a peer could not reach it last; 0 for none
  * @recorded_at: when its newest record was read
  * @answered_at: when a request that it ran was answered last; 0 for none
+ * @restarted_at: when a record of its process was first read, if it followed
+ *	another under its id; 0 if not
  * @max_expected: longest time within which one of the sends in flight was
  *	expected to be answered
  * @answer_due: moment before which it must have sent a byte of any answer; 0
@@ -97,6 +99,7 @@
 	dff_time_t failed_at;
 	dff_time_t recorded_at;
 	dff_time_t answered_at;
+	dff_time_t restarted_at;
 	dff_time_t max_expected;
 	dff_time_t answer_due;
 	bool silent;
--- a/source/relay/upstreams.c
+++ b/source/relay/upstreams.c
@@ -213,6 +213,7 @@
 	if (record->started_ms != up->record.started_ms ||
 	    (record->started_ms == 0 && other_software)) {
 		reset_state(up, record);
+		up->restarted_at = now;
 		return RECORD_RESTARTED;
 	}
 	/* An upstream that announced its leaving does not return under the
--- a/test/test_relay_suspect_parts.c
+++ b/test/test_relay_suspect_parts.c
@@ -252,6 +252,42 @@
 }
 END_TEST
 
+/* Requests with the same parts, ten a second. */
+static void
+play_sound(dff_time_t time)
+{
+	static uint64_t own = 200000;
+	uint64_t parts[] = {1, 10, 0};
+
+	for (int i = 0; i < time / (100 * DFF_MSEC); i++) {
+		parts[2] = own++;
+		crash_sim_request_parts(
+		    i % small_fleet.nodes, parts, G_N_ELEMENTS(parts), false);
+		crash_sim_advance(100 * DFF_MSEC);
+	}
+}
+
+/* All engines that answer crash once and start again. Requests sent to them
+ * while they are down break off, and are no evidence of another crash. */
+START_TEST(sends_before_a_restart_are_no_evidence)
+{
+	crash_sim_config_t config = small_fleet;
+
+	config.upstreams = 4;
+	config.restart_delay = 4 * DFF_SEC;
+	config.record_expiry = 60 * DFF_SEC;
+	config.dead_accept = true;
+	start(&config, 1);
+	crash_sim_crash(1);
+	crash_sim_crash(3);
+	play_sound(3 * DFF_SEC);
+	crash_sim_advance(3 * DFF_SEC);
+	play_sound(3 * DFF_SEC);
+	ck_assert_int_eq(crash_sim_counts()->suspected, 0);
+	ck_assert_int_gt(crash_sim_counts()->answered, 0);
+}
+END_TEST
+
 /* All parts have the same crashes until a request lacks the crashing one. */
 START_TEST(parts_that_always_came_with_a_crashing_one_are_served)
 {
@@ -362,6 +398,7 @@
 	    tcase, parts_that_always_came_with_a_crashing_one_are_served);
 	tcase_add_test(
 	    tcase, sends_to_engines_that_crashed_before_are_no_evidence);
+	tcase_add_test(tcase, sends_before_a_restart_are_no_evidence);
 	tcase_add_test(tcase, restarted_fleet_remembers_crashing_part);
 	tcase_add_test(tcase, crashing_part_far_back_in_a_long_prompt_is_found);
 	tcase_add_test(tcase, refused_part_is_served_again_after_a_while);
