soak: an edge is cut off by its own connections, not by addresses

Cause: each edge knew the upstreams by addresses of its own, from its own view of the store, and a cut closed the addresses of that view.

Change: one address for each upstream; the proxy asks the kernel (sock_diag) for the socket at the other end of a connection, and /proc which edge has it.

--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -65,8 +65,8 @@
 typedef struct undo {
 	uv_timer_t timer;
 	soak_t *soak;
-	proxy_t *proxy;
 	edge_proc_t *edge;
+	edge_proc_t *store_link; /* edge whose link to the store fails */
 	edge_proc_t *cut; /* edge that is cut off from all upstreams */
 	soak_upstream_t *up;
 	bool store;
@@ -86,8 +86,9 @@
 	soak_t *soak = undo->soak;
 	dff_time_t now = dff_program_now();
 
-	if (undo->proxy != NULL)
-		proxy_set(undo->proxy, LINK_OK);
+	if (undo->store_link != NULL)
+		proxy_set(undo->store_link->store_proxy,
+		    undo->store_link->index, LINK_OK);
 	if (undo->up != NULL) {
 		undo->up->last_fault = now;
 		undo->up->link = LINK_OK;
@@ -141,11 +142,11 @@
 	link_fault_t fault = random_link_fault(soak);
 	undo_t *undo = schedule_undo(soak);
 
-	undo->proxy = edge->store_proxy;
+	undo->store_link = edge;
 	undo->edge = edge;
 	edge->last_fault = dff_program_now();
 	soak_trace(soak, "link fault=%d to=store", (int)fault);
-	proxy_set(edge->store_proxy, fault);
+	proxy_set(edge->store_proxy, edge->index, fault);
 }
 
 static void
--- a/soak/edges.c
+++ b/soak/edges.c
@@ -111,15 +111,12 @@
 void
 edges_start(soak_t *soak)
 {
-	char listed[16];
+	char store[32];
 
-	upstream_view(soak, -1, listed, sizeof(listed));
+	(void)g_snprintf(store, sizeof(store), "127.%d.5.1:8142", soak->net);
 	for (int i = 0; i < EDGES; i++) {
 		edge_proc_t *edge = &soak->edges[i];
-		char *store =
-		    g_strdup_printf("127.%d.5.%d:8142", soak->net, i + 2);
 		char from[32];
-		char view[16];
 
 		edge->index = i;
 		(void)g_snprintf(edge->front, sizeof(edge->front),
@@ -128,13 +125,9 @@
 		    g_strdup_printf("%s/edge-%d.conf", soak->folder, i);
 		(void)g_snprintf(
 		    from, sizeof(from), "127.%d.2.%d:8142", soak->net, i + 1);
-		upstream_view(soak, i, view, sizeof(view));
-		standin_add_view(
-		    soak->store, soak->ctx, &soak->loop, store, listed, view);
 		edge->store_proxy = proxy_new(soak, from, store);
 		edge_write_settings(soak, edge);
 		start_edge(soak, edge);
-		g_free(store);
 	}
 }
 
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -22,13 +22,14 @@
 	GList link;
 	int closing;
 	bool connected;
+	int edge; /* that opened it */
 };
 
 struct proxy {
 	soak_t *soak;
 	uv_tcp_t listener;
 	struct sockaddr_storage to;
-	link_fault_t fault;
+	link_fault_t faults[EDGES];
 	GQueue connections;
 };
 
@@ -37,6 +38,12 @@
 	char *bytes;
 } write_req_t;
 
+static link_fault_t
+fault_of(const connection_t *conn)
+{
+	return conn->proxy->faults[conn->edge];
+}
+
 static void
 on_closed(uv_handle_t *handle)
 {
@@ -99,10 +106,10 @@
 on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
 	endpoint_t *end = (endpoint_t *)stream;
-	proxy_t *proxy = end->conn->proxy;
+	link_fault_t fault = fault_of(end->conn);
 
-	end->lost |= proxy->fault == LINK_SILENT ||
-	    (proxy->fault == LINK_ONE_WAY && end->to_caller);
+	end->lost |=
+	    fault == LINK_SILENT || (fault == LINK_ONE_WAY && end->to_caller);
 	if (got < 0) {
 		/* A silent link does not report that the peer has closed. */
 		if (!end->lost)
@@ -144,7 +151,7 @@
 		return;
 	}
 	conn->connected = true;
-	if (conn->proxy->fault != LINK_STALLED)
+	if (fault_of(conn) != LINK_STALLED)
 		set_reading(conn, true);
 }
 
@@ -153,6 +160,7 @@
 {
 	proxy_t *proxy = listener->data;
 	connection_t *conn;
+	int owner;
 
 	if (status < 0)
 		return;
@@ -172,7 +180,12 @@
 		end->open = true;
 	}
 	if (uv_accept(listener, (uv_stream_t *)&conn->ends[0].tcp) != 0 ||
-	    proxy->fault == LINK_REFUSED ||
+	    (owner = edges_find_owner(proxy->soak, &conn->ends[0].tcp)) < 0) {
+		close_connection(conn, true);
+		return;
+	}
+	conn->edge = owner;
+	if (fault_of(conn) == LINK_REFUSED ||
 	    uv_tcp_connect(&conn->connect, &conn->ends[1].tcp,
 		(const struct sockaddr *)&proxy->to, on_connected) != 0)
 		close_connection(conn, true);
@@ -197,17 +210,21 @@
 }
 
 void
-proxy_set(proxy_t *proxy, link_fault_t fault)
+proxy_set(proxy_t *proxy, int edge, link_fault_t fault)
 {
-	link_fault_t before = proxy->fault;
+	link_fault_t before = proxy->faults[edge];
 	GList *next;
 
-	proxy->fault = fault;
+	proxy->faults[edge] = fault;
 	for (GList *link = proxy->connections.head; link != NULL; link = next) {
+		connection_t *conn = link->data;
+
 		next = link->next;
+		if (conn->edge != edge)
+			continue;
 		if (fault == LINK_REFUSED)
-			close_connection(link->data, true);
+			close_connection(conn, true);
 		else if (fault == LINK_STALLED || before == LINK_STALLED)
-			set_reading(link->data, fault != LINK_STALLED);
+			set_reading(conn, fault != LINK_STALLED);
 	}
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -57,11 +57,11 @@
 	struct soak *soak;
 	int index;
 	char id[32];
-	char addr[32]; /* of its proxy; each edge knows one of its own */
+	char addr[32]; /* of its proxy */
 	uint64_t start_wall_ms;
 	uint64_t record_seq;
 	dff_h1d_t *server;
-	proxy_t *proxies[EDGES]; /* links of the edges to it */
+	proxy_t *proxy; /* links of the edges to it */
 	link_fault_t link; /* their fault */
 	bool crashed;
 	dff_time_t drain_start; /* 0 if it is not draining */
@@ -180,7 +180,14 @@
 /* ---- proxy.c ---- */
 
 proxy_t *proxy_new(soak_t *soak, const char *from, const char *to);
-void proxy_set(proxy_t *proxy, link_fault_t fault);
+/** proxy_set() - set the fault of the link of one edge */
+void proxy_set(proxy_t *proxy, int edge, link_fault_t fault);
+
+/* ---- owners.c ---- */
+
+/** edges_find_owner() - index of the edge that opened an accepted connection;
+ *	-1 if the edge has closed it */
+int edges_find_owner(const soak_t *soak, const uv_tcp_t *tcp);
 
 /* ---- upstreams.c ---- */
 
@@ -197,9 +204,6 @@
 /** upstreams_set_links() - apply the faults of all links between edges and
  *	upstreams */
 void upstreams_set_links(soak_t *soak);
-/** upstream_view() - text by which the addresses of upstreams begin as the
- *	store lists them to an edge; -1 for the store itself */
-void upstream_view(const soak_t *soak, int edge, char *text, size_t size);
 
 /* ---- limits.c ---- */
 
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -436,40 +436,24 @@
 	for (int i = 0; i < UPSTREAMS; i++) {
 		soak_upstream_t *up = &soak->upstreams[i];
 		char to[32];
-		char view[16];
 
 		up->soak = soak;
 		up->index = i;
 		up->start_wall_ms = dff_program_wall_ms();
 		up->version = 1;
 		(void)g_snprintf(up->id, sizeof(up->id), "u%d-0", i);
-		upstream_view(soak, -1, view, sizeof(view));
-		(void)g_snprintf(
-		    up->addr, sizeof(up->addr), "%s%d:9000", view, i + 1);
+		(void)g_snprintf(up->addr, sizeof(up->addr), "127.%d.3.%d:9000",
+		    soak->net, i + 1);
 		(void)g_snprintf(
 		    to, sizeof(to), "127.%d.4.%d:9000", soak->net, i + 1);
 		if (dff_h1d_new(soak->ctx, &soak->loop, to, &limits, &handlers,
 			up, &up->server) < 0)
 			g_error("upstream cannot listen addr=%s", to);
-		for (int k = 0; k < EDGES; k++) {
-			char from[32];
-
-			upstream_view(soak, k, view, sizeof(view));
-			(void)g_snprintf(
-			    from, sizeof(from), "%s%d:9000", view, i + 1);
-			up->proxies[k] = proxy_new(soak, from, to);
-		}
+		up->proxy = proxy_new(soak, up->addr, to);
 		write_record(soak, up);
 	}
 }
 
-void
-upstream_view(const soak_t *soak, int edge, char *text, size_t size)
-{
-	(void)g_snprintf(
-	    text, size, "127.%d.%d.", soak->net, edge < 0 ? 3 : 6 + edge);
-}
-
 void
 upstreams_set_links(soak_t *soak)
 {
@@ -481,7 +465,7 @@
 			    up->crashed || soak->edges[k].cut_since != 0;
 
 			proxy_set(
-			    up->proxies[k], refused ? LINK_REFUSED : up->link);
+			    up->proxy, k, refused ? LINK_REFUSED : up->link);
 		}
 	}
 }
