soak: edges that are cut off are compared with others at the same time

By the trace, nearly all upstreams were down from 7.8 to 9.9 s. Meanwhile the tries at the edges that were cut off counted; those at the other edge did not, as it had started at 7.1 s, until 10.1 s, when the upstreams were back.

Change: such a try counts only while one at an edge that is not cut off would. The bounds are the same.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -129,6 +129,26 @@
 	soak->recovery_requests--;
 }
 
+static bool
+had_fault(const edge_proc_t *edge, const attempt_t *attempt)
+{
+	return attempt->sent - MAX(edge->last_fault, edge->started) <=
+	    CONTACT_TIME;
+}
+
+/* Whether first tries at edges that are not cut off count, too: otherwise what
+ * the others serve would be that of another time, with other upstreams. */
+static bool
+others_count(const soak_t *soak, const attempt_t *attempt)
+{
+	for (int i = 0; i < EDGES; i++) {
+		if (soak->edges[i].cut_since == 0 &&
+		    !had_fault(&soak->edges[i], attempt))
+			return true;
+	}
+	return false;
+}
+
 /* Counts a first try that was sent while an edge was cut off from all upstreams
  * for long, and nothing else was wrong with it: at that edge or at the others. */
 static void
@@ -145,8 +165,7 @@
 	if (cut == NULL || attempt->first[0] != '\0' ||
 	    attempt->kind == KIND_BAD || attempt->kind == KIND_PART ||
 	    attempt->sent - soak->store_last_fault <= CONTACT_TIME ||
-	    attempt->sent - MAX(edge->last_fault, edge->started) <=
-		CONTACT_TIME)
+	    had_fault(edge, attempt) || !others_count(soak, attempt))
 		return;
 	if (edge->cut_since == 0) {
 		soak->others_first++;
