Soak: keys of organisations are added and removed under faults

The soak's configuration had no organisations, so that nothing about keys was checked with real processes, an unsteady store and stopped nodes at once.

soak/keys.c plays an operator that adds and removes keys, callers with good, removed and unknown keys, and a store that answers no reads for longer than revoke_ms. Upstreams check the organisation, that no key reaches them, that no unknown key runs, and that no request runs that was sent later than the bound after its key's removal; a 401 for a key that is there is a failure, whatever the faults. KEYS=1 has it in all runs.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -56,6 +56,7 @@
 	dff_time_t took = attempt->done - attempt->sent;
 
 	check_answer(soak, attempt);
+	keys_check_answer(soak, attempt);
 	if (attempt->status == 503 && attempt->runs > 0)
 		soak_fail(soak, "'not run' of a run id=%s", attempt->id);
 	if (attempt->status == 404)
@@ -142,7 +143,7 @@
 		    attempt->sent - soak->edges[i].cut_since > CONTACT_TIME)
 			cut = &soak->edges[i];
 	}
-	if (cut == NULL || attempt->first[0] != '\0' ||
+	if (cut == NULL || attempt->first[0] != '\0' || attempt->has_odd_key ||
 	    attempt->kind == KIND_BAD || attempt->kind == KIND_PART ||
 	    attempt->sent - soak->store_last_fault <= CONTACT_TIME ||
 	    attempt->sent - MAX(edge->last_fault, edge->started) <=
@@ -216,16 +217,18 @@
 	const char *body = attempt->kind == KIND_BAD ? "bad" : attempt->id;
 	char *prompt = prompt_fields(attempt);
 	char *resume = resume_fields(attempt);
+	char *key = keys_fields(soak, attempt);
 	char *text;
 
 	call.addr = soak->edges[attempt->edge].front;
 	call.peer = "edge";
 	text = g_strdup_printf(
 	    "POST /%s/x HTTP/1.1\r\nHost: h.example\r\n"
-	    "X-Attempt-Id: %s\r\nX-Deadline-Ms: 3000\r\n%s%sContent-Length: "
+	    "X-Attempt-Id: %s\r\nX-Deadline-Ms: 3000\r\n%s%s%sContent-Length: "
 	    "%zu\r\n\r\n%s",
-	    paths[attempt->kind], attempt->id, prompt, resume, strlen(body),
-	    body);
+	    paths[attempt->kind], attempt->id, prompt, resume, key,
+	    strlen(body), body);
+	g_free(key);
 	g_free(prompt);
 	g_free(resume);
 	call.bytes = g_byte_array_new();
--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -27,6 +27,9 @@
 #define FAULT_MAX_MSEC 3000
 /* Time for which an edge is cut off from all upstreams. */
 #define CUT_MSEC 5000
+/* Value of the setting "keys" by which the seed decides. The seeds that were
+ * found before there were keys have none. */
+#define KEYS_BY_SEED 2
 
 void
 soak_trace(soak_t *soak, const char *fmt, ...)
@@ -106,7 +109,7 @@
 		}
 	}
 	if (undo->store) {
-		standin_set_fault(soak->store, STANDIN_HEALTHY);
+		standin_set_fault(soak->store, keys_store_fault(soak));
 		soak->store_last_fault = now;
 	}
 	if (undo->corruption)
@@ -282,6 +285,7 @@
 	if (now - soak->start > WARMUP_TIME) {
 		limits_tick(soak);
 		returns_tick(soak);
+		keys_tick(soak);
 		callers_tick(soak);
 	}
 	if (now > next_fault && now < soak->faults_end) {
@@ -327,7 +331,7 @@
 }
 
 static void
-run_soak(soak_t *soak, dff_time_t faults)
+run_soak(soak_t *soak, dff_time_t faults, bool with_keys)
 {
 	char *store = g_strdup_printf("127.%d.5.1:8142", soak->net);
 	uv_timer_t tick = {.data = soak};
@@ -339,6 +343,8 @@
 	soak->end = soak->faults_end + RECOVERY_TIME;
 	soak->store = standin_new(soak->ctx, &soak->loop, store);
 	soak->client = dff_h1c_new(soak->ctx, &soak->loop);
+	if (with_keys)
+		keys_start(soak);
 	config_write(soak);
 	limits_start(soak);
 	returns_start(soak);
@@ -361,6 +367,7 @@
 	int64_t seed = 1;
 	int64_t seconds = 15;
 	int64_t net = 0;
+	int64_t keys = KEYS_BY_SEED;
 	char *program = NULL;
 	const dff_setting_t settings[] = {
 	    {.name = "seed",
@@ -385,6 +392,14 @@
 		.min = 0,
 		.max = 250,
 		.help = "second byte of the loopback addresses; 0: by seed"},
+	    {.name = "keys",
+		.kind = DFF_SETTING_INT,
+		.value = &keys,
+		.fallback = "2",
+		.min = 0,
+		.max = KEYS_BY_SEED,
+		.help = "1: requests need keys; 0: not; 2: for a fifth of the "
+			"seeds"},
 	    {.name = "program",
 		.kind = DFF_SETTING_TEXT,
 		.value = &program,
@@ -405,7 +420,9 @@
 	soak.ctx = dff_ctx_new(soak.seed, DFF_LOG_ERR, NULL, NULL);
 	soak.attempts = g_hash_table_new(g_str_hash, g_str_equal);
 	soak.trace = g_ptr_array_new();
-	run_soak(&soak, seconds * DFF_SEC);
+	run_soak(&soak, seconds * DFF_SEC,
+	    keys == KEYS_BY_SEED ? seed % 5 == 2 : keys > 0);
+	keys_print(&soak);
 	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
 		     "part_ended=%d part_late=%d "
 		     "limited=%d returns=%d resumed=%d went_on=%d "
--- a/soak/edges.c
+++ b/soak/edges.c
@@ -25,11 +25,11 @@
 	    "peers=127.%d.1.%d:8003\nmetrics=127.%d.1.%d:8004\n"
 	    "seeds=127.%d.1.1:8002\nstore=127.%d.2.%d:8142\nstop_s=%d\n"
 	    "budget_window_s=10\nbudget_ratio=0.2\nbudget_slack=50\n"
-	    "config_apply_ms=2000\nlink_mbps=100\n# %" G_GINT64_FORMAT "\n",
+	    "config_apply_ms=2000\nlink_mbps=100\n%s# %" G_GINT64_FORMAT "\n",
 	    edge->index, edge->front, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, soak->net, edge->index + 1,
-	    STOP_SECONDS, (gint64)dff_program_now());
+	    STOP_SECONDS, keys_settings(soak), (gint64)dff_program_now());
 
 	if (!g_file_set_contents(edge->settings, text, -1, NULL))
 		g_error("settings cannot be written path=%s", edge->settings);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -72,6 +72,12 @@
 	rate_limit_sim_t limit;
 } soak_upstream_t;
 
+/** typedef key_sim_t - a key that a caller sends */
+typedef struct key_sim key_sim_t;
+
+/** typedef keys_sim_t - the operator's and the callers' keys */
+typedef struct keys_sim keys_sim_t;
+
 /** struct attempt - one request of a caller and its result */
 typedef struct attempt {
 	char id[32];
@@ -88,6 +94,8 @@
 	bool complete; /* the answer was received to its end */
 	/* part of the recovery check: sent when the faults had long ended */
 	bool counts_for_recovery;
+	const key_sim_t *key; /* NULL in runs without keys */
+	bool has_odd_key; /* removed or unknown: it may be refused */
 	dff_time_t sent;
 	dff_time_t done;
 	GString *body;
@@ -122,6 +130,7 @@
 	GRand *rng;
 	GRand *limits_rng;
 	GRand *returns_rng;
+	keys_sim_t *keys; /* NULL in a run without organisations */
 	uint32_t seed;
 	int net; /* second byte of the loopback addresses */
 	char *folder;
@@ -139,8 +148,12 @@
 	dff_time_t last_stall; /* last time this program was stalled */
 	dff_time_t store_last_fault;
 	uint64_t version; /* of the configuration */
-	dff_time_t config_written_at;
+	dff_time_t config_written_at; /* the last that changes a route */
 	char *config_text;
+	dff_time_t written_at; /* any configuration, acknowledged */
+	dff_time_t copied_at; /* the last copy has what was written before */
+	dff_time_t lost_from; /* at its last return the store lost from here */
+	dff_time_t returned_at; /* until its last return; 0 before any */
 	dff_time_t next_copy; /* when the store is copied next */
 	dff_time_t return_at; /* when it goes back to the copy; 0 without one */
 	dff_time_t rewrite_at; /* when the configuration is written again; 0 */
@@ -212,6 +225,28 @@
 void limit_count(soak_t *soak, soak_upstream_t *up, const char *id);
 void limit_end(soak_upstream_t *up);
 
+/* ---- keys.c ---- */
+
+void keys_start(soak_t *soak);
+void keys_tick(soak_t *soak);
+/** keys_store_fault() - fault of the store when none of another kind is on */
+standin_fault_t keys_store_fault(const soak_t *soak);
+/** keys_settings() - lines of an edge's settings, or "" */
+const char *keys_settings(const soak_t *soak);
+/** keys_is_public() - whether the route of a kind of request needs no key,
+ *	though others do */
+bool keys_is_public(const soak_t *soak, int kind);
+/** keys_append_config() - append the organisations to a configuration */
+void keys_append_config(const soak_t *soak, GString *text);
+/** keys_fields() - choose the key of a request; the header lines about it */
+char *keys_fields(soak_t *soak, attempt_t *attempt);
+/** keys_check_request() - check what reached an upstream */
+void keys_check_request(
+    soak_t *soak, const dff_h1_head_t *head, const char *id);
+/** keys_check_answer() - check a status that a caller received */
+void keys_check_answer(soak_t *soak, const attempt_t *attempt);
+void keys_print(const soak_t *soak);
+
 /* ---- store_return.c ---- */
 
 void returns_start(soak_t *soak);
--- a/soak/store_return.c
+++ b/soak/store_return.c
@@ -53,6 +53,8 @@
 {
 	soak_trace(soak, "store comes back from an older copy");
 	standin_return(soak->store);
+	soak->returned_at = now;
+	soak->lost_from = soak->copied_at;
 	soak->returns++;
 	soak->store_last_fault = now;
 	soak->return_at = 0;
@@ -70,6 +72,7 @@
 		soak->rewrite_at = 0;
 		standin_put(
 		    soak->store, "keyed.op", "config", soak->config_text);
+		soak->written_at = now;
 	}
 	if (soak->remove_at != 0 && now >= soak->remove_at) {
 		soak->remove_at = 0;
@@ -81,6 +84,9 @@
 	    now >= soak->faults_end - AGE_MAX_MSEC * DFF_MSEC)
 		return;
 	standin_save(soak->store);
+	/* A copy also lacks what was not written again since the last. */
+	if (soak->rewrite_at == 0)
+		soak->copied_at = now;
 	soak->return_at = now +
 	    g_rand_int_range(soak->returns_rng, AGE_MIN_MSEC, AGE_MAX_MSEC) *
 		DFF_MSEC;
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -331,6 +331,7 @@
 		return;
 	}
 	limit_count(soak, up, id);
+	keys_check_request(soak, head, id);
 	if (g_rand_double(soak->rng) < corrupt_share / 2) {
 		reject(up, req, id);
 		return;
@@ -402,12 +403,14 @@
 	    soak->version += 3);
 	for (int k = 0; k < KIND_COUNT; k++)
 		g_string_append_printf(text,
-		    "%s{\"name\":\"%s\",\"host\":"
+		    "%s{%s\"name\":\"%s\",\"host\":"
 		    "\"h.example\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
 		    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"service\":"
 		    "\"%s\",\"maxAttempts\":2,\"resumable\":%s,"
 		    "\"sessionAffinity\":%s}",
-		    k > 0 ? "," : "", paths[k], paths[k], kinds[k],
+		    k > 0 ? "," : "",
+		    keys_is_public(soak, k) ? "\"public\":true," : "", paths[k],
+		    paths[k], kinds[k],
 		    generates(k)				? "llm" :
 			k == KIND_MOVE && soak->move_uses_other ? "other" :
 								  "plain",
@@ -417,9 +420,12 @@
 	    "],\"services\":[{\"name\":\"plain\"},"
 	    "{\"name\":\"other\"},{\"name\":\"llm\",\"engineKind\":"
 	    "{\"capacitySlots\":16,\"kvCapacity\":100000,\"tokenKvBytes\":1000,"
-	    "\"linkMbps\":100000.0,\"handleTtlS\":5.0}}],\"limits\":{}}");
+	    "\"linkMbps\":100000.0,\"handleTtlS\":5.0}}],\"limits\":{}");
+	keys_append_config(soak, text);
+	g_string_append(text, "}");
 	standin_put(soak->store, "keyed.op", "config", text->str);
 	soak->config_written_at = dff_program_now();
+	soak->written_at = soak->config_written_at;
 	soak_trace(soak, "configuration version=%" G_GUINT64_FORMAT " other=%d",
 	    soak->version, soak->move_uses_other);
 	g_free(soak->config_text);
--- a/source/relay/key_check.c
+++ b/source/relay/key_check.c
@@ -34,5 +34,7 @@
 	if (rules->age > with_margin(rules->config_time) &&
 	    !DFF_FAULT(RELAY_UNKNOWN_KEY_UNCONFIRMED))
 		return KEY_UNCONFIRMED;
+	if (DFF_FAULT(RELAY_UNKNOWN_KEY_RUNS))
+		return KEY_ACCEPTED;
 	return *key == '\0' ? KEY_MISSING : KEY_UNKNOWN;
 }
