--- a/soak/keys.c
+++ b/soak/keys.c
@@ -125,7 +125,10 @@
 bool
 keys_is_public(const soak_t *soak, int kind)
 {
-	return soak->keys != NULL && kind == KIND_ORDER;
+	/* Requests that crash upstreams are not put off by a long silence, or
+	 * upstreams would be down after the faults. */
+	return soak->keys != NULL &&
+	    (kind == KIND_ORDER || kind == KIND_BAD || kind == KIND_PART);
 }
 
 static void
