dff-check: a configuration is checked before it is sent

A program of its own: dff-ctl edits the project's own catalogue and talks to its platform, and names of the users' pages stay in platform/. It reads a file as dff-edge does and prints findings with section, index and name, as text or JSON, and what differs from a file with the configuration in force; the exit status is 0, 1 or 2 as of dff-ctl.

What contradicts what is decided in source/relay/routing_check.c on dff_routing_t (routing_check.h), differences in routing_compare.c. Organisations remember whose keys met, to name both; platform_read_routing_at() gives the place of what cannot be read. Neither changes what dff-edge does, and deploy/system.toml builds only dff-edge, as before.

Limits: reading stops at the first entry that cannot be read; the version in force comes from a file, not from the store.

--- a/Makefile
+++ b/Makefile
@@ -49,8 +49,8 @@
 SHELL_SRC = $(wildcard source/net/*.c)
 TOOLS = $(patsubst source/tool/%.c,%,$(wildcard source/tool/dff-*.c))
 TOOL_PARTS = $(filter-out source/tool/dff-%.c,$(wildcard source/tool/*.c))
-# The adapter to the users' platform, without the main() of dff-edge.
-PLATFORM = $(filter-out platform/dff-edge.c,$(wildcard platform/*.c))
+# The adapter to the users' platform, without the main() of its programs.
+PLATFORM = $(filter-out platform/dff-%.c,$(wildcard platform/*.c))
 PLATFORM_TESTS = $(patsubst platform/test/%.c,%,\
 	$(wildcard platform/test/test_*.c))
 PLATFORM_FAKES = $(filter-out platform/test/test_%.c \
@@ -69,7 +69,7 @@
 PLATFORM_FAKE_OBJ = $(PLATFORM_FAKES:%.c=$(OUT)/%.o)
 FAKE_OBJ = $(FAKES:%.c=$(OUT)/%.o)
 
-PROGRAMS = $(TOOLS:%=$(OUT)/%) $(OUT)/dff-edge
+PROGRAMS = $(TOOLS:%=$(OUT)/%) $(OUT)/dff-edge $(OUT)/dff-check
 TEST_PROGRAMS = $(TESTS:%=$(OUT)/%) $(PLATFORM_TESTS:%=$(OUT)/%)
 BENCH_PROGRAMS = $(BENCHES:%=$(OUT)/%)
 
@@ -123,6 +123,11 @@
 	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(OUT)/dff-check: $(OUT)/platform/dff-check.o $(OUT)/platform/records.o \
+	$(FAULT_OBJ_$(MODE)) \
+	$(OUT)/libdffshell.a $(OUT)/libdragonflyfall.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(TOOLS:%=$(OUT)/%): $(OUT)/%: $(OUT)/source/tool/%.o $(OUT)/libdffshell.a \
 	$(OUT)/libdragonflyfall.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
--- a/include/dragonflyfall/organisation.h
+++ b/include/dragonflyfall/organisation.h
@@ -63,4 +63,29 @@
 /** dff_organisations_conflicts() - keys that two organisations had */
 uint32_t dff_organisations_conflicts(const dff_organisations_t *organisations);
 
+/**
+ * struct dff_key_conflict - a key that two organisations had
+ * @index: the later one, which does not have it
+ * @owner: the one that has it
+ */
+typedef struct dff_key_conflict {
+	uint32_t index;
+	uint32_t owner;
+} dff_key_conflict_t;
+
+/** dff_organisations_conflict() - one of these keys, by number */
+dff_key_conflict_t dff_organisations_conflict(
+    const dff_organisations_t *organisations, uint32_t number);
+
+/** dff_organisations_count_keys() - add each organisation's number of keys to
+ *	@counts, by its index */
+void dff_organisations_count_keys(
+    const dff_organisations_t *organisations, uint32_t *counts);
+
+/** dff_organisations_lost_keys() - number of keys of @one, in @organisations,
+ *	that @other, in @others, does not have */
+uint32_t dff_organisations_lost_keys(const dff_organisations_t *organisations,
+    const dff_organisation_t *one, const dff_organisations_t *others,
+    const dff_organisation_t *other);
+
 #endif
--- a/source/relay/organisation.c
+++ b/source/relay/organisation.c
@@ -17,7 +17,7 @@
 	GArray *rows; /* dff_organisation_t */
 	GHashTable *keys; /* key_row_t, by its digest */
 	GHashTable *names; /* name to index + 1 */
-	uint32_t conflicts;
+	GArray *conflicts; /* dff_key_conflict_t */
 };
 
 /* Digests are evenly distributed. */
@@ -61,6 +61,8 @@
 
 	organisations->rows =
 	    g_array_new(FALSE, TRUE, sizeof(dff_organisation_t));
+	organisations->conflicts =
+	    g_array_new(FALSE, FALSE, sizeof(dff_key_conflict_t));
 	organisations->keys =
 	    g_hash_table_new_full(hash_digest, digests_are_equal, g_free, NULL);
 	organisations->names =
@@ -74,6 +76,7 @@
 	if (organisations == NULL)
 		return;
 	g_array_unref(organisations->rows);
+	g_array_unref(organisations->conflicts);
 	g_hash_table_unref(organisations->keys);
 	g_hash_table_unref(organisations->names);
 	g_free(organisations);
@@ -98,6 +101,7 @@
 {
 	key_row_t *row;
 	const key_row_t *other;
+	dff_key_conflict_t conflict = {.index = index};
 
 	if (*key == '\0')
 		return;
@@ -109,7 +113,9 @@
 		g_hash_table_add(organisations->keys, row);
 		return;
 	}
-	organisations->conflicts += other->index != index;
+	conflict.owner = other->index;
+	if (other->index != index)
+		g_array_append_val(organisations->conflicts, conflict);
 	g_free(row);
 }
 
@@ -162,5 +168,56 @@
 uint32_t
 dff_organisations_conflicts(const dff_organisations_t *organisations)
 {
-	return organisations->conflicts;
+	return organisations->conflicts->len;
+}
+
+dff_key_conflict_t
+dff_organisations_conflict(
+    const dff_organisations_t *organisations, uint32_t number)
+{
+	return g_array_index(
+	    organisations->conflicts, dff_key_conflict_t, number);
+}
+
+void
+dff_organisations_count_keys(
+    const dff_organisations_t *organisations, uint32_t *counts)
+{
+	GHashTableIter iter;
+	gpointer row;
+
+	g_hash_table_iter_init(&iter, organisations->keys);
+	while (g_hash_table_iter_next(&iter, &row, NULL))
+		counts[((const key_row_t *)row)->index]++;
+}
+
+static uint32_t
+index_of(
+    const dff_organisations_t *organisations, const dff_organisation_t *one)
+{
+	return (uint32_t)(one -
+	    &g_array_index(organisations->rows, dff_organisation_t, 0));
+}
+
+uint32_t
+dff_organisations_lost_keys(const dff_organisations_t *organisations,
+    const dff_organisation_t *one, const dff_organisations_t *others,
+    const dff_organisation_t *other)
+{
+	uint32_t index = index_of(organisations, one);
+	uint32_t other_index = index_of(others, other);
+	uint32_t lost = 0;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, organisations->keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const key_row_t *row = key;
+		const key_row_t *same =
+		    g_hash_table_lookup(others->keys, row->digest);
+
+		lost += row->index == index &&
+		    (same == NULL || same->index != other_index);
+	}
+	return lost;
 }
