--- a/soak/edges.c
+++ b/soak/edges.c
@@ -25,11 +25,11 @@
 	    "peers=127.%d.1.%d:8003\nmetrics=127.%d.1.%d:8004\n"
 	    "seeds=127.%d.1.1:8002\nstore=127.%d.2.%d:8142\nstop_s=%d\n"
 	    "budget_window_s=10\nbudget_ratio=0.2\nbudget_slack=50\n"
-	    "config_apply_ms=2000\nlink_mbps=100\n# %" G_GINT64_FORMAT "\n",
+	    "config_apply_ms=2000\nlink_mbps=100\n%s# %" G_GINT64_FORMAT "\n",
 	    edge->index, edge->front, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, soak->net, edge->index + 1,
-	    STOP_SECONDS, (gint64)dff_program_now());
+	    STOP_SECONDS, keys_settings(soak), (gint64)dff_program_now());
 
 	if (!g_file_set_contents(edge->settings, text, -1, NULL))
 		g_error("settings cannot be written path=%s", edge->settings);
@@ -111,15 +111,12 @@
 void
 edges_start(soak_t *soak)
 {
-	char listed[16];
+	char store[32];
 
-	upstream_view(soak, -1, listed, sizeof(listed));
+	(void)g_snprintf(store, sizeof(store), "127.%d.5.1:8142", soak->net);
 	for (int i = 0; i < EDGES; i++) {
 		edge_proc_t *edge = &soak->edges[i];
-		char *store =
-		    g_strdup_printf("127.%d.5.%d:8142", soak->net, i + 2);
 		char from[32];
-		char view[16];
 
 		edge->index = i;
 		(void)g_snprintf(edge->front, sizeof(edge->front),
@@ -128,13 +125,9 @@
 		    g_strdup_printf("%s/edge-%d.conf", soak->folder, i);
 		(void)g_snprintf(
 		    from, sizeof(from), "127.%d.2.%d:8142", soak->net, i + 1);
-		upstream_view(soak, i, view, sizeof(view));
-		standin_add_view(
-		    soak->store, soak->ctx, &soak->loop, store, listed, view);
 		edge->store_proxy = proxy_new(soak, from, store);
 		edge_write_settings(soak, edge);
 		start_edge(soak, edge);
-		g_free(store);
 	}
 }
 
--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -331,6 +331,7 @@
 		return;
 	}
 	limit_count(soak, up, id);
+	keys_check_request(soak, head, id);
 	if (g_rand_double(soak->rng) < corrupt_share / 2) {
 		reject(up, req, id);
 		return;
@@ -402,12 +403,14 @@
 	    soak->version += 3);
 	for (int k = 0; k < KIND_COUNT; k++)
 		g_string_append_printf(text,
-		    "%s{\"name\":\"%s\",\"host\":"
+		    "%s{%s\"name\":\"%s\",\"host\":"
 		    "\"h.example\",\"pathPrefix\":\"/%s/\",\"kind\":\"%s\","
 		    "\"timeoutMs\":1500,\"targetLatencyMs\":300,\"service\":"
 		    "\"%s\",\"maxAttempts\":2,\"resumable\":%s,"
 		    "\"sessionAffinity\":%s}",
-		    k > 0 ? "," : "", paths[k], paths[k], kinds[k],
+		    k > 0 ? "," : "",
+		    keys_is_public(soak, k) ? "\"public\":true," : "", paths[k],
+		    paths[k], kinds[k],
 		    generates(k)				? "llm" :
 			k == KIND_MOVE && soak->move_uses_other ? "other" :
 								  "plain",
@@ -417,9 +420,12 @@
 	    "],\"services\":[{\"name\":\"plain\"},"
 	    "{\"name\":\"other\"},{\"name\":\"llm\",\"engineKind\":"
 	    "{\"capacitySlots\":16,\"kvCapacity\":100000,\"tokenKvBytes\":1000,"
-	    "\"linkMbps\":100000.0,\"handleTtlS\":5.0}}],\"limits\":{}}");
+	    "\"linkMbps\":100000.0,\"handleTtlS\":5.0}}],\"limits\":{}");
+	keys_append_config(soak, text);
+	g_string_append(text, "}");
 	standin_put(soak->store, "keyed.op", "config", text->str);
 	soak->config_written_at = dff_program_now();
+	soak->written_at = soak->config_written_at;
 	soak_trace(soak, "configuration version=%" G_GUINT64_FORMAT " other=%d",
 	    soak->version, soak->move_uses_other);
 	g_free(soak->config_text);
@@ -436,40 +442,24 @@
 	for (int i = 0; i < UPSTREAMS; i++) {
 		soak_upstream_t *up = &soak->upstreams[i];
 		char to[32];
-		char view[16];
 
 		up->soak = soak;
 		up->index = i;
 		up->start_wall_ms = dff_program_wall_ms();
 		up->version = 1;
 		(void)g_snprintf(up->id, sizeof(up->id), "u%d-0", i);
-		upstream_view(soak, -1, view, sizeof(view));
-		(void)g_snprintf(
-		    up->addr, sizeof(up->addr), "%s%d:9000", view, i + 1);
+		(void)g_snprintf(up->addr, sizeof(up->addr), "127.%d.3.%d:9000",
+		    soak->net, i + 1);
 		(void)g_snprintf(
 		    to, sizeof(to), "127.%d.4.%d:9000", soak->net, i + 1);
 		if (dff_h1d_new(soak->ctx, &soak->loop, to, &limits, &handlers,
 			up, &up->server) < 0)
 			g_error("upstream cannot listen addr=%s", to);
-		for (int k = 0; k < EDGES; k++) {
-			char from[32];
-
-			upstream_view(soak, k, view, sizeof(view));
-			(void)g_snprintf(
-			    from, sizeof(from), "%s%d:9000", view, i + 1);
-			up->proxies[k] = proxy_new(soak, from, to);
-		}
+		up->proxy = proxy_new(soak, up->addr, to);
 		write_record(soak, up);
 	}
 }
 
-void
-upstream_view(const soak_t *soak, int edge, char *text, size_t size)
-{
-	(void)g_snprintf(
-	    text, size, "127.%d.%d.", soak->net, edge < 0 ? 3 : 6 + edge);
-}
-
 void
 upstreams_set_links(soak_t *soak)
 {
@@ -481,7 +471,7 @@
 			    up->crashed || soak->edges[k].cut_since != 0;
 
 			proxy_set(
-			    up->proxies[k], refused ? LINK_REFUSED : up->link);
+			    up->proxy, k, refused ? LINK_REFUSED : up->link);
 		}
 	}
 }
