HTTP/1.1 client: a connection's time counts from its start

Cause: libuv's timers count from the time at which the loop last looked at the clock. A client that had been held up since then for longer than its time to connect gave the connection up in the next turn, before it looked at the socket: the request ended as unsent, a probe as unreachable.

Change: dff_h1c_start() and dff_h1c_probe() have the loop look at the clock. A pause after the start still ends it in the same way.

Tests: held_up_client_has_its_time_to_connect and ..._to_probe failed before and pass; plain: test_process_h1 46 of 46, test_process_held 3 of 3. An earlier run of test_process_h1 with the change had 45 of 46, at load 14: smuggled_request_is_a_body read no answer within its 100 ms; that part of the code was not touched.

--- a/source/net/h1_client.c
+++ b/source/net/h1_client.c
@@ -105,6 +105,8 @@
 	}
 	if (call->new_connection)
 		dff_h1c_close_idle(h1c, call->peer);
+	/* The time limits count from now, not from the loop's last turn. */
+	uv_update_time(h1c->loop);
 	req = new_req(h1c, call, handlers, arg);
 	key = make_key(call);
 	req->conn = take_idle(h1c, key);
--- a/source/net/h1_probe.c
+++ b/source/net/h1_probe.c
@@ -130,6 +130,7 @@
 	probe->peer = g_strdup(call->peer);
 	probe->link.data = probe;
 	probe->timer.data = probe;
+	uv_update_time(h1c->loop);
 	probe->until =
 	    uv_now(h1c->loop) + (uint64_t)(call->connect_time / DFF_MSEC);
 	probe->tries_left = TRIES_MAX;
--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -485,6 +485,41 @@
 }
 END_TEST
 
+/* Without a turn of the loop, which knows the time of its last turn. */
+static void
+hold_up(void)
+{
+	(void)uv_run(&loop, UV_RUN_NOWAIT);
+	g_usleep(2 * 300 * 1000);
+}
+
+START_TEST(held_up_client_has_its_time_to_connect)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+	seen_t seen;
+
+	stub_start(
+	    STUB_STAYS, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", NULL);
+	hold_up();
+	ask(client, REQUEST, &seen);
+	ck_assert_int_eq(seen.end, DFF_H1C_DONE);
+	ck_assert_int_eq(seen.status, 200);
+	(void)g_string_free(seen.body, TRUE);
+	dff_h1c_drop(client);
+}
+END_TEST
+
+START_TEST(held_up_client_has_its_time_to_probe)
+{
+	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
+
+	stub_start(STUB_STAYS, NULL, NULL);
+	hold_up();
+	ck_assert_int_eq(probe_stub(client), DFF_H1C_REACHED);
+	dff_h1c_drop(client);
+}
+END_TEST
+
 START_TEST(probe_connection_is_reused)
 {
 	dff_h1c_t *client = dff_h1c_new(ctx, &loop);
@@ -1084,6 +1119,8 @@
 	tcase_add_test(tcase, endless_stale_answer_is_aborted);
 	tcase_add_test(tcase, answer_over_time_limit_is_aborted);
 	tcase_add_test(tcase, probe_reports_refused_connection);
+	tcase_add_test(tcase, held_up_client_has_its_time_to_connect);
+	tcase_add_test(tcase, held_up_client_has_its_time_to_probe);
 	tcase_add_test(tcase, probe_connection_is_reused);
 	tcase_add_test(tcase, probe_reports_connection_closed_at_once);
 	tcase_add_test(tcase, probe_during_a_crash_reports_refused_connection);
