test_process_h1: waits count turns of the loop

Cause: server and caller run in the test's own loop; when the test is held up for 100 ms between sending and its first turn, the time is over before the server has been run once. The same stood in run_for(). Now both count turns of 0.5 ms, so that the server gets at least as many as before; what is expected is unchanged.

--- a/test/test_process_h1.c
+++ b/test/test_process_h1.c
@@ -804,14 +804,17 @@
 	TALK_RESET
 } talk_end;
 
+/* Time between two turns of the loop. */
+#define TURN_TIME (500 * DFF_USEC)
+
+/* Turns the loop for at least this time. The turns count, not the clock: the
+ * test itself may be held up, and the server with it. */
 static void
 run_for(dff_time_t time)
 {
-	dff_time_t end = dff_program_now() + time;
-
-	while (dff_program_now() < end) {
+	for (dff_time_t past = 0; past < time; past += TURN_TIME) {
 		(void)uv_run(&loop, UV_RUN_NOWAIT);
-		g_usleep(500);
+		g_usleep(TURN_TIME / DFF_USEC);
 	}
 }
 
@@ -823,18 +826,18 @@
 	struct sockaddr_in sa;
 	char bytes[4096];
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	dff_time_t end;
 
 	(void)uv_ip4_addr("127.0.0.1", SERVER_PORT, &sa);
 	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
 	ck_assert_int_eq(
 	    (int)send(fd, text, strlen(text), MSG_NOSIGNAL), (int)strlen(text));
-	end = dff_program_now() + 100 * DFF_MSEC;
 	talk_end = TALK_OPEN;
-	while (dff_program_now() < end && talk_end == TALK_OPEN) {
+	for (dff_time_t past = 0;
+	     past < 100 * DFF_MSEC && talk_end == TALK_OPEN;
+	     past += TURN_TIME) {
 		ssize_t got;
 
-		(void)uv_run(&loop, UV_RUN_NOWAIT);
+		run_for(TURN_TIME);
 		got = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 		if (got > 0)
 			g_string_append_len(back, bytes, got);
@@ -842,7 +845,6 @@
 			talk_end = TALK_CLOSED;
 		else if (got < 0 && errno == ECONNRESET)
 			talk_end = TALK_RESET;
-		g_usleep(500);
 	}
 	return fd;
 }
