relay: orders change no more upstreams in a second than nodes can learn of

The holder replaced hundreds of upstreams at once, half of a domain with each order, and the nodes that read the records could not serve them to 75 others in time.

What counted orders in a minute moved there.

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -42,7 +42,6 @@
 #define FAILED_SHARE 0.1
 /* Orders in a minute beyond which none asks for fewer: the rest is for more. */
 #define DECREASES_MAX (SCALING_ORDERS_MAX * 3 / 4)
-#define MINUTE	      (60 * DFF_SEC)
 
 const char *
 scaling_kind_name(scaling_kind_t kind)
@@ -183,43 +182,6 @@
 
 /* ---- orders ---- */
 
-static bool
-is_recent(const sent_order_t *sent, dff_time_t now)
-{
-	return sent->number != 0 && now - sent->at < MINUTE;
-}
-
-static uint32_t
-count_recent(const scaling_t *scaling, dff_time_t now)
-{
-	uint32_t recent = 0;
-
-	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++)
-		recent += is_recent(&scaling->sent[i], now);
-	return recent;
-}
-
-static void
-note_sent(scaling_t *scaling, uint64_t number, dff_time_t now)
-{
-	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
-		if (is_recent(&scaling->sent[i], now))
-			continue;
-		scaling->sent[i] = (sent_order_t){number, now};
-		return;
-	}
-}
-
-/* A refused order has changed nothing. */
-static void
-forget_sent(scaling_t *scaling, uint64_t number)
-{
-	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
-		if (scaling->sent[i].number == number)
-			scaling->sent[i].number = 0;
-	}
-}
-
 /* Upstreams of a kind that there are, or will be once the last order was
  * carried out. */
 static uint32_t
@@ -293,7 +255,7 @@
 	state->floor = MIN(domain->listed[kind], count);
 	state->accepted = false;
 	state->ordered_at = now;
-	note_sent(scaling, order->number, now);
+	scaling_pace_note(&scaling->pace, order->number, now);
 }
 
 /* An order whose result is not known is sent again before any other. */
@@ -375,6 +337,9 @@
 		if (!scaling_demand_is_known(&scaling->demand, now))
 			count = wanted[kind];
 		count = MIN(count, room);
+		count = expected[kind] +
+		    scaling_pace_limit(&scaling->pace, view->changes_per_s,
+			count - MIN(count, expected[kind]));
 		if (count <= expected[kind])
 			continue;
 		if (kind == SCALING_REGULAR &&
@@ -383,6 +348,7 @@
 			return order_more(scaling, view, index, now, order);
 		}
 		set_order(scaling, domain, kind, count, "too_few", now, order);
+		scaling_pace_take(&scaling->pace, count - expected[kind]);
 		return true;
 	}
 	return false;
@@ -479,7 +445,8 @@
 	if (view->keeps_parts && scaling->decreased_at != 0 &&
 	    now - scaling->decreased_at < DECREASE_TIME)
 		return false;
-	surplus = MIN(surplus, step);
+	surplus = scaling_pace_limit(
+	    &scaling->pace, view->changes_per_s, MIN(surplus, step));
 	if (total - surplus < view->bounds->min)
 		surplus = total - MIN(view->bounds->min, total);
 	while (
@@ -489,6 +456,7 @@
 		return false;
 	set_order(
 	    scaling, domain, kind, listed - surplus, "too_many", now, order);
+	scaling_pace_take(&scaling->pace, surplus);
 	scaling->decreased_at = now;
 	return true;
 }
@@ -506,8 +474,9 @@
 scaling_next_order(scaling_t *scaling, const scaling_view_t *view,
     dff_time_t now, scaling_order_t *order)
 {
-	uint32_t recent = count_recent(scaling, now);
+	uint32_t recent = scaling_pace_recent(&scaling->pace, now);
 
+	scaling_pace_refill(&scaling->pace, view->changes_per_s, now);
 	if (count_regular(view) > scaling->plan.need * STAND_IN_SHARE)
 		(void)reopen_domains(scaling, STAND_IN_MAX, now);
 	scaling_make_plan(scaling, view, now);
@@ -576,7 +545,7 @@
 			state->refused_time = 0;
 		state->not_before = now + state->refused_time;
 		state->refused_at = now;
-		forget_sent(scaling, number);
+		scaling_pace_forget(&scaling->pace, number);
 		break;
 	case DFF_ORDERED_TOO_MANY:
 		scaling->paused_until = now + TOO_MANY_TIME;
--- a/source/relay/scaling.h
+++ b/source/relay/scaling.h
@@ -7,9 +7,7 @@
 
 #include "dragonflyfall/relay.h"
 #include "relay/scaling_demand.h"
-
-/* Most orders of one pool in a minute. */
-#define SCALING_ORDERS_MAX 48
+#include "relay/scaling_pace.h"
 
 /** enum scaling_kind - kinds of upstreams, which are counted separately */
 typedef enum scaling_kind {
@@ -37,6 +35,8 @@
  * @need: upstreams that its demand needs at this moment
  * @loaded: a request is in flight there
  * @keeps_parts: its upstreams have cached parts of prompts
+ * @changes_per_s: upstreams that orders may add or take away in a second, as
+ *	nodes tell each other of each; 0 for no bound
  * @domains: failure domains
  * @domain_count: number of these
  */
@@ -45,6 +45,7 @@
 	double need;
 	bool loaded;
 	bool keeps_parts;
+	double changes_per_s;
 	scaling_domain_t domains[DFF_SCALING_DOMAINS_MAX];
 	uint32_t domain_count;
 } scaling_view_t;
--- a/source/relay/scaling_parts.h
+++ b/source/relay/scaling_parts.h
@@ -25,12 +25,6 @@
 	kind_state_t kinds[SCALING_KIND_COUNT];
 } domain_state_t;
 
-/* An order that was not refused. */
-typedef struct sent_order {
-	uint64_t number; /* 0 for none */
-	dff_time_t at;
-} sent_order_t;
-
 struct scaling {
 	scaling_demand_t demand;
 	uint32_t listed_first; /* when this node began to decide */
@@ -42,7 +36,7 @@
 	uint64_t next_number;
 	dff_time_t paused_until; /* all orders */
 	dff_time_t decreased_at; /* last order for fewer */
-	sent_order_t sent[SCALING_ORDERS_MAX]; /* of the last minute */
+	scaling_pace_t pace;
 };
 
 /** scaling_find_domain() - state of a domain, added if it is missing; NULL if
--- a/source/relay/scaling_run.c
+++ b/source/relay/scaling_run.c
@@ -10,6 +10,11 @@
 #define READING_TIME DFF_SEC
 /* Tokens whose reading time shows the speed of an upstream. */
 #define SPEED_TOKENS 1000
+/* Bytes of the records of an upstream that starts or leaves, with what carries
+ * them, and the share of a node's link for them. */
+#define CHANGE_BYTES   1200
+#define CHANGE_SHARE   0.12
+#define BYTES_PER_MBIT 125000.0
 /* Numbers of orders of one pool. */
 #define NUMBERS_BITS 32
 
@@ -171,6 +176,26 @@
 
 /* ---- what is known of a pool ---- */
 
+/* Changes that the nodes of a failure domain can learn of in a second: the one
+ * with the fastest link reads the records and serves them to all others. */
+static double
+changes_per_s(const dff_relay_t *relay, dff_time_t now)
+{
+	uint32_t link = relay->config.link_mbps;
+	uint32_t nodes = 1;
+
+	for (guint i = 0; i < relay->peers->len; i++) {
+		const peer_t *peer = relay->peers->pdata[i];
+
+		if (!peer_is_direct(relay, peer) ||
+		    !peer_is_alive(relay, peer, now))
+			continue;
+		link = MAX(link, peer->link_mbps);
+		nodes++;
+	}
+	return link * BYTES_PER_MBIT * CHANGE_SHARE / CHANGE_BYTES / nodes;
+}
+
 static void
 gather(const dff_relay_t *relay, const dff_pool_t *pool, const scaler_t *scaler,
     dff_time_t now, scaling_view_t *view)
@@ -178,7 +203,8 @@
 	scaling_load_t load = {.reading = sum_rates(relay, scaler, true, now)};
 	upstream_t *up;
 
-	*view = (scaling_view_t){.bounds = &pool->scaling};
+	*view = (scaling_view_t){.bounds = &pool->scaling,
+	    .changes_per_s = changes_per_s(relay, now)};
 	for (uint32_t i = 0; i < pool->scaling.price_count; i++)
 		(void)scaling_view_domain(view, pool->scaling.prices[i].domain);
 	for (dff_handle_t h = 0;
--- a/test/test_relay_scaling_orders.c
+++ b/test/test_relay_scaling_orders.c
@@ -209,6 +209,55 @@
 }
 END_TEST
 
+/* A pool of 3,000 upstreams of which half are not needed, and whose nodes can
+ * learn of 30 changes in a second. */
+START_TEST(orders_change_no_more_than_nodes_can_learn_of)
+{
+	enum {
+		PER_S = 30,
+		SECONDS = 20
+	};
+	scaling_t *scaling = scaling_new(1);
+	dff_scaling_t large = bounds;
+	scaling_view_t view = {.bounds = &large,
+	    .need = 500,
+	    .loaded = true,
+	    .changes_per_s = PER_S};
+	scaling_order_t order;
+	uint32_t changes = 0;
+	uint32_t orders = 0;
+	dff_time_t now = START;
+
+	large.max = 1500;
+	for (uint32_t d = 0; d < DOMAINS; d++)
+		scaling_view_domain(&view, bounds.prices[d].domain)
+		    ->listed[SCALING_REGULAR] = 750;
+	scaling_begin(scaling, &view);
+	for (; now < START + 35 * DFF_SEC; now += TICK)
+		scaling_observe(scaling, &view, now);
+	for (dff_time_t end = now + SECONDS * DFF_SEC; now < end; now += TICK) {
+		scaling_observe(scaling, &view, now);
+		while (scaling_next_order(scaling, &view, now, &order)) {
+			uint32_t *listed =
+			    &scaling_view_domain(&view, order.domain)
+				 ->listed[order.kind];
+
+			changes += order.count > *listed ?
+			    order.count - *listed :
+			    *listed - order.count;
+			orders++;
+			*listed = order.count;
+			ck_assert(scaling_note_result(
+			    scaling, order.number, DFF_ORDERED_ACCEPTED, now));
+		}
+	}
+	ck_assert_uint_le(changes, PER_S * (SECONDS + 1));
+	ck_assert_uint_ge(changes, PER_S * (SECONDS - 2));
+	ck_assert_uint_le(orders, SECONDS + 1);
+	scaling_drop(scaling);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -223,6 +272,7 @@
 	tcase_add_test(tc, an_older_order_carried_out_late_is_corrected);
 	tcase_add_test(tc, upstreams_that_are_being_listed_are_waited_for);
 	tcase_add_test(tc, all_that_leave_at_once_are_not_needed);
+	tcase_add_test(tc, orders_change_no_more_than_nodes_can_learn_of);
 	suite_add_tcase(s, tc);
 	runner = srunner_create(s);
 	srunner_run_all(runner, CK_NORMAL);
