relay: a count of usage is sent in four frames

Cause: each count was in all frames of 1.2 s, 6 to 12 of them. By calculation that is 13 to 26 KB a second and node at 340 nodes (10.6 requests a second, 17 peers, 12 bytes a count), beyond the 20 KB that a node may spend.

Change: a changed count is in the next four frames: 8.6 KB. Reports are collected 1.5 s after their window, when these have long been sent; more counts than a frame takes now wait for the next one in place of being left out after 1.2 s.

Test: count_is_sent_in_a_few_frames failed before (frames of 68 bytes 0.8 s after the request, 50 without); the other 13 checks pass as before.

--- a/source/relay/usage.c
+++ b/source/relay/usage.c
@@ -7,8 +7,8 @@
 
 /* One-way latency inside a failure domain. */
 #define NEAR_LATENCY (200 * DFF_USEC)
-/* A count is sent in all frames of this time, as frames get lost. */
-#define REPEAT_TIME (1200 * DFF_MSEC)
+/* A count is sent in this many frames, as frames get lost. */
+#define REPEAT_FRAMES 4
 /* Windows are sent modulo this. */
 #define WINDOW_MODULO 4096
 /* Counts are kept for this time after their report is due. */
@@ -25,7 +25,7 @@
 	usage_key_t key;
 	uint32_t count;
 	bool own;
-	dff_time_t changed_at;
+	uint32_t untold; /* frames in which it is still to be sent */
 } usage_entry_t;
 
 struct usage {
@@ -226,7 +226,7 @@
 	    hash_name(call->organisation));
 	entry->own = true;
 	entry->count++;
-	entry->changed_at = step->now;
+	entry->untold = REPEAT_FRAMES;
 	usage->begun++;
 }
 
@@ -363,13 +363,13 @@
 	g_hash_table_iter_init(&iter, usage->entries);
 	while (frame->n_usage < USAGE_ROWS_MAX &&
 	    g_hash_table_iter_next(&iter, NULL, &value)) {
-		const usage_entry_t *entry = value;
+		usage_entry_t *entry = value;
 		Dff__RelayUsage *row = &rows[frame->n_usage];
 
-		if (!entry->own ||
-		    step->now - entry->changed_at > REPEAT_TIME ||
+		if (!entry->own || entry->untold == 0 ||
 		    DFF_FAULT(RELAY_USAGE_UNTOLD))
 			continue;
+		entry->untold--;
 		dff__relay_usage__init(row);
 		row->window = (uint32_t)(entry->key.window % WINDOW_MODULO);
 		row->organisation = entry->key.organisation;
--- a/test/test_relay_usage.c
+++ b/test/test_relay_usage.c
@@ -453,6 +453,37 @@
 }
 END_TEST
 
+/* Mean size of the frames that a node sends within a time. */
+static double
+frame_size(int node, dff_time_t time)
+{
+	uint64_t frames = net.frames_sent[node];
+	uint64_t bytes = net.bytes_sent[node];
+
+	advance(time);
+	ck_assert_uint_gt(net.frames_sent[node], frames);
+	return (double)(net.bytes_sent[node] - bytes) /
+	    (double)(net.frames_sent[node] - frames);
+}
+
+START_TEST(count_is_sent_in_a_few_frames)
+{
+	double before;
+	double with;
+
+	start(3);
+	for (int i = 0; i < 3; i++)
+		enable(i);
+	advance(3 * DFF_SEC);
+	before = frame_size(1, 300 * DFF_MSEC);
+	request(1, "ks", 200);
+	with = frame_size(1, 300 * DFF_MSEC);
+	ck_assert_double_gt(with, before + 5);
+	advance(500 * DFF_MSEC);
+	ck_assert_double_lt(frame_size(1, 300 * DFF_MSEC), before + 5);
+}
+END_TEST
+
 START_TEST(counts_heard_again_are_not_added)
 {
 	uint64_t window;
@@ -693,6 +724,7 @@
 	tcase_add_test(tcase, request_counts_once_in_the_window_of_its_begin);
 	tcase_add_test(tcase, stream_counts_with_its_first_token);
 	tcase_add_test(tcase, peers_have_the_counts_of_a_killed_node);
+	tcase_add_test(tcase, count_is_sent_in_a_few_frames);
 	tcase_add_test(tcase, counts_heard_again_are_not_added);
 	tcase_add_test(tcase, window_is_that_of_the_median_clock);
 	tcase_add_test(tcase, nothing_is_counted_or_sent_without_a_duty);
