--- a/source/relay/routing_check.c
+++ b/source/relay/routing_check.c
@@ -21,12 +21,16 @@
 	    .section = section,
 	    .index = index,
 	    .code = code};
+	const char *valid_end;
 	va_list args;
 
 	g_strlcpy(finding.name, name, sizeof(finding.name));
 	va_start(args, format);
 	(void)g_vsnprintf(finding.text, sizeof(finding.text), format, args);
 	va_end(args);
+	/* The end may be in the middle of a character. */
+	if (!g_utf8_validate(finding.text, -1, &valid_end))
+		finding.text[valid_end - finding.text] = '\0';
 	g_array_append_val(check->findings, finding);
 }
 
@@ -50,7 +54,7 @@
 		add_finding(check, true, DFF_SECTION_ROUTES, index, route->name,
 		    "never_matches",
 		    "never matches: hosts are compared without port, and this "
-		    "one is %.64s",
+		    "one is %s",
 		    route->host);
 	if (strpbrk(route->prefix, " \t\r\n") != NULL)
 		add_finding(check, true, DFF_SECTION_ROUTES, index, route->name,
@@ -208,7 +212,7 @@
 		if (!is_priced(scaling, check->domains[i]))
 			add_finding(check, false, DFF_SECTION_POOLS, index,
 			    pool->name, "no_price",
-			    "failure domain %.64s has no price",
+			    "there is no price for failure domain %s",
 			    check->domains[i]);
 	}
 }
