relay: parts that peers report are forgotten also without own requests

Cause: parts of prompts that peers report were added to an upstream's held parts, and looked through only when this node sent there, or placed a request where memory was nearly taken. A node that sends nothing to a pool kept each part that it ever heard of. And each look at a nearly full engine went through all of its parts, for each candidate of each placement.

Change: a report looks through the parts, too, and they are looked through at most every 300 ms; an own request's parts are released at its end without it.

Evidence: parts_of_peers_are_forgotten_without_own_requests failed before with 1000 parts kept where at most 6 are reported lately; it fails with the fault RELAY_PEER_PARTS_KEPT.

--- a/source/relay/kv_held.c
+++ b/source/relay/kv_held.c
@@ -1,8 +1,12 @@
 #include "relay/kv_held.h"
 
+#include "base/fault.h"
+
 /* A part that a peer has reported counts as held for this time: a peer reports
  * a part that it goes on sending again after 3 s, and in its next full frame. */
 #define PEER_PART_TIME (4200 * DFF_MSEC)
+/* Parts of peers are looked through at most this often. */
+#define SWEEP_INTERVAL (300 * DFF_MSEC)
 
 typedef struct held_part {
 	uint32_t tokens;
@@ -57,26 +61,49 @@
 	return part;
 }
 
-/* Forgets parts that nobody uses any more. */
+static bool
+is_unused(const held_part_t *part, dff_time_t now)
+{
+	return part->users == 0 && part->peers_until <= now;
+}
+
+/* Forgets parts that peers have reported and nobody uses any more. */
 static void
 expire_parts(kv_held_t *held, dff_time_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (held->parts == NULL)
+	if (held->parts == NULL || now < held->sweep_at)
 		return;
+	held->sweep_at = now + SWEEP_INTERVAL;
 	g_hash_table_iter_init(&iter, held->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const held_part_t *part = value;
 
-		if (part->users > 0 || part->peers_until > now)
+		if (!is_unused(part, now))
 			continue;
 		held->shared -= part->tokens;
 		g_hash_table_iter_remove(&iter);
 	}
 }
 
+static void
+release_part(kv_held_t *held, uint64_t id, dff_time_t now)
+{
+	held_part_t *part = held->parts != NULL ?
+	    g_hash_table_lookup(held->parts, &id) :
+	    NULL;
+
+	if (part == NULL)
+		return;
+	part->users -= MIN(part->users, 1);
+	if (!is_unused(part, now))
+		return;
+	held->shared -= part->tokens;
+	g_hash_table_remove(held->parts, &id);
+}
+
 void
 kv_held_add(kv_held_t *held, const dff_prompt_t *prompt, uint32_t tokens_out,
     dff_time_t now)
@@ -94,18 +121,16 @@
 {
 	held->unshared -=
 	    MIN(held->unshared, unshared_tokens(prompt, tokens_out));
-	for (uint32_t i = 0; i + 1 < prompt->count; i++) {
-		held_part_t *part = take_part(held, prompt->parts[i].id, 0);
-
-		part->users -= MIN(part->users, 1);
-	}
-	expire_parts(held, now);
+	for (uint32_t i = 0; i + 1 < prompt->count; i++)
+		release_part(held, prompt->parts[i].id, now);
 }
 
 void
 kv_held_note_peer(
     kv_held_t *held, uint64_t part, uint32_t tokens, dff_time_t now)
 {
+	if (!DFF_FAULT(RELAY_PEER_PARTS_KEPT))
+		expire_parts(held, now);
 	take_part(held, part, tokens)->peers_until = now + PEER_PART_TIME;
 }
 
--- a/source/relay/kv_held.h
+++ b/source/relay/kv_held.h
@@ -14,11 +14,13 @@
  * @shared: by shared parts
  * @parts: id of a shared part (uint64_t) to what is known of it; NULL before
  *	the first
+ * @sweep_at: parts of peers are looked through again from then on
  */
 typedef struct kv_held {
 	uint64_t unshared;
 	uint64_t shared;
 	GHashTable *parts;
+	dff_time_t sweep_at;
 } kv_held_t;
 
 /** kv_held_clear() - free what it refers to */
--- a/test/test_relay_kv_room.c
+++ b/test/test_relay_kv_room.c
@@ -447,6 +447,19 @@
 }
 END_TEST
 
+/* A node that sends no requests of its own hears of parts without end. */
+START_TEST(parts_of_peers_are_forgotten_without_own_requests)
+{
+	kv_held_t held = {0};
+
+	for (uint64_t i = 0; i < 1000; i++)
+		kv_held_note_peer(&held, i, SHARED, (dff_time_t)i * DFF_SEC);
+	ck_assert_uint_le(g_hash_table_size(held.parts), 6);
+	ck_assert_uint_le(held.shared, 6 * SHARED);
+	kv_held_clear(&held);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -462,6 +475,8 @@
 	tcase_add_test(tcase, large_request_fits_where_there_is_no_other);
 	tcase_add_test(tcase, shared_parts_are_held_once);
 	tcase_add_test(tcase, parts_of_peers_are_held_for_a_time);
+	tcase_add_test(
+	    tcase, parts_of_peers_are_forgotten_without_own_requests);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
