relay: changes of refused orders are left for other orders

Cause: an order takes its upstreams from those that may change in a second. An order that was refused changed nothing, but what it took was not given back: with a large need, each failure domain that has none to give kept the others waiting for up to a second.

Change: a refusal gives back what its order took.

Evidence: changes_of_refused_orders_are_left fails with the fault RELAY_SCALING_REFUSALS_PACED, which is the code before.

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -348,7 +348,8 @@
 			return order_more(scaling, view, index, now, order);
 		}
 		set_order(scaling, domain, kind, count, "too_few", now, order);
-		scaling_pace_take(&scaling->pace, count - expected[kind]);
+		scaling_pace_take(&scaling->pace, order->number,
+		    count - expected[kind]);
 		return true;
 	}
 	return false;
@@ -456,7 +457,7 @@
 		return false;
 	set_order(
 	    scaling, domain, kind, listed - surplus, "too_many", now, order);
-	scaling_pace_take(&scaling->pace, surplus);
+	scaling_pace_take(&scaling->pace, order->number, surplus);
 	scaling->decreased_at = now;
 	return true;
 }
--- a/source/relay/scaling_pace.c
+++ b/source/relay/scaling_pace.c
@@ -28,7 +28,7 @@
 	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
 		if (is_recent(&pace->sent[i], now))
 			continue;
-		pace->sent[i] = (sent_order_t){number, now};
+		pace->sent[i] = (sent_order_t){number, now, 0};
 		return;
 	}
 }
@@ -37,8 +37,13 @@
 scaling_pace_forget(scaling_pace_t *pace, uint64_t number)
 {
 	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
-		if (pace->sent[i].number == number)
-			pace->sent[i].number = 0;
+		sent_order_t *sent = &pace->sent[i];
+
+		if (sent->number != number)
+			continue;
+		if (!DFF_FAULT(RELAY_SCALING_REFUSALS_PACED))
+			pace->left += sent->changes;
+		sent->number = 0;
 	}
 }
 
@@ -78,7 +83,11 @@
 }
 
 void
-scaling_pace_take(scaling_pace_t *pace, uint32_t changes)
+scaling_pace_take(scaling_pace_t *pace, uint64_t number, uint32_t changes)
 {
 	pace->left -= changes;
+	for (uint32_t i = 0; i < SCALING_ORDERS_MAX; i++) {
+		if (pace->sent[i].number == number)
+			pace->sent[i].changes = changes;
+	}
 }
--- a/source/relay/scaling_pace.h
+++ b/source/relay/scaling_pace.h
@@ -14,6 +14,7 @@
 typedef struct sent_order {
 	uint64_t number; /* 0 for none */
 	dff_time_t at;
+	uint32_t changes;
 } sent_order_t;
 
 /**
@@ -34,7 +35,8 @@
 /** scaling_pace_note() - an order is sent */
 void scaling_pace_note(scaling_pace_t *pace, uint64_t number, dff_time_t now);
 
-/** scaling_pace_forget() - it was refused and has changed nothing */
+/** scaling_pace_forget() - it was refused and has changed nothing: its changes
+ *	are left again */
 void scaling_pace_forget(scaling_pace_t *pace, uint64_t number);
 
 /** scaling_pace_refill() - time has passed; the changes of one second are kept
@@ -52,7 +54,8 @@
 uint32_t scaling_pace_limit(
     const scaling_pace_t *pace, double changes_per_s, uint32_t changes);
 
-/** scaling_pace_take() - so many changes are ordered */
-void scaling_pace_take(scaling_pace_t *pace, uint32_t changes);
+/** scaling_pace_take() - the order that was noted asks for so many changes */
+void scaling_pace_take(
+    scaling_pace_t *pace, uint64_t number, uint32_t changes);
 
 #endif
--- a/test/test_relay_scaling_orders.c
+++ b/test/test_relay_scaling_orders.c
@@ -258,6 +258,28 @@
 }
 END_TEST
 
+START_TEST(changes_of_refused_orders_are_left)
+{
+	enum {
+		PER_S = 10
+	};
+	scaling_pace_t pace = {.refilled_at = 0};
+
+	scaling_pace_refill(&pace, PER_S, START);
+	scaling_pace_note(&pace, 1, START);
+	scaling_pace_take(&pace, 1, 6);
+	scaling_pace_note(&pace, 2, START);
+	scaling_pace_take(&pace, 2, 4);
+	ck_assert_uint_eq(scaling_pace_limit(&pace, PER_S, 1), 0);
+	scaling_pace_forget(&pace, 1);
+	ck_assert_uint_eq(scaling_pace_limit(&pace, PER_S, 6), 6);
+	ck_assert_uint_eq(scaling_pace_limit(&pace, PER_S, 7), 0);
+	scaling_pace_forget(&pace, 1);
+	ck_assert_uint_eq(scaling_pace_limit(&pace, PER_S, 7), 0);
+	ck_assert_uint_eq(scaling_pace_recent(&pace, START), 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -273,6 +295,7 @@
 	tcase_add_test(tc, upstreams_that_are_being_listed_are_waited_for);
 	tcase_add_test(tc, all_that_leave_at_once_are_not_needed);
 	tcase_add_test(tc, orders_change_no_more_than_nodes_can_learn_of);
+	tcase_add_test(tc, changes_of_refused_orders_are_left);
 	suite_add_tcase(s, tc);
 	runner = srunner_create(s);
 	srunner_run_all(runner, CK_NORMAL);
