relay: parts that peers reported are not held once none of their sends is there

Cause: a shared part that a peer reported counted as held for 4.2 s, also when the peers' loads in the same or a later frame showed that no request of theirs was at the engine any more. So a request of nearly the whole memory was refused (why=no_kv_room) at an engine without requests.

Change: before a refusal, parts of peers count no more while peers report no sends and no tokens there.

Evidence: large_request_fits_when_peers_have_ended fails with the fault RELAY_IDLE_PEERS_HOLD, which is the code before.

--- a/source/relay/kv_held.c
+++ b/source/relay/kv_held.c
@@ -91,9 +91,8 @@
 static void
 release_part(kv_held_t *held, uint64_t id, dff_time_t now)
 {
-	held_part_t *part = held->parts != NULL ?
-	    g_hash_table_lookup(held->parts, &id) :
-	    NULL;
+	held_part_t *part =
+	    held->parts != NULL ? g_hash_table_lookup(held->parts, &id) : NULL;
 
 	if (part == NULL)
 		return;
@@ -134,6 +133,23 @@
 	take_part(held, part, tokens)->peers_until = now + PEER_PART_TIME;
 }
 
+void
+kv_held_forget_peers(kv_held_t *held, dff_time_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (held->parts == NULL)
+		return;
+	g_hash_table_iter_init(&iter, held->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		held_part_t *part = value;
+
+		part->peers_until = MIN(part->peers_until, now);
+	}
+	held->sweep_at = now;
+}
+
 uint64_t
 kv_held_with(kv_held_t *held, uint64_t others, const dff_prompt_t *prompt,
     uint32_t tokens_out, dff_time_t now)
--- a/source/relay/kv_held.h
+++ b/source/relay/kv_held.h
@@ -45,6 +45,9 @@
 void kv_held_note_peer(
     kv_held_t *held, uint64_t part, uint32_t tokens, dff_time_t now);
 
+/** kv_held_forget_peers() - no peer has a request there any more */
+void kv_held_forget_peers(kv_held_t *held, dff_time_t now);
+
 /**
  * kv_held_with() - tokens held if a request is added
  * @others: tokens that requests of other nodes hold without shared parts
--- a/source/relay/kv_room.c
+++ b/source/relay/kv_room.c
@@ -72,6 +72,9 @@
 	if ((double)(up->held.unshared + up->held.shared + others +
 		prompt->tokens + tokens_out) <= room)
 		return true;
+	if (up->peer_sends.running == 0 && others == 0 &&
+	    !DFF_FAULT(RELAY_IDLE_PEERS_HOLD))
+		kv_held_forget_peers(&up->held, now);
 	return (double)kv_held_with(
 		   &up->held, others, prompt, tokens_out, now) <= room;
 }
--- a/test/test_relay_kv_room.c
+++ b/test/test_relay_kv_room.c
@@ -398,6 +398,26 @@
 }
 END_TEST
 
+/* Parts that peers reported lately are not held once they report that none of
+ * their requests is there. */
+START_TEST(large_request_fits_when_peers_have_ended)
+{
+	const dff_pool_t pool = {.kv_tokens = KV_TOKENS};
+	const dff_prompt_t prompt = {.parts = {{1, 470000}},
+	    .count = 1,
+	    .tokens = 470000,
+	    .tokens_out = OUT};
+	placement_request_t request = {.pool_config = &pool, .prompt = &prompt};
+	upstream_t up = {.peer_sends = {.running = 1}};
+
+	kv_held_note_peer(&up.held, 7, 40000, 0);
+	ck_assert(!kv_has_room(&up, &request, true, 10 * DFF_MSEC));
+	up.peer_sends.running = 0;
+	ck_assert(kv_has_room(&up, &request, true, 20 * DFF_MSEC));
+	kv_held_clear(&up.held);
+}
+END_TEST
+
 static dff_prompt_t
 make_prompt(uint64_t shared, uint64_t own)
 {
@@ -473,6 +493,7 @@
 	tcase_add_test(tcase, engines_hold_prompts_until_their_handover);
 	tcase_add_test(tcase, memory_that_older_nodes_report_counts);
 	tcase_add_test(tcase, large_request_fits_where_there_is_no_other);
+	tcase_add_test(tcase, large_request_fits_when_peers_have_ended);
 	tcase_add_test(tcase, shared_parts_are_held_once);
 	tcase_add_test(tcase, parts_of_peers_are_held_for_a_time);
 	tcase_add_test(
