relay: KV memory that has expired is not held any more

Cause: when a call found its KV handle expired, it forgot the handle, but the prompt stayed counted at the engine that had read it until the call ended or its prompt was read again: for the length of its answer.

Change: it is released with the handle.

--- a/source/relay/scaling.c
+++ b/source/relay/scaling.c
@@ -348,8 +348,8 @@
 			return order_more(scaling, view, index, now, order);
 		}
 		set_order(scaling, domain, kind, count, "too_few", now, order);
-		scaling_pace_take(&scaling->pace, order->number,
-		    count - expected[kind]);
+		scaling_pace_take(
+		    &scaling->pace, order->number, count - expected[kind]);
 		return true;
 	}
 	return false;
--- a/source/relay/scaling_pace.h
+++ b/source/relay/scaling_pace.h
@@ -55,7 +55,6 @@
     const scaling_pace_t *pace, double changes_per_s, uint32_t changes);
 
 /** scaling_pace_take() - the order that was noted asks for so many changes */
-void scaling_pace_take(
-    scaling_pace_t *pace, uint64_t number, uint32_t changes);
+void scaling_pace_take(scaling_pace_t *pace, uint64_t number, uint32_t changes);
 
 #endif
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -296,13 +296,16 @@
 
 /* KV memory that has expired at its engine cannot be used. */
 static void
-drop_expired_handle(const step_t *step, call_t *call)
+drop_expired_handle(step_t *step, call_t *call)
 {
 	dff_time_t lifetime =
 	    call->pool_config != NULL ? call->pool_config->handle_lifetime : 0;
 
-	if (lifetime > 0 && step->now - call->kv_handle_at >= lifetime)
-		call->kv_handle[0] = '\0';
+	if (lifetime == 0 || step->now - call->kv_handle_at < lifetime)
+		return;
+	call->kv_handle[0] = '\0';
+	if (!DFF_FAULT(RELAY_EXPIRED_HANDLES_HOLD))
+		kv_release_handle(step, call);
 }
 
 /* Sends the call to its upstream, which has room for it. */
--- a/test/test_relay_kv_room.c
+++ b/test/test_relay_kv_room.c
@@ -418,6 +418,29 @@
 }
 END_TEST
 
+/* The prompt is read again, without the memory that has expired. */
+START_TEST(memory_that_has_expired_is_not_held)
+{
+	relay_bench_t *bench;
+	const upstream_t *reader;
+
+	start_fleet(1, 3, 1);
+	bench = net.nodes[0];
+	(void)relay_bench_open_prompt(bench, "/talk/x", 1, SHARED, 2, OWN);
+	relay_bench_head(bench, 1, 200, false);
+	relay_bench_end(bench, 1, DFF_SEND_DONE, "handle");
+	reader = upstreams_find(bench->relay->upstreams, upstream_hash("e0"));
+	ck_assert_uint_eq(reader->held.unshared, OWN);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	relay_bench_head(bench, 2, 503, true);
+	relay_bench_end(bench, 2, DFF_SEND_DONE, NULL);
+	ck_assert_int_eq(relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.stage,
+	    DFF_STAGE_PREFILL);
+	ck_assert_uint_eq(reader->held.unshared, OWN);
+	stop_fleet();
+}
+END_TEST
+
 static dff_prompt_t
 make_prompt(uint64_t shared, uint64_t own)
 {
@@ -494,6 +517,7 @@
 	tcase_add_test(tcase, memory_that_older_nodes_report_counts);
 	tcase_add_test(tcase, large_request_fits_where_there_is_no_other);
 	tcase_add_test(tcase, large_request_fits_when_peers_have_ended);
+	tcase_add_test(tcase, memory_that_has_expired_is_not_held);
 	tcase_add_test(tcase, shared_parts_are_held_once);
 	tcase_add_test(tcase, parts_of_peers_are_held_for_a_time);
 	tcase_add_test(
