relay: parts of peers are looked through only while some count

Before a refusal, an engine without sends of peers had all of its parts looked through to forget those of peers, for each candidate, also where no peer had reported any, as with a single node. Behaviour is the same; the tests of relay_kv_room passed before and after. The gain in time was not measured.

--- a/source/relay/kv_held.c
+++ b/source/relay/kv_held.c
@@ -130,7 +130,8 @@
 {
 	if (!DFF_FAULT(RELAY_PEER_PARTS_KEPT))
 		expire_parts(held, now);
-	take_part(held, part, tokens)->peers_until = now + PEER_PART_TIME;
+	held->peers_until = now + PEER_PART_TIME;
+	take_part(held, part, tokens)->peers_until = held->peers_until;
 }
 
 void
@@ -139,7 +140,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (held->parts == NULL)
+	if (held->parts == NULL || held->peers_until <= now)
 		return;
 	g_hash_table_iter_init(&iter, held->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -147,6 +148,7 @@
 
 		part->peers_until = MIN(part->peers_until, now);
 	}
+	held->peers_until = now;
 	held->sweep_at = now;
 }
 
--- a/source/relay/kv_held.h
+++ b/source/relay/kv_held.h
@@ -14,12 +14,14 @@
  * @shared: by shared parts
  * @parts: id of a shared part (uint64_t) to what is known of it; NULL before
  *	the first
+ * @peers_until: no part counts as held by peers from then on
  * @sweep_at: parts of peers are looked through again from then on
  */
 typedef struct kv_held {
 	uint64_t unshared;
 	uint64_t shared;
 	GHashTable *parts;
+	dff_time_t peers_until;
 	dff_time_t sweep_at;
 } kv_held_t;
 
