--- a/source/relay/kv_held.h
+++ b/source/relay/kv_held.h
@@ -14,11 +14,15 @@
  * @shared: by shared parts
  * @parts: id of a shared part (uint64_t) to what is known of it; NULL before
  *	the first
+ * @peers_until: no part counts as held by peers from then on
+ * @sweep_at: parts of peers are looked through again from then on
  */
 typedef struct kv_held {
 	uint64_t unshared;
 	uint64_t shared;
 	GHashTable *parts;
+	dff_time_t peers_until;
+	dff_time_t sweep_at;
 } kv_held_t;
 
 /** kv_held_clear() - free what it refers to */
@@ -43,6 +47,9 @@
 void kv_held_note_peer(
     kv_held_t *held, uint64_t part, uint32_t tokens, dff_time_t now);
 
+/** kv_held_forget_peers() - no peer has a request there any more */
+void kv_held_forget_peers(kv_held_t *held, dff_time_t now);
+
 /**
  * kv_held_with() - tokens held if a request is added
  * @others: tokens that requests of other nodes hold without shared parts
--- a/test/test_relay_kv_room.c
+++ b/test/test_relay_kv_room.c
@@ -398,6 +398,49 @@
 }
 END_TEST
 
+/* Parts that peers reported lately are not held once they report that none of
+ * their requests is there. */
+START_TEST(large_request_fits_when_peers_have_ended)
+{
+	const dff_pool_t pool = {.kv_tokens = KV_TOKENS};
+	const dff_prompt_t prompt = {.parts = {{1, 470000}},
+	    .count = 1,
+	    .tokens = 470000,
+	    .tokens_out = OUT};
+	placement_request_t request = {.pool_config = &pool, .prompt = &prompt};
+	upstream_t up = {.peer_sends = {.running = 1}};
+
+	kv_held_note_peer(&up.held, 7, 40000, 0);
+	ck_assert(!kv_has_room(&up, &request, true, 10 * DFF_MSEC));
+	up.peer_sends.running = 0;
+	ck_assert(kv_has_room(&up, &request, true, 20 * DFF_MSEC));
+	kv_held_clear(&up.held);
+}
+END_TEST
+
+/* The prompt is read again, without the memory that has expired. */
+START_TEST(memory_that_has_expired_is_not_held)
+{
+	relay_bench_t *bench;
+	const upstream_t *reader;
+
+	start_fleet(1, 3, 1);
+	bench = net.nodes[0];
+	(void)relay_bench_open_prompt(bench, "/talk/x", 1, SHARED, 2, OWN);
+	relay_bench_head(bench, 1, 200, false);
+	relay_bench_end(bench, 1, DFF_SEND_DONE, "handle");
+	reader = upstreams_find(bench->relay->upstreams, upstream_hash("e0"));
+	ck_assert_uint_eq(reader->held.unshared, OWN);
+	relay_bench_wait(bench, 1100 * DFF_MSEC);
+	relay_bench_head(bench, 2, 503, true);
+	relay_bench_end(bench, 2, DFF_SEND_DONE, NULL);
+	ck_assert_int_eq(relay_bench_find(bench, DFF_RELAY_FX_SEND)->send.stage,
+	    DFF_STAGE_PREFILL);
+	ck_assert_uint_eq(reader->held.unshared, OWN);
+	stop_fleet();
+}
+END_TEST
+
 static dff_prompt_t
 make_prompt(uint64_t shared, uint64_t own)
 {
@@ -447,6 +490,19 @@
 }
 END_TEST
 
+/* A node that sends no requests of its own hears of parts without end. */
+START_TEST(parts_of_peers_are_forgotten_without_own_requests)
+{
+	kv_held_t held = {0};
+
+	for (uint64_t i = 0; i < 1000; i++)
+		kv_held_note_peer(&held, i, SHARED, (dff_time_t)i * DFF_SEC);
+	ck_assert_uint_le(g_hash_table_size(held.parts), 6);
+	ck_assert_uint_le(held.shared, 6 * SHARED);
+	kv_held_clear(&held);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -460,8 +516,12 @@
 	tcase_add_test(tcase, engines_hold_prompts_until_their_handover);
 	tcase_add_test(tcase, memory_that_older_nodes_report_counts);
 	tcase_add_test(tcase, large_request_fits_where_there_is_no_other);
+	tcase_add_test(tcase, large_request_fits_when_peers_have_ended);
+	tcase_add_test(tcase, memory_that_has_expired_is_not_held);
 	tcase_add_test(tcase, shared_parts_are_held_once);
 	tcase_add_test(tcase, parts_of_peers_are_held_for_a_time);
+	tcase_add_test(
+	    tcase, parts_of_peers_are_forgotten_without_own_requests);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
