relay: frames of rows alone are packed and sent by one function

permit, confirm and origin_tell each set the same two marks before packing. Behaviour is the same: test_relay_limit, test_relay_freshness and test_relay_origin_tell pass.

--- a/source/relay/confirm.c
+++ b/source/relay/confirm.c
@@ -123,17 +123,12 @@
 static void
 send_row(step_t *step, const char *addr, Dff__RelayConfirm *row)
 {
-	dff_relay_t *relay = step->relay;
 	Dff__RelayBeat frame = DFF__RELAY_BEAT__INIT;
-	const GByteArray *bytes;
 
 	frame.confirms = &row;
 	frame.n_confirms = 1;
-	frame.brief = true;
-	frame.changes = true;
-	bytes = frame_pack(relay, &frame);
-	relay->counts[COUNT_CONFIRM_BYTES_OUT] += bytes->len;
-	frame_send_bytes(step, addr, bytes->data, bytes->len);
+	step->relay->counts[COUNT_CONFIRM_BYTES_OUT] +=
+	    frame_send_rows(step, addr, &frame);
 }
 
 static uint64_t
--- a/source/relay/frame_send.c
+++ b/source/relay/frame_send.c
@@ -218,6 +218,14 @@
 	return bytes;
 }
 
+const GByteArray *
+frame_pack_rows(dff_relay_t *relay, Dff__RelayBeat *frame)
+{
+	frame->brief = true;
+	frame->changes = true;
+	return frame_pack(relay, frame);
+}
+
 /* Adds how far and when the record source was read, and the address that serves
  * its records. */
 static void
@@ -382,6 +390,15 @@
 	fx->frame.len = len;
 }
 
+size_t
+frame_send_rows(step_t *step, const char *addr, Dff__RelayBeat *frame)
+{
+	const GByteArray *bytes = frame_pack_rows(step->relay, frame);
+
+	frame_send_bytes(step, addr, bytes->data, bytes->len);
+	return bytes->len;
+}
+
 static void
 send_frame(step_t *step, peer_t *peer, const GByteArray *frame)
 {
--- a/source/relay/origin_tell.c
+++ b/source/relay/origin_tell.c
@@ -153,10 +153,8 @@
 	}
 	frame.origins = pointers;
 	frame.n_origins = count;
-	frame.brief = true;
-	frame.changes = true;
 	step->relay->counts[COUNT_ORIGINS_TOLD] += count;
-	send_frame(step, frame_pack(step->relay, &frame));
+	send_frame(step, frame_pack_rows(step->relay, &frame));
 	g_array_remove_range(origins->untold, 0, count);
 	for (guint i = 0; i < count; i++) {
 		if (told[i].times > 1)
--- a/source/relay/peers.h
+++ b/source/relay/peers.h
@@ -66,11 +66,22 @@
 /** frame_pack() - encode a frame of this node, valid until the next step */
 const GByteArray *frame_pack(dff_relay_t *relay, Dff__RelayBeat *frame);
 
+/** frame_pack_rows() - encode a frame that has rows alone and no state of this
+ *	node, valid until the next step */
+const GByteArray *frame_pack_rows(dff_relay_t *relay, Dff__RelayBeat *frame);
+
 /** frame_send_bytes() - send an encoded frame to an address; @bytes are borrowed
  *	until the next step */
 void frame_send_bytes(
     step_t *step, const char *addr, const uint8_t *bytes, size_t len);
 
+/**
+ * frame_send_rows() - send a frame that has rows alone to an address
+ *
+ * Return: its bytes.
+ */
+size_t frame_send_rows(step_t *step, const char *addr, Dff__RelayBeat *frame);
+
 /** peers_sweep() - clear the loads of silent peers, and remove peers that are
  *	silent for long */
 void peers_sweep(step_t *step);
--- a/source/relay/permit.c
+++ b/source/relay/permit.c
@@ -27,16 +27,11 @@
 static void
 send_row(step_t *step, const char *addr, Dff__RelayPermit *row)
 {
-	dff_relay_t *relay = step->relay;
 	Dff__RelayBeat frame = DFF__RELAY_BEAT__INIT;
-	const GByteArray *bytes;
 
 	frame.permits = &row;
 	frame.n_permits = 1;
-	frame.brief = true;
-	frame.changes = true;
-	bytes = frame_pack(relay, &frame);
-	frame_send_bytes(step, addr, bytes->data, bytes->len);
+	(void)frame_send_rows(step, addr, &frame);
 }
 
 static void
