Soak: the platform's API checks the holders of duties (partial)

Checks: no two holders with one token, no two reports of a window that differ, without a check of tokens by the platform no lower token after a higher one and no A, B, A within the lease.

--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -101,13 +101,8 @@
 		undo->cut->last_fault = now;
 		upstreams_set_links(soak);
 	}
-	if (undo->edge != NULL) {
-		undo->edge->last_fault = now;
-		if (undo->edge->paused && undo->edge->running) {
-			undo->edge->paused = false;
-			edge_signal(soak, undo->edge, SIGCONT);
-		}
-	}
+	if (undo->edge != NULL)
+		edge_resume(soak, undo->edge);
 	if (undo->store) {
 		standin_set_fault(soak->store, keys_store_fault(soak));
 		soak->store_last_fault = now;
@@ -286,6 +281,7 @@
 		limits_tick(soak);
 		returns_tick(soak);
 		keys_tick(soak);
+		duties_tick(soak);
 		callers_tick(soak);
 	}
 	if (now > next_fault && now < soak->faults_end) {
@@ -343,8 +339,10 @@
 	soak->end = soak->faults_end + RECOVERY_TIME;
 	soak->store = standin_new(soak->ctx, &soak->loop, store);
 	soak->client = dff_h1c_new(soak->ctx, &soak->loop);
-	if (with_keys)
+	if (with_keys) {
 		keys_start(soak);
+		duties_start(soak);
+	}
 	config_write(soak);
 	limits_start(soak);
 	returns_start(soak);
@@ -423,6 +421,7 @@
 	run_soak(&soak, seconds * DFF_SEC,
 	    keys == KEYS_BY_SEED ? seed % 5 == 2 : keys > 0);
 	keys_print(&soak);
+	duties_print(&soak);
 	(void)printf("seed=%u asked=%d served=%d calm=%d/%d ended=%d late=%d "
 		     "part_ended=%d part_late=%d "
 		     "limited=%d returns=%d resumed=%d went_on=%d "
--- a/soak/edges.c
+++ b/soak/edges.c
@@ -19,21 +19,24 @@
 void
 edge_write_settings(soak_t *soak, edge_proc_t *edge)
 {
+	char *duties = duties_settings(soak, edge->index);
 	char *text = g_strdup_printf(
 	    "[dragonflyfall]\nnode=edge-%d\ndomain=z\n"
 	    "front=%s\nhealth=127.%d.1.%d:8001\ncontrol=127.%d.1.%d:8002\n"
 	    "peers=127.%d.1.%d:8003\nmetrics=127.%d.1.%d:8004\n"
 	    "seeds=127.%d.1.1:8002\nstore=127.%d.2.%d:8142\nstop_s=%d\n"
 	    "budget_window_s=10\nbudget_ratio=0.2\nbudget_slack=50\n"
-	    "config_apply_ms=2000\nlink_mbps=100\n%s# %" G_GINT64_FORMAT "\n",
+	    "config_apply_ms=2000\nlink_mbps=100\n%s%s# %" G_GINT64_FORMAT "\n",
 	    edge->index, edge->front, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, edge->index + 1, soak->net,
 	    edge->index + 1, soak->net, soak->net, edge->index + 1,
-	    STOP_SECONDS, keys_settings(soak), (gint64)dff_program_now());
+	    STOP_SECONDS, keys_settings(soak), duties,
+	    (gint64)dff_program_now());
 
 	if (!g_file_set_contents(edge->settings, text, -1, NULL))
 		g_error("settings cannot be written path=%s", edge->settings);
 	g_free(text);
+	g_free(duties);
 }
 
 static void
@@ -166,6 +169,17 @@
 	(void)uv_process_kill(&edge->process, signal);
 }
 
+void
+edge_resume(soak_t *soak, edge_proc_t *edge)
+{
+	edge->last_fault = dff_program_now();
+	if (!edge->paused || !edge->running)
+		return;
+	edge->paused = false;
+	edge->thawed_at = edge->last_fault;
+	edge_signal(soak, edge, SIGCONT);
+}
+
 /* Kills only the processes that this program started, by process id. */
 void
 edges_kill(soak_t *soak)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -41,6 +41,7 @@
 	dff_time_t last_fault; /* last time a fault affected it */
 	dff_time_t start_at; /* time of its next start; 0 if it runs */
 	dff_time_t started;
+	dff_time_t thawed_at; /* it went on after a stop, last; 0 */
 } edge_proc_t;
 
 /** struct rate_limit_sim - the rate limit that an upstream names */
@@ -78,6 +79,9 @@
 /** typedef keys_sim_t - the operator's and the callers' keys */
 typedef struct keys_sim keys_sim_t;
 
+/** typedef duties_sim_t - the platform's API and what it has seen */
+typedef struct duties_sim duties_sim_t;
+
 /** struct attempt - one request of a caller and its result */
 typedef struct attempt {
 	char id[32];
@@ -131,6 +135,7 @@
 	GRand *limits_rng;
 	GRand *returns_rng;
 	keys_sim_t *keys; /* NULL in a run without organisations */
+	duties_sim_t *duties; /* the same */
 	uint32_t seed;
 	int net; /* second byte of the loopback addresses */
 	char *folder;
@@ -247,6 +252,15 @@
 void keys_check_answer(soak_t *soak, const attempt_t *attempt);
 void keys_print(const soak_t *soak);
 
+/* ---- duties.c ---- */
+
+void duties_start(soak_t *soak);
+void duties_tick(soak_t *soak);
+/** duties_settings() - lines of an edge's settings, or ""; the caller frees
+ *	them */
+char *duties_settings(const soak_t *soak, int edge);
+void duties_print(const soak_t *soak);
+
 /* ---- store_return.c ---- */
 
 void returns_start(soak_t *soak);
@@ -257,6 +271,8 @@
 void edges_start(soak_t *soak);
 void edges_tick(soak_t *soak);
 void edge_signal(soak_t *soak, edge_proc_t *edge, int signal);
+/** edge_resume() - let a process go on that was stopped */
+void edge_resume(soak_t *soak, edge_proc_t *edge);
 void edges_kill(soak_t *soak);
 void edge_write_settings(soak_t *soak, edge_proc_t *edge);
 
--- a/soak/store_return.c
+++ b/soak/store_return.c
@@ -11,6 +11,8 @@
 #define AGE_MAX_MSEC 3000
 /* Mean time from a return to the next copy. */
 #define COPY_MEAN_INTERVAL (5 * DFF_SEC)
+/* The same with duties, which rest for a while after each return. */
+#define DUTIES_MEAN_INTERVAL (20 * DFF_SEC)
 /* Upper bound of the time until the configuration is written again, and time
  * until entries of upstreams that are gone are removed again. */
 #define WRITE_MAX_MSEC 1000
@@ -92,5 +94,6 @@
 		DFF_MSEC;
 	soak->next_copy = soak->return_at +
 	    (dff_time_t)(2 * g_rand_double(soak->returns_rng) *
-		COPY_MEAN_INTERVAL);
+		(soak->duties != NULL ? DUTIES_MEAN_INTERVAL :
+					COPY_MEAN_INTERVAL));
 }
