--- a/soak/dff-soak.c
+++ b/soak/dff-soak.c
@@ -341,7 +341,9 @@
 	soak->client = dff_h1c_new(soak->ctx, &soak->loop);
 	if (with_keys) {
 		keys_start(soak);
-		duties_start(soak);
+		/* The store is silent for long in the others. */
+		if (soak->seed % 2 == 1)
+			duties_start(soak);
 	}
 	config_write(soak);
 	limits_start(soak);
--- a/soak/duties.c
+++ b/soak/duties.c
@@ -22,11 +22,12 @@
 #define STALL_EFFECT_TIME (3 * DFF_SEC)
 /* Share of calls that each fault befalls. */
 #define FAULT_SHARE 0.08
-/* Upper bound of the time until a holder that acts is killed or stopped. */
+/* Upper bound of the time until a holder that acts is killed, stopped or cut off
+ * from the store. */
 #define HIT_MAX_MSEC 6000
-/* Bounds of the time of a stop: longer than a lease. */
+/* Bounds of the time of a stop or cut: up to longer than a lease. */
 #define STOP_MIN_MSEC 3000
-#define STOP_MAX_MSEC 11000
+#define STOP_MAX_MSEC 12000
 
 /* A call as it arrived. */
 typedef struct duty_call {
@@ -56,7 +57,7 @@
 	dff_time_t acted_at[EDGES];
 	dff_time_t next_hit; /* 0 until a holder acts */
 	int stopped_edge;
-	dff_time_t stopped_until; /* 0 if none is stopped by this */
+	dff_time_t stopped_until; /* 0 if none is stopped or cut by this */
 	int calls;
 	int late;
 	int refused;
@@ -257,7 +258,7 @@
 
 	soak->duties = duties;
 	duties->rng = g_rand_new_with_seed(soak->seed + 4);
-	duties->fence = g_rand_boolean(duties->rng);
+	duties->fence = soak->seed / 10 % 2 == 1;
 	duties->holders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	duties->reports =
@@ -280,11 +281,12 @@
 hit_holder(soak_t *soak, edge_proc_t *edge, dff_time_t now)
 {
 	duties_sim_t *duties = soak->duties;
+	int how = g_rand_int_range(duties->rng, 0, 4);
 
 	duties->next_hit = 0;
 	if (edge->paused || !edge->running)
 		return;
-	if (g_rand_boolean(duties->rng)) {
+	if (how == 0) {
 		edge_signal(soak, edge, SIGKILL);
 		return;
 	}
@@ -293,6 +295,11 @@
 	    now +
 		g_rand_int_range(duties->rng, STOP_MIN_MSEC, STOP_MAX_MSEC) *
 		    DFF_MSEC);
+	if (how > 1) {
+		soak_trace(soak, "holder is cut off from the store");
+		proxy_set(edge->store_proxy, LINK_SILENT);
+		return;
+	}
 	edge->paused = true;
 	edge_signal(soak, edge, SIGSTOP);
 }
@@ -309,6 +316,8 @@
 		soak->edges[duties->stopped_edge].last_fault = now;
 	if (duties->stopped_until != 0 && now >= duties->stopped_until) {
 		duties->stopped_until = 0;
+		proxy_set(
+		    soak->edges[duties->stopped_edge].store_proxy, LINK_OK);
 		edge_resume(soak, &soak->edges[duties->stopped_edge]);
 	}
 	if (duties->stopped_until == 0 && duties->next_hit != 0 &&
--- a/soak/keys.c
+++ b/soak/keys.c
@@ -232,7 +232,8 @@
 		keys->next_silence = now +
 		    g_rand_int_range(keys->rng, 0, SILENCE_FIRST_MSEC) *
 			DFF_MSEC;
-	if (now < keys->next_silence || now >= soak->faults_end)
+	if (now < keys->next_silence || now >= soak->faults_end ||
+	    soak->duties != NULL)
 		return;
 	keys->silent_until = MIN(soak->faults_end,
 	    now +
