--- a/soak/duties.c
+++ b/soak/duties.c
@@ -297,7 +297,7 @@
 		    DFF_MSEC);
 	if (how > 1) {
 		soak_trace(soak, "holder is cut off from the store");
-		proxy_set(edge->store_proxy, LINK_SILENT);
+		proxy_set(edge->store_proxy, edge->index, LINK_SILENT);
 		return;
 	}
 	edge->paused = true;
@@ -316,8 +316,8 @@
 		soak->edges[duties->stopped_edge].last_fault = now;
 	if (duties->stopped_until != 0 && now >= duties->stopped_until) {
 		duties->stopped_until = 0;
-		proxy_set(
-		    soak->edges[duties->stopped_edge].store_proxy, LINK_OK);
+		proxy_set(soak->edges[duties->stopped_edge].store_proxy,
+		    duties->stopped_edge, LINK_OK);
 		edge_resume(soak, &soak->edges[duties->stopped_edge]);
 	}
 	if (duties->stopped_until == 0 && duties->next_hit != 0 &&
