relay: a configuration that is written again is told to peers

Cause, by the logs and the code: the store came back from an older copy with version 3; an edge that started 0.5 s later read that. The operator wrote 6 again, which the nodes that read the store have in force: that a feed has changed was told only if the version in force changed, so the third node, which read nothing itself, stayed at 3 for 8 s and longer, though both peers' frames named version 6.

Change: a record of the version in force that is read again counts as a change of the feed. It is read again only if it was written again, or after a full read. Other records: upstreams write theirs all the time, and confirmations (with keys) name the version themselves.

Test: version_that_is_written_again_is_fetched fails with the planted fault RELAY_REWRITE_UNTOLD, which is the code before.

--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -224,8 +224,13 @@
 	uint64_t old = relay->routing != NULL ? relay->routing->version : 0;
 
 	if (relay->routing != NULL && routing->version <= old &&
-	    !DFF_FAULT(RELAY_VERSION_BACK))
+	    !DFF_FAULT(RELAY_VERSION_BACK)) {
+		/* Written again, as after a loss: a node that started from an
+		 * older copy of the records lacks it. */
+		if (routing->version == old && !DFF_FAULT(RELAY_REWRITE_UNTOLD))
+			relay->feed_changed[DFF_FEED_ROUTING] = true;
 		return;
+	}
 	origin_note_routing(step, relay->routing, routing);
 	dff_routing_drop(relay->routing);
 	relay->routing = dff_routing_keep(routing);
--- a/test/test_relay_frame_receive.c
+++ b/test/test_relay_frame_receive.c
@@ -237,6 +237,28 @@
 }
 END_TEST
 
+/* The store came back from an older copy, which the second node started from,
+ * and the operator wrote the version of the first node again. */
+START_TEST(version_that_is_written_again_is_fetched)
+{
+	const dff_relay_effect_t *fx;
+
+	relay_net_add(&net, "a", 1, 100);
+	relay_net_add(&net, "a", 2, 100);
+	relay_bench_load_routing(net.nodes[0], 6);
+	relay_bench_load_routing(net.nodes[1], 3);
+	relay_net_add_all_peers(&net);
+	dff_relay_set_feed_offset(net.nodes[0]->relay, DFF_FEED_ROUTING, 40);
+	dff_relay_set_feed_offset(net.nodes[1]->relay, DFF_FEED_ROUTING, 40);
+	ck_assert_ptr_null(wait_for_fetch());
+	relay_bench_load_routing(net.nodes[0], 6);
+	dff_relay_set_feed_offset(net.nodes[0]->relay, DFF_FEED_ROUTING, 41);
+	fx = wait_for_fetch();
+	ck_assert_ptr_nonnull(fx);
+	ck_assert_int_eq(fx->fetch.feed, DFF_FEED_ROUTING);
+}
+END_TEST
+
 static const upstream_t *
 engine_at(int node)
 {
@@ -416,6 +438,7 @@
 	tcase_add_test(tcase, change_is_fetched_from_peer_that_has_it);
 	tcase_add_test(tcase, change_is_reported_after_read_of_other_feed);
 	tcase_add_test(tcase, read_without_change_is_not_reported);
+	tcase_add_test(tcase, version_that_is_written_again_is_fetched);
 	tcase_add_test(tcase, sends_are_known_to_peers_within_20_ms);
 	tcase_add_test(tcase, summaries_reach_other_domains_once);
 	tcase_add_test(tcase, forwarded_frames_do_not_grow_with_the_fleet);
