--- a/test/test_relay_readers.c
+++ b/test/test_relay_readers.c
@@ -232,6 +232,143 @@
 }
 END_TEST
 
+/* ---- a large configuration over slow links ---- */
+
+/* Time in which a change has to be in force, to receive the configuration over
+ * a link of 10 Mbit/s, between checks whether a node is to read, and after which
+ * a node reads the source instead of a peer. */
+#define CHANGE_TIME   (3 * DFF_SEC)
+#define TRANSFER_TIME (400 * DFF_MSEC)
+#define CHECK_PERIOD  (250 * DFF_MSEC)
+#define PEER_TIME     (500 * DFF_MSEC)
+#define STEP	      (50 * DFF_MSEC)
+#define VERSION	      2
+#define SOURCE	      (-1)
+
+/* What each node receives; a node sends over its own link. */
+static struct transfer {
+	bool active;
+	int from;
+	dff_time_t began_at;
+	dff_time_t left;
+} transfers[NODES_MAX];
+
+static bool
+has_change(int node)
+{
+	return dff_relay_routing(net.nodes[node]->relay)->version == VERSION;
+}
+
+static void
+start_transfer(int node, int from, dff_time_t time)
+{
+	if (!transfers[node].active && !has_change(node))
+		transfers[node] =
+		    (struct transfer){true, from, net.nodes[node]->now, time};
+}
+
+static void
+on_slow_fetch(int node, const dff_relay_fetch_t *fetch)
+{
+	start_transfer(node, relay_net_find(&net, fetch->addr), TRANSFER_TIME);
+}
+
+static void
+load_change(int node)
+{
+	relay_bench_load_routing(net.nodes[node], VERSION);
+	dff_relay_set_feed_offset(
+	    net.nodes[node]->relay, DFF_FEED_ROUTING, VERSION);
+}
+
+/* Transfers that share the slower of the links of two nodes. */
+static dff_time_t
+count_sharing(int from)
+{
+	dff_time_t count = 0;
+
+	if (from == SOURCE || net.nodes[from]->relay->config.link_mbps >= 200)
+		return 1;
+	for (int i = 0; i < net.count; i++)
+		count += transfers[i].active && transfers[i].from == from;
+	return count;
+}
+
+static void
+run_transfer(int node)
+{
+	struct transfer *transfer = &transfers[node];
+
+	if (transfer->from == SOURCE || !net.isolated[transfer->from])
+		transfer->left -= STEP / count_sharing(transfer->from);
+	if (transfer->left <= 0) {
+		transfer->active = false;
+		load_change(node);
+		if (transfer->from == SOURCE)
+			answer_from_source(node);
+	} else if (transfer->from != SOURCE &&
+	    net.nodes[node]->now - transfer->began_at >= PEER_TIME)
+		*transfer = (struct transfer){
+		    true, SOURCE, net.nodes[node]->now, TRANSFER_TIME};
+}
+
+static void
+advance_transfers(dff_time_t time)
+{
+	for (dff_time_t t = 0; t < time; t += STEP) {
+		for (int i = 0; i < net.count; i++) {
+			if (net.isolated[i])
+				continue;
+			if (transfers[i].active)
+				run_transfer(i);
+			if (reads(i))
+				start_transfer(
+				    i, SOURCE, CHECK_PERIOD + TRANSFER_TIME);
+		}
+		advance(STEP);
+	}
+}
+
+/* The node of a domain that ranks highest among those not isolated. */
+static int
+highest_ranking(char domain)
+{
+	int highest = -1;
+	uint64_t rank = 0;
+
+	for (int i = 0; i < net.count; i++) {
+		const dff_relay_config_t *config = &net.nodes[i]->relay->config;
+		uint64_t own = peer_rank(config->addr, config->link_mbps);
+
+		if (net.isolated[i] || config->domain[0] != domain ||
+		    own <= rank)
+			continue;
+		highest = i;
+		rank = own;
+	}
+	return highest;
+}
+
+/* The two nodes that receive other domains' summaries fail at the change. */
+START_TEST(change_is_in_time_in_a_domain_that_lost_its_best_nodes)
+{
+	start_domains(NODES_EACH);
+	memset(transfers, 0, sizeof(transfers));
+	net.fetch = on_slow_fetch;
+	advance(5 * DFF_SEC);
+	for (int i = 0; i < net.count; i++) {
+		if (reads(i))
+			load_change(i);
+	}
+	for (int lost = 0; lost < SUMMARY_RECEIVERS; lost++)
+		net.isolated[highest_ranking((char)('a' + _i))] = true;
+	advance_transfers(CHANGE_TIME);
+	for (int i = 0; i < net.count; i++)
+		ck_assert_msg(net.isolated[i] || has_change(i),
+		    "node %s has no change", net.nodes[i]->frame_addr);
+}
+END_TEST
+
 /* The reading domains are lost, one after the other. */
 START_TEST(other_domains_read_when_reading_domain_is_lost)
 {
@@ -303,6 +440,8 @@
 	tcase_add_test(
 	    tcase, two_nodes_of_each_domain_read_in_the_largest_fleet);
 	tcase_add_test(tcase, change_reaches_all_domains_in_time);
+	tcase_add_loop_test(tcase,
+	    change_is_in_time_in_a_domain_that_lost_its_best_nodes, 0, DOMAINS);
 	tcase_add_test(tcase, other_domains_read_when_reading_domain_is_lost);
 	tcase_add_test(tcase, refused_readers_in_several_domains_are_replaced);
 	tcase_add_test(tcase, isolated_node_reads_source_itself);
