relay: a reader whose frames have stopped does not count as one

Callers saw: in a failure domain whose two nodes with the fastest links fail as the configuration changes, the others serve the old one for up to 5 s.

Cause: these two receive the summaries of the domains that read the store. The others read it themselves only when the last answer that they know of is 2.2 s old, though frames stop at once. Class: a fact that was told is held for its full age after its teller has fallen silent.

Evidence: test_relay_readers, 65 nodes, fetches that share links of 10 Mbit/s and give way to the store after 0.5 s: in three of five domains nodes have the change after 3.35 to 3.4 s, 3 allowed; now 2.4 s in all five.

Change: a node or a domain counts as a reader only while its frames come; four missing ones, 0.8 s here, end that. A planted fault turns it off.

--- a/source/relay/peers.c
+++ b/source/relay/peers.c
@@ -5,6 +5,9 @@
 
 /* A peer that was silent for this many frame intervals is not alive. */
 #define SILENT_INTERVALS 8
+/* The same for a peer on whose reads of the record source others rely: reading
+ * in its place costs little, a change that is missed much. */
+#define READER_SILENT_INTERVALS 4
 /* Silence after which a peer is removed; a live one announces itself within
  * a minute. */
 #define PEER_RETENTION (150 * DFF_SEC)
@@ -130,6 +133,16 @@
 	    SILENT_INTERVALS * peer_frame_interval(relay, peer);
 }
 
+/* Whether frames of the peer still come, so that a change that it reads will be
+ * told. */
+static bool
+tells_changes(const dff_relay_t *relay, const peer_t *peer, dff_time_t now)
+{
+	return now - peer->heard_at <
+	    READER_SILENT_INTERVALS * peer_frame_interval(relay, peer) ||
+	    DFF_FAULT(RELAY_SILENT_READER);
+}
+
 bool
 peer_is_direct(const dff_relay_t *relay, const peer_t *peer)
 {
@@ -236,6 +249,7 @@
 
 		count += *peer->addr == '\0' && peer->source_read_at != 0 &&
 		    now - peer->source_read_at < DOMAIN_READ_AGE_MAX &&
+		    tells_changes(relay, peer, now) &&
 		    domain_rank(peer->domain) > own;
 	}
 	return count;
@@ -263,7 +277,8 @@
 		if (!ranks_higher(relay, peer, now))
 			continue;
 		higher++;
-		readers += read_recently(peer->source_read_at, now);
+		readers += read_recently(peer->source_read_at, now) &&
+		    tells_changes(relay, peer, now);
 	}
 	if (readers >= wanted)
 		return false;
