Tests: requests of a node that is cut off meet no older configuration (failing)

A node that reaches no upstream passes its requests to random peers, whatever configuration these have.

--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -1,5 +1,7 @@
 #include "crash_sim.h"
 
+#include "relay/internal.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <string.h>
@@ -738,6 +740,18 @@
 	return forwarded;
 }
 
+uint64_t
+crash_sim_from_peers(int node)
+{
+	return net.nodes[node]->relay->counts[COUNT_FROM_PEERS];
+}
+
+void
+crash_sim_configure(int node, uint64_t version)
+{
+	relay_bench_load_routing(net.nodes[node], version);
+}
+
 int
 crash_sim_served(int node)
 {
--- a/test/fake/crash_sim.h
+++ b/test/fake/crash_sim.h
@@ -115,6 +115,12 @@
 /** crash_sim_forwarded() - sends to peers since the start */
 uint64_t crash_sim_forwarded(void);
 
+/** crash_sim_configure() - give a node a version of the configuration */
+void crash_sim_configure(int node, uint64_t version);
+
+/** crash_sim_from_peers() - requests that a node took from peers */
+uint64_t crash_sim_from_peers(int node);
+
 /** crash_sim_partition() - cut a node off from its peers, or reconnect it */
 void crash_sim_partition(int node, bool cut);
 
--- a/test/test_relay_reach.c
+++ b/test/test_relay_reach.c
@@ -181,6 +181,63 @@
 }
 END_TEST
 
+/* Requests that nodes from @first on took from peers. */
+static uint64_t
+count_from_peers(int first)
+{
+	uint64_t count = 0;
+
+	for (int i = first; i < nodes; i++)
+		count += crash_sim_from_peers(i);
+	return count;
+}
+
+/* Node 0 is cut off; nodes below @updated get a new configuration, the others
+ * keep the old one. */
+static void
+expect_none_at_old_configuration(int updated)
+{
+	uint64_t before;
+
+	start(&fleet);
+	(void)play("/read/x", 2 * DFF_SEC);
+	crash_sim_cut(0, CRASH_SIM_RESET);
+	(void)play("/read/x", CONTACT_TIME);
+	for (int i = 0; i < updated; i++)
+		crash_sim_configure(i, 2);
+	crash_sim_advance(DFF_SEC);
+	before = count_from_peers(updated);
+	(void)play("/read/x", 2 * DFF_SEC);
+	ck_assert_uint_eq(count_from_peers(updated), before);
+	ck_assert_uint_gt(count_from_peers(1), before);
+}
+
+START_TEST(requests_are_not_passed_to_peers_with_an_older_configuration)
+{
+	expect_none_at_old_configuration(4);
+}
+END_TEST
+
+/* The peer with the new configuration served a request before. */
+START_TEST(requests_are_not_passed_back_to_an_older_configuration)
+{
+	uint64_t old;
+
+	start(&fleet);
+	(void)play("/read/x", 2 * DFF_SEC);
+	crash_sim_cut(0, CRASH_SIM_RESET);
+	(void)play("/read/x", CONTACT_TIME);
+	crash_sim_configure(1, 2);
+	crash_sim_advance(DFF_SEC);
+	for (uint64_t from = crash_sim_from_peers(1);
+	     crash_sim_from_peers(1) == from;)
+		(void)play("/read/x", GAP);
+	old = count_from_peers(2);
+	(void)play("/read/x", 2 * DFF_SEC);
+	ck_assert_uint_eq(count_from_peers(2), old);
+}
+END_TEST
+
 /* Nobody reaches an upstream: each is refused at once, and later served. */
 START_TEST(fleet_that_is_cut_off_refuses_at_once)
 {
@@ -292,6 +349,10 @@
 	tcase_add_loop_test(tcase,
 	    callers_of_a_domain_that_is_cut_off_are_served, 0,
 	    G_N_ELEMENTS(cuts));
+	tcase_add_test(tcase,
+	    requests_are_not_passed_to_peers_with_an_older_configuration);
+	tcase_add_test(
+	    tcase, requests_are_not_passed_back_to_an_older_configuration);
 	tcase_add_test(tcase, fleet_that_is_cut_off_refuses_at_once);
 	tcase_add_test(tcase, cuts_that_flap_are_no_evidence);
 	tcase_add_test(tcase, half_of_the_upstreams_that_crash_are_no_cut);
