relay: a cut-off node passes requests to peers with its configuration or a newer one

Callers would see: a request at a node that reaches no upstream is handled by an older configuration than the one before it.

Cause: the peer was chosen at random among those that reach upstreams, whatever configuration it had; nodes of a large fleet differ for up to a second after a change. Class: two nodes answer for one caller, and nothing orders what they know.

Change: frames name the version already; a node notes it, and the newest one by which a request of its own was handled, here or at a peer. A peer with an older one is not chosen; one that is older than this node's own, only if no other is left.

--- a/source/relay/forward.c
+++ b/source/relay/forward.c
@@ -26,11 +26,12 @@
 	return false;
 }
 
-/* Whether a peer may reach upstreams. Those of other failure domains of a large
- * fleet send no frames to this node; they are known by the node list. */
+/* Whether a peer may reach upstreams and has this configuration or a newer one.
+ * Those of other failure domains of a large fleet send no frames to this node;
+ * they are known by the node list. */
 static bool
-is_candidate(
-    const step_t *step, const call_t *call, const peer_t *peer, bool direct)
+is_candidate(const step_t *step, const call_t *call, const peer_t *peer,
+    bool direct, uint64_t version)
 {
 	const dff_relay_t *relay = step->relay;
 
@@ -38,11 +39,12 @@
 	    was_tried(call, peer))
 		return false;
 	return !direct ||
-	    (peer_is_alive(relay, peer, step->now) && !peer->cut_off);
+	    (peer_is_alive(relay, peer, step->now) && !peer->cut_off &&
+		(peer->version >= version || DFF_FAULT(RELAY_OLD_PEER)));
 }
 
 static const peer_t *
-pick_among(step_t *step, const call_t *call, bool direct)
+pick_among(step_t *step, const call_t *call, bool direct, uint64_t version)
 {
 	const dff_relay_t *relay = step->relay;
 	const peer_t *picked = NULL;
@@ -51,23 +53,28 @@
 	for (guint i = 0; i < relay->peers->len; i++) {
 		const peer_t *peer = relay->peers->pdata[i];
 
-		if (is_candidate(step, call, peer, direct) &&
+		if (is_candidate(step, call, peer, direct, version) &&
 		    dff_rand_below(step->ctx, ++seen) == 0)
 			picked = peer;
 	}
 	return picked;
 }
 
-/* A random one, so that the calls of a cut are spread. */
+/* A random one, so that the calls of a cut are spread. A caller must not meet an
+ * older configuration than one that it has met. */
 static const peer_t *
 pick_peer(step_t *step, const call_t *call)
 {
+	const dff_relay_t *relay = step->relay;
 	const peer_t *peer;
 
 	if (call->peers_tried_count >= PEERS_TRIED_MAX)
 		return NULL;
-	peer = pick_among(step, call, true);
-	return peer != NULL ? peer : pick_among(step, call, false);
+	peer = pick_among(
+	    step, call, true, MAX(call->routing->version, relay->used_version));
+	if (peer == NULL)
+		peer = pick_among(step, call, true, relay->used_version);
+	return peer != NULL ? peer : pick_among(step, call, false, 0);
 }
 
 /* ---- sending ---- */
@@ -92,6 +99,7 @@
 	call->peers_tried[call->peers_tried_count++] =
 	    dff_hash(peer->addr, strlen(peer->addr), 0);
 	relay->counts[COUNT_FORWARDED]++;
+	relay->used_version = MAX(relay->used_version, peer->version);
 	fx->send.call = call->number;
 	fx->send.send = send->number;
 	g_strlcpy(fx->send.upstream, peer->addr, sizeof(fx->send.upstream));
--- a/source/relay/frame_receive.c
+++ b/source/relay/frame_receive.c
@@ -219,6 +219,7 @@
 	if (!frame->brief) {
 		peer->nodes = frame->nodes;
 		peer->cut_off = frame->cut_off;
+		peer->version = frame->version;
 		duty_receive_frame(step, peer, frame);
 		usage_receive_frame(step, peer, frame);
 		scaling_receive_frame(peer, frame);
--- a/source/relay/internal.h
+++ b/source/relay/internal.h
@@ -108,6 +108,7 @@
 	GArray *loads; /* peer_load_t, from its last frame */
 	GArray *unreachable; /* uint32_t, hashes of upstreams, likewise */
 	bool cut_off; /* it reaches no upstream */
+	uint64_t version; /* of its configuration, by its last frame */
 	struct {
 		uint32_t pool; /* hash of its name */
 		uint32_t tokens; /* to be read in a second */
@@ -270,6 +271,9 @@
 	GArray *summary_parts; /* of the whole domain, at its representative */
 	suspects_t *suspects;
 	reach_t *reach;
+	/* Newest configuration by which a request of this node was handled, also
+	 * at a peer. */
+	uint64_t used_version;
 	origins_t *origins;
 	confirm_t *confirm;
 	scalers_t *scalers;
--- a/source/relay/send.c
+++ b/source/relay/send.c
@@ -207,6 +207,7 @@
 		relay->counts[COUNT_EXPLORED]++;
 		relay->explore_credit -= 1;
 	}
+	relay->used_version = MAX(relay->used_version, call->routing->version);
 	origin_note_send(step, call);
 	fx->send.call = call->number;
 	fx->send.send = send->number;
