--- a/test/fake/crash_sim.c
+++ b/test/fake/crash_sim.c
@@ -91,6 +91,19 @@
 	take_effects(node);
 }
 
+/* Whether an upstream is in the pool that cuts do not concern. */
+static bool
+is_uncut(int upstream)
+{
+	return upstream >= config.upstreams - config.uncut;
+}
+
+static crash_sim_cut_t
+cut_between(int node, int upstream)
+{
+	return is_uncut(upstream) ? CRASH_SIM_NOT_CUT : cuts[node];
+}
+
 /* ---- records ---- */
 
 static void
@@ -104,7 +117,8 @@
 	(void)g_snprintf(
 	    record->addr, sizeof(record->addr), "10.9.0.%d:80", index + 1);
 	g_strlcpy(record->domain, "a", sizeof(record->domain));
-	g_strlcpy(record->pool, config.engines ? "llm" : "plain",
+	g_strlcpy(record->pool,
+	    config.engines || is_uncut(index) ? "llm" : "plain",
 	    sizeof(record->pool));
 	if (config.engines)
 		record->role =
@@ -169,7 +183,7 @@
 {
 	bool old = job->send % 2 == 0 && !job->fresh;
 
-	switch (cuts[job->node]) {
+	switch (cut_between(job->node, job->upstream)) {
 	case CRASH_SIM_NOT_CUT:
 		return false;
 	case CRASH_SIM_RESET:
@@ -366,6 +380,7 @@
 	for (guint i = 0; i < due->len; i++) {
 		const probe_t *probe = &g_array_index(due, probe_t, i);
 		const sim_upstream_t *up = &ups[probe->upstream];
+		crash_sim_cut_t cut = cut_between(probe->node, probe->upstream);
 		dff_relay_event_t event = {.type = DFF_RELAY_PROBED};
 
 		if (now() < probe->due) {
@@ -376,9 +391,8 @@
 		if (config.unreliable_node != 0 &&
 		    probe->node == config.unreliable_node)
 			event.probed.result = DFF_PROBE_INCONCLUSIVE;
-		else if (cuts[probe->node] != CRASH_SIM_NOT_CUT)
-			event.probed.result =
-			    cuts[probe->node] == CRASH_SIM_HANG ?
+		else if (cut != CRASH_SIM_NOT_CUT)
+			event.probed.result = cut == CRASH_SIM_HANG ?
 			    DFF_PROBE_INCONCLUSIVE :
 			    DFF_PROBE_REFUSED;
 		else if (up->alive)
@@ -422,7 +436,7 @@
 {
 	probe_t probe = {node, find_upstream(fx->upstream), 0};
 
-	if (cuts[node] == CRASH_SIM_HANG)
+	if (cut_between(node, probe.upstream) == CRASH_SIM_HANG)
 		probe.due = now() + fx->connect_time;
 
 	g_array_append_val(probes, probe);
@@ -725,7 +739,8 @@
 	for (guint i = 0; i < jobs->len; i++) {
 		job_t *job = &g_array_index(jobs, job_t, i);
 
-		if (job->node != node || job->state != JOB_RUNS)
+		if (job->node != node || job->state != JOB_RUNS ||
+		    is_uncut(job->upstream))
 			continue;
 		if (cut == CRASH_SIM_RESET)
 			job->state = JOB_BREAKS;
--- a/test/fake/crash_sim.h
+++ b/test/fake/crash_sim.h
@@ -36,6 +36,7 @@
  *	to connect, and whose probes time out; 0 for none
  * @dead_accept: crashed upstreams accept connections and close them, as behind
  *	a proxy
+ * @uncut: upstreams of another pool, "llm", that cuts do not concern
  * @silent_crash: crashed upstreams become silent, and no connection breaks off
  */
 typedef struct crash_sim_config {
@@ -50,6 +51,7 @@
 	bool dead_accept;
 	int late_crash;
 	int unreliable_node;
+	int uncut;
 } crash_sim_config_t;
 
 /**
--- a/test/test_relay_reach.c
+++ b/test/test_relay_reach.c
@@ -81,17 +81,38 @@
 	return requests;
 }
 
+static const char *played_target;
+
+static int
+play_target(dff_time_t time)
+{
+	return play(played_target, time);
+}
+
+/* Requests for two pools in turn. */
+static int
+play_both(dff_time_t time)
+{
+	int requests = 0;
+
+	for (dff_time_t t = 0; t < time; t += 2 * GAP) {
+		requests += play("/read/x", GAP);
+		requests += play("/talk/x", GAP);
+	}
+	return requests;
+}
+
 /* Requests of the given time, of which this share at least must be served at
  * each node. */
 static void
-expect_served(const char *target, dff_time_t time)
+expect_served_by(int (*play_for)(dff_time_t time), dff_time_t time)
 {
 	int before[NODES_MAX] = {0};
 	int requests;
 
 	for (int i = 0; i < nodes; i++)
 		before[i] = crash_sim_served(i);
-	requests = play(target, time);
+	requests = play_for(time);
 	crash_sim_advance(300 * DFF_MSEC);
 	for (int i = 0; i < nodes; i++)
 		ck_assert_msg(crash_sim_served(i) - before[i] >=
@@ -100,6 +121,13 @@
 		    crash_sim_served(i) - before[i], requests);
 }
 
+static void
+expect_served(const char *target, dff_time_t time)
+{
+	played_target = target;
+	expect_served_by(play_target, time);
+}
+
 static void
 play_cut(const crash_sim_config_t *config, const char *target,
     const int *cut_nodes, int count, crash_sim_cut_t cut)
@@ -181,6 +209,27 @@
 }
 END_TEST
 
+/* The nodes reach the upstreams of another pool. */
+START_TEST(callers_of_nodes_that_are_cut_off_from_one_pool_are_served)
+{
+	crash_sim_config_t config = fleet;
+	const int cut_nodes[] = {0, 1, 2, 3, 4, 5};
+
+	config.upstreams = 15;
+	config.uncut = 3;
+	start(&config);
+	(void)play_both(2 * DFF_SEC);
+	set_cut(cut_nodes, G_N_ELEMENTS(cut_nodes), cuts[_i]);
+	(void)play_both(CONTACT_TIME);
+	expect_served_by(play_both, CUT_TIME - CONTACT_TIME);
+	set_cut(cut_nodes, G_N_ELEMENTS(cut_nodes), CRASH_SIM_NOT_CUT);
+	(void)play_both(RETURN_TIME);
+	expect_served_by(play_both, 2 * DFF_SEC);
+	ck_assert_int_eq(crash_sim_counts()->suspected, 0);
+	ck_assert_int_eq(crash_sim_counts()->repeated, 0);
+}
+END_TEST
+
 /* Requests that nodes from @first on took from peers. */
 static uint64_t
 count_from_peers(int first)
@@ -349,6 +398,9 @@
 	tcase_add_loop_test(tcase,
 	    callers_of_a_domain_that_is_cut_off_are_served, 0,
 	    G_N_ELEMENTS(cuts));
+	tcase_add_loop_test(tcase,
+	    callers_of_nodes_that_are_cut_off_from_one_pool_are_served, 0,
+	    G_N_ELEMENTS(cuts));
 	tcase_add_test(tcase,
 	    requests_are_not_passed_to_peers_with_an_older_configuration);
 	tcase_add_test(
