h1 client: a status below 100 is malformed

Report (MIXED): an upstream in trouble sent an answer with status 000, and its caller got it as an answer. Here it did not reach the caller: it was taken for an interim answer, the call waited for the final one until its time was over.

Change: such an answer breaks the send off at once, like other bytes that are none, and the call is repeated where it may be.

test_process_h1_spoiled: answer_without_a_status_ends_as_broken failed before this change.

--- a/source/net/h1_conn.c
+++ b/source/net/h1_conn.c
@@ -187,6 +187,8 @@
 	conn->body_bytes = 0;
 	if (keep > 0)
 		conn->keep_alive_ms = keep * KEEP_ALIVE_PERCENT / 100;
+	if (parser->status_code < 100 && !DFF_FAULT(H1_NO_STATUS_IS_INTERIM))
+		return -1;
 	if (parser->status_code < 200)
 		return 0;
 	if (req == NULL)
