relay: a peer is left out for a pool only if it reported all of it

A peer that had reported eight of a pool's upstreams was left out for it, also where these are down and it reaches the others; a node cut off from all upstreams then had nobody to pass requests to while eight of twelve were down. So had one whose own list of the pool is empty.

Change: a node that is cut off from a pool reports all of it, so that all of it is asked for, or half of what a frame has room for.

--- a/source/relay/forward.h
+++ b/source/relay/forward.h
@@ -1,7 +1,7 @@
 /*
- * Calls that a node passes on to a peer as it reaches no upstream that may serve
- * them. The peer
- * serves such a call like one of its own callers', but passes it on to nobody.
+ * Calls that a node passes on to a peer, as it reaches no upstream that may
+ * serve them. The peer serves such a call like one of its own callers', but
+ * passes it on to nobody.
  */
 #ifndef DFF_RELAY_FORWARD_H
 #define DFF_RELAY_FORWARD_H
--- a/source/relay/reach.c
+++ b/source/relay/reach.c
@@ -10,6 +10,10 @@
  * With half of the upstreams down, chance alone does this in less than one of
  * 1000 cases. */
 #define FAILURES_MIN 8
+/* A peer that reports all upstreams of a pool as unreachable, or so many, does
+ * not reach it: a node that is cut off from a pool reports all of it, as far as
+ * a frame has room. */
+#define REPORTED_MIN (UNREACHABLE_MAX / 2)
 /* Probes of one round. */
 #define PROBES 4
 /* Time between rounds while cut off, and shortest time between a round that
@@ -21,6 +25,8 @@
  * probed. */
 #define QUIET_TIME (800 * DFF_MSEC)
 
+typedef char pool_name_t[DFF_NAME_MAX];
+
 /**
  * struct reach - see reach.h
  * @failed: uint32_t, hashes of upstreams whose probes failed since one was
@@ -32,8 +38,6 @@
  * @accepted: accepted probes since the last failed one
  * @pools: pool_name_t, pools of which no upstream can be reached
  */
-typedef char pool_name_t[DFF_NAME_MAX];
-
 struct reach {
 	GArray *failed;
 	GArray *pools;
@@ -85,8 +89,8 @@
 	    strcmp(up->record.pool, pool) == 0;
 }
 
-/* Whether none of the pool's upstreams, or of many, was reached since the last
- * of them was. */
+/* Whether so many of the pool's upstreams, or all, could not be reached after one
+ * of them last was. */
 static bool
 has_failed_for(const dff_relay_t *relay, const char *pool, dff_time_t now)
 {
@@ -201,7 +205,7 @@
 		listed++;
 		reported += has_reported(peer, up->hash);
 	}
-	return reported < MIN(FAILURES_MIN, listed);
+	return listed == 0 || reported < MIN(listed, REPORTED_MIN);
 }
 
 /* ---- probes ---- */
--- a/source/relay/reach.h
+++ b/source/relay/reach.h
@@ -17,12 +17,12 @@
 /** reach_is_cut_off() - whether no upstream accepts connections of this node */
 bool reach_is_cut_off(const dff_relay_t *relay);
 
-/** reach_pool_is_cut_off() - whether none of the pool's upstreams, or of many,
- *	accepts connections of this node */
+/** reach_pool_is_cut_off() - whether no upstream of the pool accepts connections
+ *	of this node, as far as it has tried */
 bool reach_pool_is_cut_off(const dff_relay_t *relay, const char *pool);
 
 /** reach_peer_reaches() - whether a peer may reach upstreams of the pool: it has
- *	not reported them, or many of them, as unreachable */
+ *	not reported all of them as unreachable */
 bool reach_peer_reaches(const dff_relay_t *relay, const peer_t *peer,
     const char *pool, dff_time_t now);
 
