review: a withdrawn key runs after a kill while the store returns from a copy

Cause: a process that starts in a store's new era takes the copy for complete; only one that saw the return waits for what is written again.

--- a/review/common-3/rig.c
+++ b/review/common-3/rig.c
@@ -526,6 +526,7 @@
 	log_record_t *records;
 	size_t count;
 	size_t room;
+	size_t copied; /* records in the copy */
 } topic_t;
 
 static struct {
@@ -533,8 +534,11 @@
 	pthread_cond_t added;
 	topic_t topics[TOPICS_MAX];
 	size_t count;
+	unsigned era;
+	bool away;
 } store = {.lock = PTHREAD_MUTEX_INITIALIZER,
-    .added = PTHREAD_COND_INITIALIZER};
+    .added = PTHREAD_COND_INITIALIZER,
+    .era = 1};
 
 /* With the lock held. */
 static topic_t *
@@ -586,6 +590,49 @@
 	free(bytes);
 }
 
+void
+rig_store_copy(void)
+{
+	(void)pthread_mutex_lock(&store.lock);
+	for (size_t i = 0; i < store.count; i++)
+		store.topics[i].copied = store.topics[i].count;
+	(void)pthread_mutex_unlock(&store.lock);
+}
+
+void
+rig_store_away(bool away)
+{
+	(void)pthread_mutex_lock(&store.lock);
+	store.away = away;
+	(void)pthread_cond_broadcast(&store.added);
+	(void)pthread_mutex_unlock(&store.lock);
+}
+
+void
+rig_store_return(void)
+{
+	(void)pthread_mutex_lock(&store.lock);
+	for (size_t i = 0; i < store.count; i++)
+		store.topics[i].count = store.topics[i].copied;
+	store.era++;
+	(void)pthread_mutex_unlock(&store.lock);
+}
+
+/* Answers with the store's era. */
+static bool
+store_answer(rig_conn_t *conn, int status, const void *body, size_t len)
+{
+	char fields[64];
+	bool away;
+
+	(void)pthread_mutex_lock(&store.lock);
+	away = store.away;
+	(void)snprintf(
+	    fields, sizeof(fields), "Store-Era: %u\r\n", store.era);
+	(void)pthread_mutex_unlock(&store.lock);
+	return !away && rig_answer(conn, status, fields, body, len);
+}
+
 static const char *
 query(const char *target, const char *name, char *value, size_t size)
 {
@@ -637,7 +684,7 @@
 		(void)pthread_mutex_unlock(&store.lock);
 		(void)snprintf(
 		    text, sizeof(text), "{\"endOffset\":%zu}", offset);
-		return rig_answer(conn, 412, "", text, strlen(text));
+		return store_answer(conn, 412, text, strlen(text));
 	}
 	while (pos + 4 <= request->body_len) {
 		const unsigned char *head =
@@ -653,7 +700,7 @@
 	(void)snprintf(text, sizeof(text), "{\"offset\":%zu,\"endOffset\":%zu}",
 	    offset, topic->count);
 	(void)pthread_mutex_unlock(&store.lock);
-	return rig_answer(conn, 200, "", text, strlen(text));
+	return store_answer(conn, 200, text, strlen(text));
 }
 
 /* Waits until the topic has a record at @from or the time is over; with the
@@ -667,7 +714,7 @@
 	until.tv_nsec += (long)((long)wait_ms % 1000 * 1000000);
 	until.tv_sec += (time_t)(wait_ms / 1e3) + until.tv_nsec / 1000000000;
 	until.tv_nsec %= 1000000000;
-	while (topic->count <= from &&
+	while (topic->count <= from && !store.away &&
 	    pthread_cond_timedwait(&store.added, &store.lock, &until) == 0)
 		;
 }
@@ -708,7 +755,7 @@
 		len += 4 + row->len;
 	}
 	(void)pthread_mutex_unlock(&store.lock);
-	sent = rig_answer(conn, 200, "", page, len);
+	sent = store_answer(conn, 200, page, len);
 	free(page);
 	return sent;
 }
@@ -779,7 +826,7 @@
 	len += (size_t)sprintf(text + len,
 	    "],\"hasMore\":false,\"endOffset\":%zu}", topic->count);
 	(void)pthread_mutex_unlock(&store.lock);
-	sent = rig_answer(conn, 200, "", text, len);
+	sent = store_answer(conn, 200, text, len);
 	free(text);
 	return sent;
 }
@@ -789,13 +836,15 @@
 {
 	(void)arg;
 	rig_sleep_ms(STORE_MS);
+	if (store.away)
+		return false;
 	if (strncmp(request->target, "/log-append?", 12) == 0)
 		return store_append(conn, request);
 	if (strncmp(request->target, "/log-read?", 10) == 0)
 		return store_read(conn, request);
 	if (strncmp(request->target, "/log-newest?", 12) == 0)
 		return store_newest(conn, request);
-	return rig_answer(conn, 404, "", "", 0);
+	return store_answer(conn, 404, "", 0);
 }
 
 int
@@ -1124,6 +1173,16 @@
 	rig_record("edge started pid=%d front=%d", (int)edge->pid, edge->front);
 }
 
+void
+rig_edge_restart(rig_edge_t *edge)
+{
+	char log[600];
+
+	(void)snprintf(log, sizeof(log), "%s/log", folder);
+	start_process(edge, log);
+	rig_record("edge started again pid=%d", (int)edge->pid);
+}
+
 bool
 rig_edge_wait_ready(const rig_edge_t *edge, int timeout_ms)
 {
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -92,6 +92,17 @@
  *	workers do; acknowledged when it returns */
 void rig_store_put(const char *topic, const char *key, const char *value);
 
+/** rig_store_copy() - make a copy of the store, from which it may come back */
+void rig_store_copy(void);
+
+/** rig_store_away() - break all connections off and answer nothing from now on,
+ *	or serve again */
+void rig_store_away(bool away);
+
+/** rig_store_return() - replace what the store has by its copy; Store-Era, which
+ *	all answers name, rises by one */
+void rig_store_return(void);
+
 /* ---- the proxy ---- */
 
 /** rig_proxy_start() - pass connections on to @port; returns its own port */
@@ -150,6 +161,10 @@
 void rig_edge_start(
     rig_edge_t *edge, int store_port, const rig_value_t *values);
 
+/** rig_edge_restart() - start the process again after its end, with the same
+ *	settings */
+void rig_edge_restart(rig_edge_t *edge);
+
 /** rig_edge_wait_ready() - wait until its readiness check gives 200 */
 bool rig_edge_wait_ready(const rig_edge_t *edge, int timeout_ms);
 
