review: a stream that goes on elsewhere keeps the first run's length

Cause: the Content-Length of the first worker's head is passed on for streams that may go on at another worker, whose part has another length.

--- a/review/11/case.c
+++ b/review/11/case.c
@@ -1,148 +1,245 @@
 /*
- * A planned stop while callers on slow links read their answers: the process
- * ends before it has sent what it holds for them.
+ * Workers answer resumable streams with a length. One worker breaks off one
+ * stream in fifty; it goes on at another worker, whose part has another length,
+ * under the first one's Content-Length.
  */
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "rig.h"
 
-#define CALLERS	    4
-#define ANSWER_SIZE 520000
-/* What a caller reads in one go, and its speed in bytes a second. */
-#define READ_SIZE 4096
-#define READ_RATE 76000.0
-/* Time that callers wait and that the route allows, in ms. */
-#define DEADLINE_MS 8000
-/* The platform sends SIGTERM this long after the requests. */
-#define TERM_AFTER_MS 400
+/* Callers with kept connections, and the requests of each one. */
+#define CALLERS	 4
+#define REQUESTS 200
+/* The worker that breaks streams off: one in so many of those that it begins. */
+#define BREAKS_AT   "e-1"
+#define BREAK_EVERY 50
+/* Tokens of an answer; a first run puts several into one event. */
+#define TOKENS	     10
+#define FIRST_STRIDE 2
+/* Events before the break, and how long it comes after them. */
+#define EVENTS_BEFORE 2
+#define BREAK_MS      50
+#define DEADLINE_MS   3000
 
 static const char config[] =
-    "{\"version\":7,\"routes\":[{\"name\":\"r-read\",\"host\":\"f.example\","
-    "\"pathPrefix\":\"/read/\",\"kind\":\"idempotent\",\"timeoutMs\":8000,"
-    "\"targetLatencyMs\":300,\"priority\":2,\"service\":\"ledger\","
-    "\"maxAttempts\":2},{\"name\":\"r-order\",\"host\":\"f.example\","
-    "\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
-    "\"timeoutMs\":8000,\"targetLatencyMs\":300,\"priority\":2,"
-    "\"service\":\"ledger\",\"maxAttempts\":1}],\"services\":[{\"name\":\"ledger\","
-    "\"healthPath\":\"/health\",\"maxConns\":100,\"protocol\":\"h1\","
-    "\"tlsEnabled\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
-    "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
-    "\"idleTimeoutMs\":15000}}";
-
-typedef struct caller {
-	int number;
-	rig_conn_t *conn;
-	size_t got; /* bytes of the body */
-	double ended_ms; /* after its request */
-	bool complete;
-	bool done;
-} caller_t;
-
-static char answer_body[ANSWER_SIZE];
-static caller_t callers[CALLERS];
+    "{\"version\":7,\"routes\":[{\"name\":\"r-call\",\"host\":\"f.example\","
+    "\"pathPrefix\":\"/call/\",\"kind\":\"streaming\",\"timeoutMs\":3000,"
+    "\"targetLatencyMs\":500,\"priority\":1,\"service\":\"models\","
+    "\"maxAttempts\":2,\"sessionAffinity\":true,\"resumable\":true,"
+    "\"targetGapMs\":250}],\"services\":[{\"name\":\"models\","
+    "\"healthPath\":\"/health\",\"maxConns\":360,\"protocol\":\"h1\","
+    "\"tlsEnabled\":false,\"engineKind\":{\"capacitySlots\":64,"
+    "\"kvCapacity\":514669,\"tokenKvBytes\":327680,"
+    "\"linkMbps\":3800000.0,\"migrations\":true,\"kvBackups\":true,"
+    "\"stride\":10,\"most\":12,\"handleTtlS\":5.0,\"switchS\":3.0,"
+    "\"pinMs\":4000.0,\"holdMs\":2000.0,\"models\":[{\"name\":\"m\"}]}}],"
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+
+static bool trouble;
+static int front;
+static int left = CALLERS;
+static int begun; /* streams at the worker that breaks some off */
+static int broken_runs;
+static int whole;
+static int short_answers; /* complete by their framing, without the last token */
+static int stray_bytes; /* connections on which bytes came that are no answer */
+static int unanswered; /* not complete by the deadline, or refused */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Whether this stream of the worker is broken off. */
+static bool
+is_broken_off(const rig_worker_t *worker)
+{
+	bool breaks;
+
+	if (!trouble || strcmp(worker->id, BREAKS_AT) != 0)
+		return false;
+	(void)pthread_mutex_lock(&lock);
+	breaks = ++begun % BREAK_EVERY == 0;
+	broken_runs += breaks;
+	(void)pthread_mutex_unlock(&lock);
+	return breaks;
+}
+
+/* Writes the events of tokens from @first on; an event has the number of its
+ * last token. Returns their length; @stops gets where each one ends. */
+static size_t
+write_events(char *text, int first, int stride, size_t *stops)
+{
+	size_t len = 0;
+	int event = 0;
+
+	for (int at = first; at < TOKENS; at += stride) {
+		int last = at + stride < TOKENS ? at + stride - 1 : TOKENS - 1;
+
+		len += (size_t)sprintf(text + len, "id: %d\ndata:", last);
+		for (int token = at; token <= last; token++)
+			len += (size_t)sprintf(text + len, " token-%d", token);
+		len += (size_t)sprintf(text + len, "\n\n");
+		stops[event++] = len;
+	}
+	return len;
+}
 
 static bool
 run(rig_worker_t *worker, rig_conn_t *conn, const rig_message_t *request)
 {
 	char id[64];
-	bool sent;
+	char resumed[32];
+	char text[4096];
+	char events[2048];
+	size_t stops[TOKENS];
+	bool is_resumed;
+	bool breaks;
+	size_t len;
 
 	(void)rig_field(request, "X-Attempt-Id", id, sizeof(id));
-	rig_record("worker %s runs %s", worker->id, id);
-	sent = rig_answer_run(
-	    worker, conn, request, answer_body, sizeof(answer_body));
-	rig_record("worker %s has answered %s bytes=%d", worker->id, id,
-	    ANSWER_SIZE);
-	return sent;
+	(void)rig_field(request, "Last-Event-Id", resumed, sizeof(resumed));
+	is_resumed = *resumed != '\0';
+	breaks = !is_resumed && is_broken_off(worker);
+	len = is_resumed ?
+	    write_events(events, atoi(resumed) + 1, 1, stops) :
+	    write_events(events, 0, FIRST_STRIDE, stops);
+	(void)snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	    "Content-Length: %zu\r\nX-Attempt-Id: %s\r\n"
+	    "X-Server-Stamp: %s.%s\r\n\r\n",
+	    len, id, worker->id, id);
+	if (breaks || is_resumed)
+		rig_record("worker %s runs %s after=%s length=%zu%s",
+		    worker->id, id, is_resumed ? resumed : "-", len,
+		    breaks ? ", breaks off after two events" : "");
+	if (!rig_write(conn, text, strlen(text)) ||
+	    !rig_write(
+		conn, events, breaks ? stops[EVENTS_BEFORE - 1] : len))
+		return false;
+	if (breaks) {
+		struct linger reset = {1, 0};
+
+		rig_sleep_ms(BREAK_MS);
+		(void)setsockopt(
+		    conn->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	}
+	return !breaks;
+}
+
+static void
+count(int *counter)
+{
+	(void)pthread_mutex_lock(&lock);
+	(*counter)++;
+	(void)pthread_mutex_unlock(&lock);
+}
+
+/* Judges an answer; returns whether its connection may be used further. */
+static bool
+judge(rig_conn_t *conn, const rig_message_t *answer, const char *id)
+{
+	char last[32];
+	char own[64];
+
+	(void)snprintf(last, sizeof(last), "token-%d\n\n", TOKENS - 1);
+	if (answer->status != 200 || !answer->complete) {
+		rig_record("caller: %s is not answered status=%d bytes=%zu",
+		    id, answer->status, answer->body_len);
+		count(&unanswered);
+		return false;
+	}
+	if (strcmp(rig_field(answer, "X-Attempt-Id", own, sizeof(own)), id) !=
+	    0)
+		rig_record("caller: %s gets the answer of %s", id, own);
+	if (strstr(answer->body, last) != NULL)
+		count(&whole);
+	else {
+		rig_record("caller: %s IS COMPLETE BY ITS FRAMING WITHOUT ITS "
+			   "LAST EVENT bytes=%zu end=\"%.*s\"",
+		    id, answer->body_len, 12,
+		    answer->body + answer->body_len - 12);
+		count(&short_answers);
+	}
+	/* No request waits now. */
+	rig_sleep_ms(20);
+	if (conn->at < conn->len ||
+	    recv(conn->fd, own, 1, MSG_PEEK | MSG_DONTWAIT) == 1) {
+		rig_record("caller: BYTES THAT ARE NO ANSWER follow %s: "
+			   "\"%.*s\"",
+		    id, conn->len - conn->at > 40 ? 40 :
+						    (int)(conn->len - conn->at),
+		    conn->buf + conn->at);
+		count(&stray_bytes);
+		return false;
+	}
+	return true;
 }
 
-/* Reads the head, then the body at the speed of the caller's link. */
 static void *
 run_caller(void *arg)
 {
-	caller_t *caller = arg;
-	double sent_at = rig_ms();
-	char text[256];
-	size_t total = 0;
-	size_t head_len = 0;
-	char bytes[READ_SIZE];
-	int len = snprintf(text, sizeof(text),
-	    "%s/%d HTTP/1.1\r\nHost: f.example\r\n"
-	    "X-Attempt-Id: caller-%d\r\nX-Deadline-Ms: %d\r\n"
-	    "Content-Length: 0\r\n\r\n",
-	    caller->number % 2 == 0 ? "GET /read" : "POST /order",
-	    caller->number, caller->number, DEADLINE_MS);
-
-	rig_record("caller-%d sends its request, %s", caller->number,
-	    caller->number % 2 == 0 ? "a read" : "an order");
-	if (!rig_write(caller->conn, text, (size_t)len))
-		rig_end(RIG_FAILED);
-	while (head_len == 0 || total < head_len + ANSWER_SIZE) {
-		ssize_t got =
-		    recv(caller->conn->fd, bytes, sizeof(bytes), 0);
-		const char *end;
-
-		if (got <= 0)
-			break;
-		end = head_len == 0 ?
-		    memmem(bytes, (size_t)got, "\r\n\r\n", 4) :
-		    NULL;
-		if (end != NULL)
-			head_len = (size_t)(end + 4 - bytes);
-		total += (size_t)got;
-		rig_sleep_ms((double)got / READ_RATE * 1e3);
+	int caller = (int)(intptr_t)arg;
+	rig_message_t *answer = calloc(1, sizeof(*answer));
+	rig_conn_t *conn = NULL;
+
+	for (int i = 0; i < REQUESTS; i++) {
+		char text[512];
+		char id[64];
+		int len;
+
+		(void)snprintf(id, sizeof(id), "call-%d-%d", caller, i);
+		len = snprintf(text, sizeof(text),
+		    "POST /call/%d HTTP/1.1\r\nHost: f.example\r\n"
+		    "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: m\r\n"
+		    "X-Token-Count: 64,%d\r\n"
+		    "X-Prompt-Prefix: 77:32,%x:32\r\nContent-Length: 0\r\n\r\n",
+		    i, id, DEADLINE_MS, TOKENS, caller << 16 | i);
+		if (conn == NULL)
+			conn = rig_connect(front, false);
+		if (conn == NULL || !rig_write(conn, text, (size_t)len))
+			rig_end(RIG_FAILED);
+		if (!rig_read_answer(conn, answer, DEADLINE_MS))
+			answer->complete = false;
+		if (!judge(conn, answer, id)) {
+			rig_close(conn);
+			conn = NULL;
+		}
 	}
-	caller->got = total - (total < head_len ? total : head_len);
-	caller->complete = head_len > 0 && caller->got == ANSWER_SIZE;
-	caller->ended_ms = rig_ms() - sent_at;
-	rig_record("caller-%d: %s body_bytes=%zu of %d after_ms=%.0f",
-	    caller->number,
-	    caller->complete ? "whole answer" : "CONNECTION ENDED",
-	    caller->got, ANSWER_SIZE, caller->ended_ms);
-	caller->done = true;
+	rig_close(conn);
+	(void)pthread_mutex_lock(&lock);
+	left--;
+	(void)pthread_mutex_unlock(&lock);
 	return NULL;
 }
 
 int
 main(int argc, char **argv)
 {
-	bool trouble = rig_begin(argc, argv);
-	int store = rig_store_start();
 	rig_edge_t edge;
-	int broken = 0;
+	int store;
 
-	memset(answer_body, 'a', sizeof(answer_body));
-	(void)rig_worker_start("i-1", "ledger", NULL, 6, run);
-	(void)rig_worker_start("i-2", "ledger", NULL, 6, run);
-	(void)rig_worker_start("i-3", "ledger", NULL, 6, run);
+	trouble = rig_begin(argc, argv);
+	store = rig_store_start();
+	(void)rig_worker_start("e-1", "models", "decode", 64, run);
+	(void)rig_worker_start("e-2", "models", "decode", 64, run);
+	(void)rig_worker_start("e-3", "models", "decode", 64, run);
 	rig_store_put("keyed.op", "config", config);
 	rig_edge_start(&edge, store, NULL);
 	if (!rig_edge_wait_ready(&edge, 15000))
 		rig_end(RIG_FAILED);
-	for (int i = 0; i < CALLERS; i++) {
-		callers[i].number = i + 1;
-		callers[i].conn = rig_connect(edge.front, true);
-		if (callers[i].conn == NULL)
-			rig_end(RIG_FAILED);
-		rig_thread(run_caller, &callers[i]);
-	}
-	rig_sleep_ms(TERM_AFTER_MS);
-	if (trouble) {
-		rig_record("platform sends SIGTERM");
-		(void)kill(edge.pid, SIGTERM);
-		if (!rig_edge_wait_exit(&edge, 9000))
-			rig_record("edge still runs after graceS");
-	}
-	for (int i = 0; i < CALLERS; i++) {
-		while (!callers[i].done)
-			rig_sleep_ms(10);
-		broken += !callers[i].complete &&
-		    callers[i].ended_ms < DEADLINE_MS;
-	}
-	rig_record("answers cut=%d of %d", broken, CALLERS);
-	rig_end(broken > 0 ? RIG_BROKEN : RIG_HELD);
+	front = edge.front;
+	rig_sleep_ms(2000);
+	for (int i = 0; i < CALLERS; i++)
+		rig_thread(run_caller, (void *)(intptr_t)i);
+	while (left > 0)
+		rig_sleep_ms(20);
+	rig_record("requests=%d broken_off=%d whole=%d short=%d stray=%d "
+		   "unanswered=%d",
+	    CALLERS * REQUESTS, broken_runs, whole, short_answers, stray_bytes,
+	    unanswered);
+	if (whole < CALLERS * REQUESTS / 2 || (trouble && broken_runs == 0))
+		rig_end(RIG_FAILED);
+	rig_end(short_answers + stray_bytes > 0 ? RIG_BROKEN : RIG_HELD);
 }
