relay: a stream that may be resumed is sent without its first run's length

Cause: host_forward_head() passed on the length that the first run had stated. A stream that may be resumed can consist of two runs, which put their tokens into events differently. Evidence: the caller's 185 bytes are the first run's 59 and the second's 126, under the first one's length of 145, each event once and no second head; an event forwarded in part, and an early next answer, are ruled out by that. Change: the relay says with a head whether the rest may come from another send; the host then sends chunks. Answers of one send keep their length. Tests: process_framing, with stand-in engines that state the length of their streams; six of ten checks failed before (complete inside an event; no end within 10 s). RELAY_FIRST_LENGTH planted is found by the six checks.

--- a/Makefile
+++ b/Makefile
@@ -168,7 +168,8 @@
 	    build/fault/test_process_h1 build/fault/test_platform_wire \
 	    build/fault/test_process_platform_store \
 	    build/fault/test_process_stream_software \
-	    build/fault/test_process_edge build/fault/test_process_held \
+	    build/fault/test_process_edge build/fault/test_process_framing \
+	    build/fault/test_process_held \
 	    build/fault/test_account build/fault/test_process_crowd \
 	    build/fault/dff-edge
 	test/faults build/fault
--- a/include/dragonflyfall/relay.h
+++ b/include/dragonflyfall/relay.h
@@ -631,12 +631,20 @@
 	dff_time_t retry_after;
 } dff_relay_answer_t;
 
-/** struct dff_relay_forward - part of a send's answer to forward to its caller
+/**
+ * struct dff_relay_forward - part of a send's answer to forward to its caller
+ * @call: number of the call
+ * @send: number of the send
+ * @open_length: of a head: the rest of the answer may come from another send, so
+ *	that the length which the head states may not be that of the whole
+ * @bytes: borrowed until the next step
+ * @len: length of @bytes
  */
 typedef struct dff_relay_forward {
 	uint64_t call;
 	uint64_t send;
-	const char *bytes; /* borrowed until the next step */
+	bool open_length;
+	const char *bytes;
 	size_t len;
 } dff_relay_forward_t;
 
--- a/source/net/relay_host_calls.c
+++ b/source/net/relay_host_calls.c
@@ -49,8 +49,8 @@
 	host_send_t *send = g_hash_table_lookup(host->sends, &forward->send);
 
 	if (req != NULL && send != NULL)
-		dff_h1d_begin(
-		    req, send->status, send->fields->str, send->length);
+		dff_h1d_begin(req, send->status, send->fields->str,
+		    forward->open_length ? -1 : send->length);
 }
 
 void
--- a/source/relay/result.c
+++ b/source/relay/result.c
@@ -31,14 +31,22 @@
 	return g_hash_table_lookup(relay->by_send, &number);
 }
 
-void
-result_forward(step_t *step, const call_t *call, dff_relay_effect_type_t type,
-    const char *bytes, size_t len)
+static dff_relay_effect_t *
+add_forward(step_t *step, const call_t *call, dff_relay_effect_type_t type)
 {
 	dff_relay_effect_t *fx = relay_add_fx(step, type);
 
 	fx->forward.call = call->number;
 	fx->forward.send = call->send.number;
+	return fx;
+}
+
+void
+result_forward(step_t *step, const call_t *call, dff_relay_effect_type_t type,
+    const char *bytes, size_t len)
+{
+	dff_relay_effect_t *fx = add_forward(step, call, type);
+
 	fx->forward.bytes = bytes;
 	fx->forward.len = len;
 }
@@ -53,11 +61,23 @@
 	    step->relay->first_byte_time, step->now - call->arrived_at);
 }
 
+/* Whether the rest of the answer may come from another send. */
+static bool
+may_go_on_elsewhere(const call_t *call)
+{
+	return dff_route_is_resumable(call->route) &&
+	    result_is_good(&call->send) && !DFF_FAULT(RELAY_FIRST_LENGTH);
+}
+
 void
 result_begin_answer(step_t *step, call_t *call)
 {
-	if (call->progress != DFF_PROGRESS_ANSWERING)
-		result_forward(step, call, DFF_RELAY_FX_FORWARD_HEAD, NULL, 0);
+	dff_relay_effect_t *fx;
+
+	if (call->progress != DFF_PROGRESS_ANSWERING) {
+		fx = add_forward(step, call, DFF_RELAY_FX_FORWARD_HEAD);
+		fx->forward.open_length = may_go_on_elsewhere(call);
+	}
 	call->progress = DFF_PROGRESS_ANSWERING;
 	note_first_byte(step, call);
 }
