h1 server: an answer of another length than it states is broken off

A longer one ran into the next answer of a kept connection, a shorter one left the caller waiting. Change: nothing is written beyond the stated length, and an answer that does not have it ends with its connection and a log line. Tests: process_h1_head: answer_shorter_than_stated_is_broken_off, answer_longer_than_stated_is_broken_off; both failed before (the connection took the next request).

--- a/Makefile
+++ b/Makefile
@@ -165,7 +165,8 @@
 	$(MAKE) MODE=fault build/fault/test_explore build/fault/test_scenarios \
 	    build/fault/test_node build/fault/test_history \
 	    build/fault/test_rate_limit $(RELAY_TESTS:%=build/fault/%) \
-	    build/fault/test_process_h1 build/fault/test_platform_wire \
+	    build/fault/test_process_h1 build/fault/test_process_h1_head \
+	    build/fault/test_platform_wire \
 	    build/fault/test_process_platform_store \
 	    build/fault/test_process_stream_software \
 	    build/fault/test_process_edge build/fault/test_process_framing \
--- a/include/dragonflyfall/h1.h
+++ b/include/dragonflyfall/h1.h
@@ -149,7 +149,8 @@
 /** dff_h1d_write() - add bytes of the body, copied */
 void dff_h1d_write(dff_h1d_req_t *req, const void *data, size_t len);
 
-/** dff_h1d_end() - end the answer; the request ends with it */
+/** dff_h1d_end() - end the answer; the request ends with it. An answer that does
+ *	not have its stated length is broken off instead */
 void dff_h1d_end(dff_h1d_req_t *req);
 
 /** dff_h1d_abort() - close the connection so that the caller sees an
--- a/source/net/h1_server.h
+++ b/source/net/h1_server.h
@@ -53,6 +53,9 @@
 	uint64_t data;
 	bool chunked;
 	bool no_body; /* the answer has no body */
+	bool has_length; /* the head states the length of the body */
+	bool mismatched; /* the body would be longer */
+	uint64_t left; /* bytes of the stated length not yet written */
 };
 
 /* ---- h1_server.c ---- */
--- a/source/net/h1_server_answer.c
+++ b/source/net/h1_server_answer.c
@@ -1,5 +1,7 @@
 #include "net/h1_server.h"
 
+#include "base/fault.h"
+
 typedef struct write_req {
 	uv_write_t super; /* first, so that a uv_write_t can be cast */
 	conn_t *conn;
@@ -88,6 +90,9 @@
 	    conn->reader.parser.method == HTTP_HEAD;
 	req->chunked = length < 0 && length != DFF_H1D_UNTIL_CLOSE &&
 	    !req->no_body && reads_chunks(conn);
+	req->has_length =
+	    length >= 0 && !req->no_body && !DFF_FAULT(H1_LENGTH_UNCHECKED);
+	req->left = req->has_length ? (uint64_t)length : 0;
 	conn->ends_answer = length < 0 && !req->no_body && !req->chunked;
 	if (conn->ends_answer)
 		conn->close_after = true;
@@ -104,13 +109,26 @@
 	h1d_send_bytes(conn, head);
 }
 
+/* Counts bytes against the stated length. Of a body that is longer nothing more
+ * is sent, so that the answer does not look complete. */
+static bool
+fits_length(dff_h1d_req_t *req, size_t len)
+{
+	if (!req->has_length)
+		return true;
+	req->mismatched |= len > req->left;
+	if (!req->mismatched)
+		req->left -= len;
+	return !req->mismatched;
+}
+
 void
 dff_h1d_write(dff_h1d_req_t *req, const void *data, size_t len)
 {
 	conn_t *conn = req->conn;
 	GString *bytes;
 
-	if (len == 0 || req->no_body)
+	if (len == 0 || req->no_body || !fits_length(req, len))
 		return;
 	bytes = g_string_sized_new(len + 16);
 	if (req->chunked)
@@ -154,15 +172,6 @@
 		h1d_parse_later(conn);
 }
 
-void
-dff_h1d_end(dff_h1d_req_t *req)
-{
-	req->conn->ends_answer = false;
-	if (req->chunked)
-		h1d_send_bytes(req->conn, g_string_new("0\r\n\r\n"));
-	finish_req(req);
-}
-
 void
 dff_h1d_abort(dff_h1d_req_t *req)
 {
@@ -173,6 +182,23 @@
 	h1d_close_conn(conn);
 }
 
+void
+dff_h1d_end(dff_h1d_req_t *req)
+{
+	if (req->mismatched || req->left > 0) {
+		dff_log(req->conn->h1d->ctx, DFF_LOG_ERR, "http",
+		    "answer does not have its stated length "
+		    "missing=%" G_GUINT64_FORMAT " longer=%d",
+		    req->left, req->mismatched);
+		dff_h1d_abort(req);
+		return;
+	}
+	req->conn->ends_answer = false;
+	if (req->chunked)
+		h1d_send_bytes(req->conn, g_string_new("0\r\n\r\n"));
+	finish_req(req);
+}
+
 void
 dff_h1d_answer(dff_h1d_req_t *req, int status, const char *fields,
     const void *body, size_t len)
