test: pages of the store's log have a program of their own

Change: the two checks of the log's pages are in process_store_pages, with one more: a listing in pages confirms only with its last page, and from its first question on (it passed before). The checks and their bounds are as they were.

--- a/Makefile
+++ b/Makefile
@@ -168,6 +168,7 @@
 	    build/fault/test_process_h1 build/fault/test_process_h1_head \
 	    build/fault/test_platform_wire \
 	    build/fault/test_process_platform_store \
+	    build/fault/test_process_store_pages \
 	    build/fault/test_process_stream_software \
 	    build/fault/test_process_edge build/fault/test_process_framing \
 	    build/fault/test_process_held \
