--- a/source/net/address.c
+++ b/source/net/address.c
@@ -56,6 +56,16 @@
 	return sizeof(struct sockaddr_in6);
 }
 
+int
+dff_address_port(const struct sockaddr_storage *addr)
+{
+	const void *any = addr;
+
+	return ntohs(addr->ss_family == AF_INET6 ?
+		((const struct sockaddr_in6 *)any)->sin6_port :
+		((const struct sockaddr_in *)any)->sin_port);
+}
+
 void
 dff_tcp_set_options(uv_tcp_t *tcp, unsigned unacked_msec)
 {
--- a/source/net/address.h
+++ b/source/net/address.h
@@ -17,6 +17,9 @@
  */
 int dff_address_parse(const char *text, struct sockaddr_storage *addr);
 
+/** dff_address_port() - port of an address that was parsed */
+int dff_address_port(const struct sockaddr_storage *addr);
+
 /**
  * dff_tcp_set_options() - disable Nagle's algorithm and set
  *	TCP_USER_TIMEOUT
