platform client: an odd entry of the VM list leaves the others readable

New VMs got no work, leaving ones went on getting it. Cause: on_vms() parsed the list as one JSON text. Change: json_split_list() finds the entries by brackets, strings and commas, and each is parsed by itself. A list whose brackets do not match is given up as before.

--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -10,6 +10,7 @@
 #include "net/address.h"
 #include "net/fetch.h"
 #include "net/json_read.h"
+#include "net/json_split.h"
 
 /* Records requested in one read, fewer if they are large. */
 #define RECORDS_MAX 256
@@ -303,20 +304,30 @@
 	return json_read_u64(item, "incarnation", &vm->incarnation);
 }
 
+static bool
+parse_vm(const json_text_t *text, dff_vm_t *vm)
+{
+	json_t *item = json_loadb(text->start, text->len, 0, NULL);
+	bool valid = read_vm(item, vm);
+
+	json_decref(item);
+	return valid;
+}
+
 static void
-report_vms(dff_platform_t *platform, const json_t *list)
+report_vms(dff_platform_t *platform, const GArray *list)
 {
 	GArray *vms = g_array_new(FALSE, FALSE, sizeof(dff_vm_t));
 	dff_event_t event = {.type = DFF_EV_VM_LIST};
-	size_t count = MIN(json_array_size(list), VMS_MAX);
+	guint count = MIN(list->len, VMS_MAX);
 	dff_vm_t vm;
 
-	for (size_t i = 0; i < count; i++) {
-		if (read_vm(json_array_get(list, i), &vm))
+	for (guint i = 0; i < count; i++) {
+		if (parse_vm(&g_array_index(list, json_text_t, i), &vm))
 			g_array_append_val(vms, vm);
 		else
 			dff_log(platform->ctx, DFF_LOG_WARNING, "platform",
-			    "entry of the VM list is invalid line=%zu", i);
+			    "entry of the VM list is invalid line=%u", i);
 	}
 	event.u.vm_list.vms = (const dff_vm_t *)(void *)vms->data;
 	event.u.vm_list.count = vms->len;
@@ -328,21 +339,19 @@
 on_vms(void *arg, void *data, const dff_fetch_result_t *fetched)
 {
 	dff_platform_t *platform = arg;
-	json_t *body = NULL;
-	const json_t *list;
+	GArray *list = NULL;
 
 	(void)data;
 	platform->vms_pending = false;
 	if (fetched->end == DFF_HTTPC_DONE && fetched->status == 200)
-		body = json_loadb(fetched->body, fetched->len, 0, NULL);
-	list = json_object_get(body, "vms");
-	if (json_is_array(list))
+		list = json_split_list(fetched->body, fetched->len, "vms");
+	if (list != NULL)
 		report_vms(platform, list);
 	else
 		dff_log(platform->ctx, DFF_LOG_WARNING, "platform",
 		    "VM list cannot be read end=%d status=%d",
 		    (int)fetched->end, fetched->status);
-	json_decref(body);
+	g_clear_pointer(&list, g_array_unref);
 }
 
 static void
--- a/test/test_process_platform.c
+++ b/test/test_process_platform.c
@@ -243,6 +243,42 @@
 }
 END_TEST
 
+/* An entry that cannot be parsed made the whole list unreadable, at each read. */
+static const char *const odd_entries[] = {
+    "{\"id\":\"odd\",\"addr\":\"127.0.0.1:1\",\"domain\":\"d\","
+    "\"kind\":\"entry\",\"incarnation\":99999999999999999999,"
+    "\"state\":\"live\"}",
+    "{\"id\":\"odd\",\"addr\":\"127.0.0.1:1\",\"domain\":\"d\","
+    "\"kind\":\"entry\",\"incarnation\":1e999,\"state\":\"live\"}",
+    "{\"id\":\"odd\",\"addr\":\"127.0.0.1:65536\",\"domain\":\"d\","
+    "\"kind\":\"entry\",\"incarnation\":1,\"state\":\"live\"}",
+    "{\"id\":\"o\\\"],}{\",\"x\":\"\xff\"}", "{\"id\":nothing}",
+    NULL, /* nested deeply */
+};
+
+START_TEST(platform_reads_the_vm_list_beside_odd_entries)
+{
+	rig_t rig;
+	GString *text = g_string_new("{\"more\":[{}],\"vms\" : [ ");
+
+	if (odd_entries[_i] != NULL)
+		g_string_append(text, odd_entries[_i]);
+	else {
+		for (int i = 0; i < 100000; i++)
+			g_string_append_c(text, '[');
+		for (int i = 0; i < 100000; i++)
+			g_string_append_c(text, ']');
+	}
+	g_string_append(text,
+	    ",{\"id\":\"e1\",\"addr\":\"127.0.0.1:1\",\"domain\":\"d\","
+	    "\"kind\":\"entry\",\"incarnation\":1,\"state\":\"live\"} ] }\n");
+	rig_open(&rig, text->str);
+	netloop_expect(&rig.net, 1, "vms 1\n");
+	rig_close(&rig);
+	(void)g_string_free(text, TRUE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -259,6 +295,9 @@
 	tcase_add_loop_test(
 	    tcase, platform_append_outcomes, 0, G_N_ELEMENTS(appends));
 	tcase_add_test(tcase, platform_reads_the_vm_list);
+	tcase_add_loop_test(tcase,
+	    platform_reads_the_vm_list_beside_odd_entries, 0,
+	    G_N_ELEMENTS(odd_entries));
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
