--- a/source/net/json_split.c
+++ b/source/net/json_split.c
@@ -92,17 +92,18 @@
 static bool
 take_member(scan_t *scan, const char *name, GArray *elements, bool *found)
 {
-	const char *key;
+	const char *start;
 	size_t len;
 
 	skip_space(scan);
-	key = scan->at + 1;
+	start = scan->at;
 	if (!skip_string(scan))
 		return false;
-	len = (size_t)(scan->at - key) - 1;
+	/* Without the quotes. */
+	len = (size_t)(scan->at - start) - 2;
 	if (!skip_char(scan, ':'))
 		return false;
-	if (*found || len != strlen(name) || memcmp(key, name, len) != 0)
+	if (*found || len != strlen(name) || memcmp(start + 1, name, len) != 0)
 		return skip_value(scan);
 	*found = true;
 	return split(scan, elements);
